--- /dev/null
+++ b/tier/pkg/batcher/batcher.go
@@ -0,0 +1,108 @@
+// Package batcher hands items from many producers to one consumer in batches
+// of whatever is ready, without delay.
+package batcher
+
+import (
+	"context"
+	"errors"
+	"sync"
+)
+
+// ErrClosed is returned once a Queue is closed and empty.
+var ErrClosed = errors.New("queue is closed")
+
+// Queue is a FIFO of unbounded length. Callers bound it by what they admit.
+// The zero value is an empty queue, ready to use.
+type Queue[T any] struct {
+	mu     sync.Mutex
+	items  []T
+	spare  []T
+	ready  chan struct{}
+	closed bool
+}
+
+func (q *Queue[T]) signal() chan struct{} {
+	if q.ready == nil {
+		q.ready = make(chan struct{}, 1)
+	}
+	return q.ready
+}
+
+// Put appends an item. It reports false if the queue is closed.
+func (q *Queue[T]) Put(item T) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return false
+	}
+	q.items = append(q.items, item)
+	select {
+	case q.signal() <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// Ready returns a channel that receives after items were put or the queue was
+// closed.
+func (q *Queue[T]) Ready() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.signal()
+}
+
+// Drain returns every item now queued, or nil. The slice is valid until the
+// second next call of Drain or Take.
+func (q *Queue[T]) Drain() []T {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.items) == 0 {
+		return nil
+	}
+	out := q.items
+	clear(q.spare[:cap(q.spare)])
+	q.items, q.spare = q.spare[:0], out
+	return out
+}
+
+// Take waits for items and returns all of them.
+func (q *Queue[T]) Take(ctx context.Context) ([]T, error) {
+	ready := q.Ready()
+	for {
+		if out := q.Drain(); out != nil {
+			return out, nil
+		}
+		if q.isClosed() {
+			return nil, ErrClosed
+		}
+		select {
+		case <-ready:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (q *Queue[T]) isClosed() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.closed
+}
+
+// Len returns the number of queued items.
+func (q *Queue[T]) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.items)
+}
+
+// Close makes later Puts fail. Items already queued can still be taken.
+func (q *Queue[T]) Close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	select {
+	case q.signal() <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/tier/pkg/indexer/indexer.go
@@ -0,0 +1,219 @@
+// Package indexer builds lookups over one accepted configuration.
+package indexer
+
+import (
+	"errors"
+	"slices"
+	"sort"
+
+	"github.com/rotisserie/eris"
+
+	"plantaincleat/tier/gen/config"
+)
+
+// Errors of lookups.
+var (
+	ErrCollection  = errors.New("unknown collection")
+	ErrVersion     = errors.New("unknown schema version")
+	ErrSnapshot    = errors.New("snapshot is not served any more")
+	ErrInstitution = errors.New("unknown institution")
+	ErrClass       = errors.New("unknown class")
+)
+
+type versionKey struct {
+	collection string
+	version    string
+}
+
+// Index is an immutable view of one accepted configuration. The zero value
+// holds nothing.
+type Index struct {
+	accepted     *config.Accepted
+	targets      map[string]*config.Target
+	versions     map[versionKey][]*Snapshot
+	collections  map[string]bool
+	institutions map[string]*config.Institution
+}
+
+// New indexes an accepted configuration, which must have passed the checker.
+func New(accepted *config.Accepted) *Index {
+	ix := &Index{
+		accepted:     accepted,
+		targets:      map[string]*config.Target{},
+		versions:     map[versionKey][]*Snapshot{},
+		collections:  map[string]bool{},
+		institutions: map[string]*config.Institution{},
+	}
+	for _, t := range accepted.GetConfig().GetTargets() {
+		ix.targets[t.GetId()] = t
+	}
+	for _, in := range accepted.GetConfig().GetInstitutions() {
+		ix.institutions[in.GetName()] = in
+	}
+	for _, c := range accepted.GetConfig().GetCollections() {
+		ix.collections[c.GetName()] = true
+		for _, v := range c.GetVersions() {
+			key := versionKey{
+				collection: c.GetName(),
+				version:    v.GetName(),
+			}
+			for _, s := range v.GetSnapshots() {
+				ix.versions[key] = append(ix.versions[key], newSnapshot(ix, c.GetName(), v.GetName(), s))
+			}
+		}
+	}
+	return ix
+}
+
+// Revision returns the configuration's revision, 0 for none.
+func (ix *Index) Revision() uint64 { return ix.accepted.GetHead().GetRevision() }
+
+// Accepted returns the configuration itself, which must not be modified.
+func (ix *Index) Accepted() *config.Accepted { return ix.accepted }
+
+// Policy returns the shared limits. It may be nil; its getters work on nil.
+func (ix *Index) Policy() *config.Policy { return ix.accepted.GetConfig().GetPolicy() }
+
+// Target returns a target by id, or nil.
+func (ix *Index) Target(id string) *config.Target { return ix.targets[id] }
+
+// Targets returns the number of targets.
+func (ix *Index) Targets() int { return len(ix.targets) }
+
+// Institution returns an institution by name.
+func (ix *Index) Institution(name string) (*config.Institution, error) {
+	if in := ix.institutions[name]; in != nil {
+		return in, nil
+	}
+	return nil, eris.Wrapf(ErrInstitution, "institution %q", name)
+}
+
+// Class returns a class of an institution.
+func (ix *Index) Class(in *config.Institution, name string) (*config.Class, error) {
+	for _, c := range in.GetClasses() {
+		if c.GetName() == name {
+			return c, nil
+		}
+	}
+	return nil, eris.Wrapf(ErrClass, "class %q of institution %q", name, in.GetName())
+}
+
+// Pin returns a snapshot of a schema version, the current one if id is empty.
+func (ix *Index) Pin(collection, version, id string) (*Snapshot, error) {
+	if !ix.collections[collection] {
+		return nil, eris.Wrapf(ErrCollection, "collection %q", collection)
+	}
+	snapshots := ix.versions[versionKey{
+		collection: collection,
+		version:    version,
+	}]
+	if len(snapshots) == 0 {
+		return nil, eris.Wrapf(ErrVersion, "version %q of collection %q", version, collection)
+	}
+	if id == "" {
+		return snapshots[len(snapshots)-1], nil
+	}
+	i := slices.IndexFunc(snapshots, func(s *Snapshot) bool { return s.id == id })
+	if i < 0 {
+		return nil, eris.Wrapf(ErrSnapshot, "snapshot %q of collection %q version %q", id, collection, version)
+	}
+	return snapshots[i], nil
+}
+
+// Snapshot is one immutable state of a collection in one schema version, with
+// its shards in key order.
+type Snapshot struct {
+	collection string
+	version    string
+	id         string
+	shards     []Shard
+	byID       map[string]int
+}
+
+// Shard is one shard of a snapshot.
+type Shard struct {
+	id       string
+	from     string
+	to       string
+	replicas []*config.Target
+}
+
+func newSnapshot(ix *Index, collection, version string, s *config.Snapshot) *Snapshot {
+	out := &Snapshot{
+		collection: collection,
+		version:    version,
+		id:         s.GetId(),
+		byID:       map[string]int{},
+	}
+	for _, sh := range s.GetShards() {
+		shard := Shard{
+			id:   sh.GetId(),
+			from: sh.GetFrom(),
+			to:   sh.GetTo(),
+		}
+		for _, r := range sh.GetReplicas() {
+			if t := ix.targets[r]; t != nil {
+				shard.replicas = append(shard.replicas, t)
+			}
+		}
+		out.shards = append(out.shards, shard)
+	}
+	sort.Slice(out.shards, func(i, j int) bool { return out.shards[i].from < out.shards[j].from })
+	for i := range out.shards {
+		out.byID[out.shards[i].id] = i
+	}
+	return out
+}
+
+// Collection returns the collection's name.
+func (s *Snapshot) Collection() string { return s.collection }
+
+// Version returns the schema version.
+func (s *Snapshot) Version() string { return s.version }
+
+// ID returns the snapshot's id.
+func (s *Snapshot) ID() string { return s.id }
+
+// Len returns the number of shards.
+func (s *Snapshot) Len() int { return len(s.shards) }
+
+// Shard returns the i-th shard in key order.
+func (s *Snapshot) Shard(i int) *Shard { return &s.shards[i] }
+
+// Find returns the index of the shard with an id, or -1.
+func (s *Snapshot) Find(id string) int {
+	if i, ok := s.byID[id]; ok {
+		return i
+	}
+	return -1
+}
+
+// Locate returns the index of the shard whose key range holds a key, or -1.
+func (s *Snapshot) Locate(key string) int {
+	i := sort.Search(len(s.shards), func(i int) bool { return s.shards[i].from > key }) - 1
+	if i < 0 || !s.shards[i].Holds(key) {
+		return -1
+	}
+	return i
+}
+
+// ID returns the shard's id, unique within its snapshot.
+func (s *Shard) ID() string { return s.id }
+
+// From returns the first key of the shard's range.
+func (s *Shard) From() string { return s.from }
+
+// To returns the end of the shard's range, which is not part of it. Empty
+// means no upper bound.
+func (s *Shard) To() string { return s.to }
+
+// Replicas returns the targets that hold the shard.
+func (s *Shard) Replicas() []*config.Target { return s.replicas }
+
+// Holds reports whether a key lies in the shard's range.
+func (s *Shard) Holds(key string) bool { return InRange(key, s.from, s.to) }
+
+// InRange reports whether from <= key < to, an empty to being unbounded.
+func InRange(key, from, to string) bool {
+	return key >= from && (to == "" || key < to)
+}
--- /dev/null
+++ b/tier/pkg/logger/logger.go
@@ -0,0 +1,36 @@
+// Package logger writes logs as JSON lines through klog and slog.
+package logger
+
+import (
+	"io"
+	"log/slog"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+)
+
+// levels maps the names used in settings to levels.
+var levels = map[string]slog.Level{
+	"":      slog.LevelInfo,
+	"debug": slog.LevelDebug,
+	"info":  slog.LevelInfo,
+	"warn":  slog.LevelWarn,
+	"error": slog.LevelError,
+}
+
+// Set directs klog and slog to w as JSON lines with the given attributes on
+// each. The level is one of debug, info, warn and error; empty means info.
+func Set(w io.Writer, level string, attrs ...slog.Attr) error {
+	l, ok := levels[strings.ToLower(level)]
+	if !ok {
+		return eris.Errorf("log.level: %q is not one of debug, info, warn, error", level)
+	}
+	h := slog.NewJSONHandler(w, &slog.HandlerOptions{
+		Level: l,
+	}).WithAttrs(attrs)
+	log := slog.New(h)
+	slog.SetDefault(log)
+	klog.SetSlogLogger(log)
+	return nil
+}
--- /dev/null
+++ b/tier/pkg/pager/pager.go
@@ -0,0 +1,76 @@
+// Package pager encodes and decodes page cursors. A cursor is bound to one
+// snapshot and one query, so that consecutive pages neither repeat nor skip
+// records.
+package pager
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/gen/target"
+)
+
+// Errors of Decode.
+var (
+	ErrMalformed = errors.New("cursor is malformed")
+	ErrQuery     = errors.New("cursor belongs to another query")
+)
+
+const (
+	// checksumBytes is the length of the xxhash64 that precedes the message.
+	checksumBytes = 8
+	// maxTextBytes bounds what Decode accepts.
+	maxTextBytes = 4096
+)
+
+// Encode returns the URL-safe text of a cursor.
+func Encode(c *peer.Cursor) string {
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
+	if err != nil {
+		return ""
+	}
+	out := binary.BigEndian.AppendUint64(make([]byte, 0, checksumBytes+len(raw)), xxhash.Sum64(raw))
+	return base64.RawURLEncoding.EncodeToString(append(out, raw...))
+}
+
+// Decode parses the text of a cursor and checks that it belongs to the query
+// with the given hash.
+func Decode(text string, query uint64) (*peer.Cursor, error) {
+	if len(text) > maxTextBytes {
+		return nil, eris.Wrapf(ErrMalformed, "length %d exceeds %d bytes", len(text), maxTextBytes)
+	}
+	raw, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(raw) < checksumBytes {
+		return nil, eris.Wrap(ErrMalformed, "not base64url")
+	}
+	if binary.BigEndian.Uint64(raw) != xxhash.Sum64(raw[checksumBytes:]) {
+		return nil, eris.Wrap(ErrMalformed, "checksum differs")
+	}
+	c := &peer.Cursor{}
+	if err := proto.Unmarshal(raw[checksumBytes:], c); err != nil {
+		return nil, eris.Wrap(ErrMalformed, "not a cursor message")
+	}
+	if c.GetQuery() != query {
+		return nil, ErrQuery
+	}
+	return c, nil
+}
+
+// Hash returns the hash of what a query asks, apart from its place and limit.
+func Hash(collection, version, class string, q *target.Query) uint64 {
+	d := xxhash.New()
+	parts := append([]string{collection, version, class, q.GetPrefix()}, q.GetTerms()...)
+	for _, p := range parts {
+		var n [checksumBytes]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(p)))
+		_, _ = d.Write(n[:])
+		_, _ = d.WriteString(p)
+	}
+	return d.Sum64()
+}
