--- /dev/null
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -0,0 +1,177 @@
+// Package gatherer answers sub-plans: it owns the queues of some targets,
+// chooses replicas, hedges, and merges what the targets return.
+package gatherer
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/entryd/pkg/estimator"
+	"plantaincleat/entryd/pkg/exchanger"
+	"plantaincleat/entryd/pkg/router"
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/indexer"
+	"plantaincleat/tier/pkg/tracer"
+)
+
+// Configs returns the configuration in force.
+type Configs interface {
+	Index() *indexer.Index
+}
+
+// Departures tells which targets take no new work.
+type Departures interface {
+	// Leaving reports whether a target is known to be leaving.
+	Leaving(target string) bool
+	// Announce tells the fleet that one incarnation of a target is leaving.
+	Announce(target string, incarnation uint64)
+}
+
+// Gatherer answers sub-plans. It is safe for concurrent use.
+type Gatherer struct {
+	id         string
+	configs    Configs
+	departures Departures
+	dial       exchanger.Dialer
+	clock      clockwork.Clock
+	budget     router.Budget
+
+	nonce  atomic.Uint64
+	counts Counts
+
+	group estimator.Group
+	pace  pace
+
+	mu    sync.RWMutex
+	lanes map[string]*lane
+}
+
+// Options are the collaborators of a Gatherer.
+type Options struct {
+	// ID is the daemon's id, which partials carry.
+	ID         string
+	Configs    Configs
+	Departures Departures
+	Dial       exchanger.Dialer
+	Clock      clockwork.Clock
+	Budget     router.Budget
+}
+
+// New returns a gatherer.
+func New(o Options) *Gatherer {
+	return &Gatherer{
+		id:         o.ID,
+		configs:    o.Configs,
+		departures: o.Departures,
+		dial:       o.Dial,
+		clock:      o.Clock,
+		budget:     o.Budget,
+		lanes:      map[string]*lane{},
+	}
+}
+
+// Counts returns the gatherer's counters.
+func (g *Gatherer) Counts() *Counts { return &g.counts }
+
+// Run answers one sub-plan. It calls emit with one or more partials, the last
+// of which is marked, and returns when that is done or ctx ends.
+func (g *Gatherer) Run(ctx context.Context, nonce uint64, task *peer.Gather, emit func(*peer.Partial)) {
+	ctx, span := tracer.Start(tracer.Extract(ctx, task.GetTrace()), "gather")
+	defer span.End()
+	j := newJob(g, nonce, task, tracer.Inject(ctx))
+	j.run(ctx, emit)
+}
+
+// Serve answers the sub-plans of one stream.
+func (g *Gatherer) Serve(stream peer.Peer_GatherServer) error {
+	s := newSession(g, stream)
+	return s.run()
+}
+
+// lane returns the lane of a target, or nil if the configuration in force
+// does not have it.
+func (g *Gatherer) lane(id string) *lane {
+	t := g.configs.Index().Target(id)
+	if t == nil {
+		return nil
+	}
+	key := id + "@" + t.GetAddress()
+	g.mu.RLock()
+	l := g.lanes[key]
+	g.mu.RUnlock()
+	if l != nil {
+		return l
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l = g.lanes[key]; l == nil {
+		l = newLane(t, exchanger.NewTargetLink(t.GetAddress(), g.dial, g.clock), &g.group, g.clock)
+		g.lanes[key] = l
+	}
+	return l
+}
+
+// Close ends the links to targets.
+func (g *Gatherer) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, l := range g.lanes {
+		l.link.Close()
+	}
+}
+
+// Counts are the counters of a gatherer.
+type Counts struct {
+	Tasks   atomic.Int64
+	Sent    atomic.Int64
+	Hedges  atomic.Int64
+	Retries atomic.Int64
+	// Crossed counts answers whose stamp was not that of the request.
+	Crossed atomic.Int64
+	Sheds   atomic.Int64
+	Lost    atomic.Int64
+}
+
+// pace keeps the decayed mean and mean deviation of the duration of sub-plans.
+// The zero value starts from a prior.
+type pace struct {
+	mu   sync.Mutex
+	mean float64
+	dev  float64
+}
+
+const (
+	// paceGain is the weight of one sample in the decayed mean.
+	paceGain = 1.0 / 32
+	// pacePrior is the duration assumed before the first sample.
+	pacePrior = 10 * time.Millisecond
+	// paceDeviations is how many mean deviations above the mean a sub-plan is
+	// late.
+	paceDeviations = 2
+)
+
+func (p *pace) add(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v := float64(d)
+	if p.mean == 0 {
+		p.mean, p.dev = v, v/2
+		return
+	}
+	p.dev += paceGain * (max(v-p.mean, p.mean-v) - p.dev)
+	p.mean += paceGain * (v - p.mean)
+}
+
+// late returns the duration after which a sub-plan counts as late.
+func (p *pace) late() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.mean == 0 {
+		return pacePrior
+	}
+	return time.Duration(p.mean + paceDeviations*p.dev)
+}
--- /dev/null
+++ b/entryd/pkg/gatherer/job.go
@@ -0,0 +1,327 @@
+package gatherer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"plantaincleat/entryd/pkg/exchanger"
+	"plantaincleat/entryd/pkg/merger"
+	"plantaincleat/entryd/pkg/router"
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/batcher"
+	"plantaincleat/tier/pkg/indexer"
+)
+
+const (
+	// returnMargin is taken off the remaining time for the way back.
+	returnMargin = 2 * time.Millisecond
+	// flushGap is the least time between two partials of a late sub-plan.
+	flushGap = time.Millisecond
+)
+
+// flight is one sub-request of a job.
+type flight struct {
+	unit    int
+	lane    *lane
+	attempt *peer.Attempt
+}
+
+// job answers one sub-plan.
+type job struct {
+	gatherer *Gatherer
+	nonce    uint64
+	task     *peer.Gather
+	trace    string
+	start    time.Time
+	deadline time.Time
+
+	snapshot *indexer.Snapshot
+	wanted   []*peer.Wanted
+	query    *router.Query[string]
+	events   batcher.Queue[reply]
+	flights  map[uint64]*flight
+
+	merged   *merger.Merger
+	fresh    []string
+	missing  []*peer.Missing
+	reported []bool
+	attempts []*peer.Attempt
+	crashed  []string
+	flushed  time.Time
+}
+
+func newJob(g *Gatherer, nonce uint64, task *peer.Gather, trace string) *job {
+	now := g.clock.Now()
+	j := &job{
+		gatherer: g,
+		nonce:    nonce,
+		task:     task,
+		trace:    trace,
+		start:    now,
+		deadline: now.Add(time.Duration(task.GetRemaining())*time.Microsecond - returnMargin),
+		flights:  map[uint64]*flight{},
+	}
+	j.index()
+	j.merged = j.newMerger()
+	terms := router.Terms{
+		Deadline: j.deadline,
+		Hedging:  !task.GetSuspected(),
+		Separate: true,
+	}
+	j.query = router.New(j.snapshot.Len(), terms, &selector{job: j}, g.budget, func() uint64 { return g.nonce.Add(1) })
+	return j
+}
+
+// index builds the snapshot of the wanted shards, with units in key order.
+func (j *job) index() {
+	shards := make([]indexer.Shard, 0, len(j.task.GetShards()))
+	byID := make(map[string]*peer.Wanted, len(j.task.GetShards()))
+	for _, w := range j.task.GetShards() {
+		shards = append(shards, indexer.NewShard(w.GetShard(), w.GetFrom(), w.GetTo()))
+		byID[w.GetShard()] = w
+	}
+	j.snapshot = indexer.NewSnapshot(j.task.GetCollection(), j.task.GetVersion(), j.task.GetSnapshot(), shards)
+	j.wanted = make([]*peer.Wanted, len(shards))
+	for i := range j.wanted {
+		j.wanted[i] = byID[j.snapshot.Shard(i).ID()]
+	}
+	j.reported = make([]bool, len(shards))
+}
+
+func (j *job) newMerger() *merger.Merger {
+	return merger.New(j.snapshot, int(j.task.GetQuery().GetLimit()))
+}
+
+func (j *job) run(ctx context.Context, emit func(*peer.Partial)) {
+	j.gatherer.counts.Tasks.Add(1)
+	j.apply(j.query.Start(j.start))
+	timer := j.gatherer.clock.NewTimer(j.wait())
+	defer timer.Stop()
+	ready := j.events.Ready()
+	for {
+		j.flush(emit)
+		if j.query.Done() {
+			break
+		}
+		timer.Reset(j.wait())
+		select {
+		case <-ready:
+			for _, r := range j.events.Drain() {
+				j.receive(r)
+			}
+		case <-timer.Chan():
+			j.apply(j.query.Tick(j.gatherer.clock.Now()))
+		case <-ctx.Done():
+			j.abandon()
+			return
+		}
+	}
+	j.gatherer.pace.add(j.gatherer.clock.Since(j.start))
+}
+
+// wait returns the time until the query or the next flush is due.
+func (j *job) wait() time.Duration {
+	now := j.gatherer.clock.Now()
+	d := j.query.Wake().Sub(now)
+	if len(j.fresh) > 0 {
+		d = min(d, j.flushAt().Sub(now))
+	}
+	return max(d, 0)
+}
+
+// apply carries out the actions of the query.
+func (j *job) apply(actions []router.Action[string]) {
+	for _, a := range actions {
+		if a.Cancel {
+			if f := j.flights[a.Nonce]; f != nil {
+				delete(j.flights, a.Nonce)
+				f.lane.withdraw(a.Nonce)
+				j.conclude(f, target.Status_STATUS_CANCELLED, nil)
+			}
+			continue
+		}
+		j.send(a)
+	}
+}
+
+func (j *job) send(a router.Action[string]) {
+	unit := a.Units[0]
+	now := j.gatherer.clock.Now()
+	l := j.gatherer.lane(a.Path)
+	if l == nil {
+		j.events.Put(reply{
+			nonce: a.Nonce,
+			err:   exchanger.ErrNotSent,
+		})
+		return
+	}
+	f := &flight{
+		unit: unit,
+		lane: l,
+		attempt: &peer.Attempt{
+			Shard:  j.wanted[unit].GetShard(),
+			Target: a.Path,
+			Hedge:  a.Hedge,
+			Start:  now.Sub(j.start).Microseconds(),
+		},
+	}
+	j.attempts = append(j.attempts, f.attempt)
+	j.flights[a.Nonce] = f
+	j.gatherer.counts.Sent.Add(1)
+	if a.Hedge {
+		j.gatherer.counts.Hedges.Add(1)
+	}
+	l.submit(&request{
+		nonce: a.Nonce,
+		search: &target.Search{
+			Collection: j.task.GetCollection(),
+			Version:    j.task.GetVersion(),
+			Snapshot:   j.task.GetSnapshot(),
+			Shard:      j.wanted[unit].GetShard(),
+			Query:      j.task.GetQuery(),
+			Trace:      j.trace,
+		},
+		expiry: j.deadline,
+		sink:   func(r reply) { j.events.Put(r) },
+	})
+}
+
+// receive handles what became of one sub-request.
+func (j *job) receive(r reply) {
+	now := j.gatherer.clock.Now()
+	f := j.flights[r.nonce]
+	if f == nil {
+		j.apply(j.query.Lost(r.nonce, peer.Reason_REASON_UNREACHABLE, now))
+		return
+	}
+	delete(j.flights, r.nonce)
+	reason := j.judge(f, r)
+	if reason == peer.Reason_REASON_UNSPECIFIED {
+		j.apply(j.query.Answer(r.nonce, []int{f.unit}, nil, true, now))
+		return
+	}
+	j.apply(j.query.Answer(r.nonce, nil, []router.Lack{{
+		Unit:   f.unit,
+		Reason: reason,
+	}}, true, now))
+}
+
+// judge verifies and merges an answer. It returns why the answer does not
+// count, or REASON_UNSPECIFIED if it does.
+func (j *job) judge(f *flight, r reply) peer.Reason {
+	counts := &j.gatherer.counts
+	if r.err != nil {
+		j.conclude(f, target.Status_STATUS_UNSPECIFIED, r.err)
+		if errors.Is(r.err, errWaiting) {
+			counts.Sheds.Add(1)
+			return peer.Reason_REASON_SHED
+		}
+		if errors.Is(r.err, exchanger.ErrLost) {
+			counts.Lost.Add(1)
+			j.crashed = append(j.crashed, f.lane.id)
+		}
+		return peer.Reason_REASON_UNREACHABLE
+	}
+	a := r.answer
+	j.conclude(f, a.GetStatus(), nil)
+	if a.GetLoad().GetLeaving() {
+		j.gatherer.departures.Announce(f.lane.id, a.GetIncarnation())
+	}
+	if a.GetStatus() != target.Status_STATUS_DONE {
+		if a.GetStatus() == target.Status_STATUS_SHED {
+			counts.Sheds.Add(1)
+		}
+		return reasons[a.GetStatus()]
+	}
+	shard := j.wanted[f.unit].GetShard()
+	if a.GetTarget() != f.lane.id || a.GetShard() != shard {
+		counts.Crossed.Add(1)
+		return peer.Reason_REASON_FAILED
+	}
+	if err := j.merged.Merge(a.GetSnapshot(), []string{shard}, a.GetRecords()); err != nil {
+		counts.Crossed.Add(1)
+		f.attempt.Error = err.Error()
+		return peer.Reason_REASON_FAILED
+	}
+	j.fresh = append(j.fresh, shard)
+	return peer.Reason_REASON_UNSPECIFIED
+}
+
+var reasons = map[target.Status]peer.Reason{
+	target.Status_STATUS_UNSPECIFIED: peer.Reason_REASON_FAILED,
+	target.Status_STATUS_SHED:        peer.Reason_REASON_SHED,
+	target.Status_STATUS_LEAVING:     peer.Reason_REASON_LEAVING,
+	target.Status_STATUS_DROPPED:     peer.Reason_REASON_DROPPED,
+	target.Status_STATUS_ABSENT:      peer.Reason_REASON_UNREACHABLE,
+	target.Status_STATUS_CANCELLED:   peer.Reason_REASON_FAILED,
+	target.Status_STATUS_FAILED:      peer.Reason_REASON_FAILED,
+	target.Status_STATUS_EXPIRED:     peer.Reason_REASON_LATE,
+}
+
+func (j *job) conclude(f *flight, status target.Status, err error) {
+	f.attempt.Status = status
+	f.attempt.End = j.gatherer.clock.Since(j.start).Microseconds()
+	if err != nil {
+		f.attempt.Error = err.Error()
+	}
+}
+
+// flushAt returns the earliest time of the next partial that only reports
+// covered shards.
+func (j *job) flushAt() time.Time {
+	if j.flushed.IsZero() {
+		return j.start.Add(j.gatherer.pace.late())
+	}
+	return j.flushed.Add(flushGap)
+}
+
+// flush emits a partial if the sub-plan is done, if shards became missing
+// (the root may ask elsewhere), or if it is late.
+func (j *job) flush(emit func(*peer.Partial)) {
+	j.collectMissing()
+	now := j.gatherer.clock.Now()
+	done := j.query.Done()
+	if !done && len(j.missing) == 0 && (len(j.fresh) == 0 || now.Before(j.flushAt())) {
+		return
+	}
+	p := &peer.Partial{
+		Nonce:    j.nonce,
+		Daemon:   j.gatherer.id,
+		Snapshot: j.snapshot.ID(),
+		Covered:  j.fresh,
+		Missing:  j.missing,
+		Records:  j.merged.Records(),
+		Last:     done,
+		Sent:     uint32(j.query.Sent()),
+		Crashed:  j.crashed,
+	}
+	if done {
+		p.Attempts = j.attempts
+	}
+	j.fresh, j.missing, j.crashed = nil, nil, nil
+	j.merged = j.newMerger()
+	j.flushed = now
+	emit(p)
+}
+
+func (j *job) collectMissing() {
+	for i := range j.reported {
+		if j.reported[i] || j.query.Covered(i) || !(j.query.Closed(i) || j.query.Done()) {
+			continue
+		}
+		j.reported[i] = true
+		j.missing = append(j.missing, &peer.Missing{
+			Shard:  j.wanted[i].GetShard(),
+			Reason: j.query.Reason(i),
+		})
+	}
+}
+
+// abandon withdraws what is in flight after the root lost interest.
+func (j *job) abandon() {
+	for nonce, f := range j.flights {
+		f.lane.withdraw(nonce)
+	}
+}
--- a/tier/pkg/indexer/indexer.go
+++ b/tier/pkg/indexer/indexer.go
@@ -139,30 +139,17 @@
 }
 
 func newSnapshot(ix *Index, collection, version string, s *config.Snapshot) *Snapshot {
-	out := &Snapshot{
-		collection: collection,
-		version:    version,
-		id:         s.GetId(),
-		byID:       map[string]int{},
-	}
+	shards := make([]Shard, 0, len(s.GetShards()))
 	for _, sh := range s.GetShards() {
-		shard := Shard{
-			id:   sh.GetId(),
-			from: sh.GetFrom(),
-			to:   sh.GetTo(),
-		}
+		shard := NewShard(sh.GetId(), sh.GetFrom(), sh.GetTo())
 		for _, r := range sh.GetReplicas() {
 			if t := ix.targets[r]; t != nil {
 				shard.replicas = append(shard.replicas, t)
 			}
 		}
-		out.shards = append(out.shards, shard)
+		shards = append(shards, shard)
 	}
-	sort.Slice(out.shards, func(i, j int) bool { return out.shards[i].from < out.shards[j].from })
-	for i := range out.shards {
-		out.byID[out.shards[i].id] = i
-	}
-	return out
+	return NewSnapshot(collection, version, s.GetId(), shards)
 }
 
 // Collection returns the collection's name.
@@ -217,3 +204,28 @@
 func InRange(key, from, to string) bool {
 	return key >= from && (to == "" || key < to)
 }
+
+// NewSnapshot returns a snapshot of the given shards, in key order.
+func NewSnapshot(collection, version, id string, shards []Shard) *Snapshot {
+	s := &Snapshot{
+		collection: collection,
+		version:    version,
+		id:         id,
+		shards:     shards,
+		byID:       make(map[string]int, len(shards)),
+	}
+	sort.Slice(s.shards, func(i, j int) bool { return s.shards[i].from < s.shards[j].from })
+	for i := range s.shards {
+		s.byID[s.shards[i].id] = i
+	}
+	return s
+}
+
+// NewShard returns a shard without replicas.
+func NewShard(id, from, to string) Shard {
+	return Shard{
+		id:   id,
+		from: from,
+		to:   to,
+	}
+}
