Add the estimator of a target's service time

Replica choice needs an expected finish that does not depend on health endpoints, which lag. The estimate uses own latencies, own requests in flight and the queue reported with an answer. The part of that queue that is ours is taken out, so that it does not count twice.

A target's silence is measured on a clock that advances only while other targets answer, so that a pause of the daemon suspects nobody.

--- /dev/null
+++ b/entryd/pkg/estimator/estimator.go
@@ -0,0 +1,363 @@
+// Package estimator predicts when a target would finish one more request. It
+// learns from the answers themselves: service times in a decayed sketch, the
+// queue that the target reports with an answer, the requests that are in
+// flight from here, and silences.
+//
+// All methods are safe for concurrent use, allocate nothing, and take the time
+// as an argument.
+package estimator
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// DefaultHalfLife is the half-life of a latency sample.
+	DefaultHalfLife = 5 * time.Second
+	// DefaultPrior is the service time assumed before the first answer.
+	DefaultPrior = 10 * time.Millisecond
+
+	// reportLife is the age at which a reported queue no longer counts.
+	reportLife = 500 * time.Millisecond
+	// refresh is the number of samples after which quantiles are computed.
+	refresh = 16
+	// rampFactor times the slots is the in-flight limit at which a cold
+	// target counts as warm.
+	rampFactor = 2
+
+	// silenceFactor times the p95 latency without an answer makes a target
+	// suspected of being frozen.
+	silenceFactor = 4
+	// minSilence is the shortest silence that raises a suspicion. It exceeds
+	// maxGap, so that a pause of the daemon alone raises none.
+	minSilence = 20 * time.Millisecond
+	// failureLimit is the number of consecutive failures that raises a
+	// suspicion.
+	failureLimit = 3
+	// probeFactor times the p95 latency is the time between two requests to
+	// a suspected target, within the two bounds below.
+	probeFactor = 16
+	minProbe    = 100 * time.Millisecond
+	maxProbe    = 2 * time.Second
+	// penalty is added to the expected finish of a suspected target.
+	penalty = time.Second
+)
+
+// Settings describe one target. Zero fields take defaults.
+type Settings struct {
+	// Slots is the number of requests that the target runs at once.
+	Slots int
+	// Prior is the service time assumed before the first answer.
+	Prior time.Duration
+	// HalfLife is the half-life of a latency sample.
+	HalfLife time.Duration
+}
+
+// Report is what an answer says about the target's state.
+type Report struct {
+	// Incarnation of the target's process.
+	Incarnation uint64
+	// Queue is the number of requests waiting for a slot.
+	Queue uint32
+	// Service is the execution time, waiting excluded. Zero if unknown.
+	Service time.Duration
+}
+
+// Ticket stands for one request in flight.
+type Ticket struct {
+	sent        time.Duration
+	ahead       float64
+	incarnation uint64
+}
+
+// Estimator holds the state of one target.
+type Estimator struct {
+	group *Group
+	slots float64
+	prior time.Duration
+
+	flight      atomic.Int64
+	incarnation atomic.Uint64
+	failures    atomic.Int64
+
+	// unanswered tells whether a request was sent since the last answer,
+	// and silence is the activity clock at the first such request.
+	unanswered atomic.Bool
+	silence    atomic.Int64
+	probe      atomic.Int64
+
+	// Last report: requests of others ahead of ours, as float bits, and when.
+	foreign  atomic.Uint64
+	reported atomic.Int64
+
+	// Published quantiles in nanoseconds.
+	service, p50, p95 atomic.Int64
+
+	// ramp is the in-flight limit while cold, and zero once warm.
+	ramp atomic.Int64
+
+	mu       sync.Mutex
+	wins     int64
+	samples  int
+	latency  Sketch
+	services Sketch
+}
+
+// New returns the estimator of a target that has not answered yet.
+func (g *Group) New(s Settings) *Estimator {
+	if s.Prior <= 0 {
+		s.Prior = DefaultPrior
+	}
+	e := &Estimator{
+		group: g,
+		slots: float64(max(s.Slots, 1)),
+		prior: s.Prior,
+		latency: Sketch{
+			HalfLife: s.HalfLife,
+		},
+		services: Sketch{
+			HalfLife: s.HalfLife,
+		},
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reset()
+	return e
+}
+
+// Send counts a request that is about to be sent. Each ticket ends in exactly
+// one call of Answer, Fail or Drop.
+func (e *Estimator) Send(now time.Time) Ticket {
+	at := e.group.since(now)
+	t := Ticket{
+		sent:        at,
+		ahead:       e.ahead(at),
+		incarnation: e.incarnation.Load(),
+	}
+	e.flight.Add(1)
+	if !e.unanswered.Load() {
+		e.silence.Store(e.group.activity())
+		e.unanswered.Store(true)
+	}
+	return t
+}
+
+// Answer records a completed request. An answer from an incarnation that has
+// since been replaced changes nothing but the count in flight.
+func (e *Estimator) Answer(now time.Time, t Ticket, r Report) {
+	e.flight.Add(-1)
+	at := e.group.since(now)
+	current := e.incarnation.Load()
+	if r.Incarnation != current && r.Incarnation == t.incarnation {
+		return
+	}
+	e.heard(at)
+	e.failures.Store(0)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.incarnation.Load() != r.Incarnation {
+		known := e.incarnation.Swap(r.Incarnation) != 0
+		if known {
+			e.reset()
+		}
+	}
+	e.report(at, r)
+	e.sample(at, t, r)
+	e.warm()
+}
+
+// Shed records that the target refused a request before running it.
+func (e *Estimator) Shed(now time.Time, r Report) {
+	e.flight.Add(-1)
+	at := e.group.since(now)
+	e.heard(at)
+	e.failures.Store(0)
+	e.report(at, r)
+}
+
+// Fail records a request that ended with an error of the target or of its
+// connection.
+func (e *Estimator) Fail() {
+	e.flight.Add(-1)
+	e.failures.Add(1)
+}
+
+// Drop records a request that was given up here: cancelled, or past its
+// deadline. The target's silence goes on.
+func (e *Estimator) Drop() {
+	e.flight.Add(-1)
+}
+
+// Cool makes the target cold, as when it returns from a drain.
+func (e *Estimator) Cool() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reset()
+}
+
+// Finish returns the time in which one more request would be answered:
+//
+//	service × (1 + (own in flight + others' queue) / slots)
+//
+// A suspected target takes at least as long as it has been silent, and a
+// penalty.
+func (e *Estimator) Finish(now time.Time) time.Duration {
+	at := e.group.since(now)
+	service := float64(e.service.Load())
+	finish := time.Duration(service * (1 + e.ahead(at)/e.slots))
+	if e.Suspected() {
+		finish += penalty + e.silent()
+	}
+	return finish
+}
+
+// P50 returns the median latency of recent answers.
+func (e *Estimator) P50() time.Duration {
+	return time.Duration(e.p50.Load())
+}
+
+// P95 returns the 95th percentile of the latency of recent answers.
+func (e *Estimator) P95() time.Duration {
+	return time.Duration(e.p95.Load())
+}
+
+// Service returns the median service time, waiting excluded.
+func (e *Estimator) Service() time.Duration {
+	return time.Duration(e.service.Load())
+}
+
+// Flight returns the number of requests in flight from here.
+func (e *Estimator) Flight() int {
+	return int(e.flight.Load())
+}
+
+// Allowed returns how many requests may be in flight: a small number while
+// the target is cold, math.MaxInt once it is warm.
+func (e *Estimator) Allowed() int {
+	if n := e.ramp.Load(); n > 0 {
+		return int(n)
+	}
+	return math.MaxInt
+}
+
+// Suspected reports whether the target has been silent for a multiple of its
+// p95 latency while other targets answered, or has failed several times in a
+// row.
+func (e *Estimator) Suspected() bool {
+	if e.failures.Load() >= failureLimit {
+		return true
+	}
+	limit := max(silenceFactor*e.P95(), minSilence)
+	return e.silent() > limit
+}
+
+// Probe reports whether a request may go to a suspected target now. It is true
+// for one caller in each probe interval.
+func (e *Estimator) Probe(now time.Time) bool {
+	at := int64(e.group.since(now))
+	next := e.probe.Load()
+	if at < next {
+		return false
+	}
+	wait := min(max(probeFactor*e.P95(), minProbe), maxProbe)
+	return e.probe.CompareAndSwap(next, at+int64(wait))
+}
+
+// silent returns how long the target has left requests unanswered, on the
+// group's activity clock.
+func (e *Estimator) silent() time.Duration {
+	if !e.unanswered.Load() {
+		return 0
+	}
+	return time.Duration(e.group.activity() - e.silence.Load())
+}
+
+// heard ends a silence.
+func (e *Estimator) heard(at time.Duration) {
+	e.group.heard(at)
+	e.silence.Store(e.group.activity())
+	e.unanswered.Store(e.flight.Load() > 0)
+}
+
+// ahead returns the number of requests ahead of a new one.
+func (e *Estimator) ahead(at time.Duration) float64 {
+	own := float64(max(e.flight.Load(), 0))
+	age := at - time.Duration(e.reported.Load())
+	if age >= reportLife {
+		return own
+	}
+	fresh := 1 - float64(age)/float64(reportLife)
+	return own + fresh*math.Float64frombits(e.foreign.Load())
+}
+
+// report keeps the part of the target's reported queue that is not ours.
+func (e *Estimator) report(at time.Duration, r Report) {
+	foreign := 0.0
+	if r.Queue > 0 {
+		foreign = max(0, float64(r.Queue)+e.slots-float64(e.flight.Load()))
+	}
+	e.foreign.Store(math.Float64bits(foreign))
+	e.reported.Store(int64(at))
+}
+
+// sample records the latency of an answer, and the service time behind it:
+// the latency divided by the expected wait, or the reported time if that is
+// longer. A reported time above the latency is not believed.
+func (e *Estimator) sample(at time.Duration, t Ticket, r Report) {
+	latency := at - t.sent
+	service := time.Duration(float64(latency) / (1 + t.ahead/e.slots))
+	service = max(service, min(r.Service, latency))
+	e.latency.Add(at, latency)
+	e.services.Add(at, service)
+	e.samples++
+	if e.samples <= refresh || e.samples%refresh == 0 {
+		e.publish()
+	}
+}
+
+// publish computes the quantiles that readers see.
+func (e *Estimator) publish() {
+	var out [2]time.Duration
+	if e.latency.Quantiles([]float64{0.5, 0.95}, out[:]) {
+		e.p50.Store(int64(out[0]))
+		e.p95.Store(int64(out[1]))
+	}
+	if e.services.Quantiles([]float64{0.5}, out[:1]) {
+		e.service.Store(int64(out[0]))
+	}
+}
+
+// warm raises the limit of a cold target by one for each full round of
+// answers within the limit.
+func (e *Estimator) warm() {
+	ramp := e.ramp.Load()
+	if ramp == 0 {
+		return
+	}
+	e.wins++
+	if e.wins < ramp {
+		return
+	}
+	e.wins = 0
+	ramp++
+	if float64(ramp) > rampFactor*e.slots {
+		ramp = 0
+	}
+	e.ramp.Store(ramp)
+}
+
+// reset forgets what was learned from an earlier incarnation.
+func (e *Estimator) reset() {
+	e.latency.Reset()
+	e.services.Reset()
+	e.samples = 0
+	e.wins = 0
+	e.ramp.Store(1)
+	e.service.Store(int64(e.prior))
+	e.p50.Store(int64(e.prior))
+	e.p95.Store(int64(2 * e.prior))
+	e.foreign.Store(0)
+}
