--- /dev/null
+++ b/standin/pkg/searcher/counts.go
@@ -0,0 +1,70 @@
+package searcher
+
+import (
+	"sync/atomic"
+
+	"plantaincleat/tier/gen/target"
+)
+
+type counts struct {
+	calls     atomic.Int64
+	stale     atomic.Int64
+	last      atomic.Int64
+	mutations atomic.Int64
+	crashes   atomic.Int64
+	statuses  [target.Status_STATUS_EXPIRED + 1]atomic.Int64
+}
+
+// Counts are the requests of one target since its start.
+type Counts struct {
+	// Calls counts the requests received.
+	Calls int64 `json:"calls"`
+	// Stale counts the requests received while the target was leaving.
+	Stale int64 `json:"stale"`
+	// Last is when a request was last received, in Unix nanoseconds.
+	Last int64 `json:"last"`
+	// Mutations counts the runs of mutations.
+	Mutations int64 `json:"mutations"`
+	// Crashes counts the crashes caused by requests.
+	Crashes   int64 `json:"crashes"`
+	Done      int64 `json:"done"`
+	Shed      int64 `json:"shed"`
+	Leaving   int64 `json:"leaving"`
+	Dropped   int64 `json:"dropped"`
+	Absent    int64 `json:"absent"`
+	Cancelled int64 `json:"cancelled"`
+	Failed    int64 `json:"failed"`
+	Expired   int64 `json:"expired"`
+}
+
+// Counts returns the requests since the start.
+func (s *Searcher) Counts() Counts {
+	c := &s.counts
+	return Counts{
+		Calls:     c.calls.Load(),
+		Stale:     c.stale.Load(),
+		Last:      c.last.Load(),
+		Mutations: c.mutations.Load(),
+		Crashes:   c.crashes.Load(),
+		Done:      c.statuses[target.Status_STATUS_DONE].Load(),
+		Shed:      c.statuses[target.Status_STATUS_SHED].Load(),
+		Leaving:   c.statuses[target.Status_STATUS_LEAVING].Load(),
+		Dropped:   c.statuses[target.Status_STATUS_DROPPED].Load(),
+		Absent:    c.statuses[target.Status_STATUS_ABSENT].Load(),
+		Cancelled: c.statuses[target.Status_STATUS_CANCELLED].Load(),
+		Failed:    c.statuses[target.Status_STATUS_FAILED].Load(),
+		Expired:   c.statuses[target.Status_STATUS_EXPIRED].Load(),
+	}
+}
+
+func (c *counts) received(s *Searcher) {
+	c.calls.Add(1)
+	c.last.Store(s.clock.Now().UnixNano())
+	if s.faults.Load().Leave {
+		c.stale.Add(1)
+	}
+}
+
+func (c *counts) ended(s target.Status) {
+	c.statuses[s].Add(1)
+}
