--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,20 @@
+// Command standin runs small stand-ins of what surrounds the query tier, for
+// tests and measurements. It is never linked into the daemon.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"plantaincleat/standin/pkg/commander"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := commander.New().ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
