Key-value stand-in, etcd adapter and in-memory store

The service is reached through a subset of the published etcd v3 API. A write whose call was handed to a transport has an unknown outcome unless the service refused it before execution; the code alone does not tell, as the published service answers both a refusal and a lost proposal with Unavailable. The adapter therefore watches for the header of the call leaving for the transport, and knows the two refusals by their message.

Memory and the adapter over the stand-in pass the same tests, lost answers, late writes, stale reads and compacted watches included.

--- a/standin/pkg/commander/root.go
+++ b/standin/pkg/commander/root.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"os"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
@@ -14,8 +15,8 @@
 		Use:          "standin",
 		Short:        "Stand-ins for the platform and the targets, for tests",
 		SilenceUsage: true,
-		Args:         cobra.NoArgs,
 	}
+	root.SetOut(os.Stdout)
 	root.AddCommand(subcommands()...)
 	return root
 }
--- /dev/null
+++ b/standin/pkg/kvserver/conformance_test.go
@@ -0,0 +1,333 @@
+package kvserver
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"plantaincleat/tier/pkg/storer"
+)
+
+// rig is a Store together with the switches of what is behind it.
+type rig struct {
+	store       storer.Store
+	unavailable func(bool)
+	loseAnswers func(int)
+	delayWrites func(int)
+	land        func()
+	stale       func(bool)
+	compact     func()
+}
+
+// newServed returns a Server, reached over loopback, and its fake clock.
+func newServed(t *testing.T) (*Server, *storer.Etcd, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	service := New(clock)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := grpc.NewServer(Options()...)
+	service.Register(g)
+	go g.Serve(l)
+	t.Cleanup(g.Stop)
+	store, err := storer.DialEtcd([]string{l.Addr().String()},
+		grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { store.Close() })
+	return service, store, clock
+}
+
+func rigs(t *testing.T) map[string]rig {
+	memory := &storer.Memory{}
+	service, store, clock := newServed(t)
+	return map[string]rig{
+		"memory": {
+			store:       memory,
+			unavailable: memory.SetUnavailable,
+			loseAnswers: memory.LoseAnswers,
+			delayWrites: memory.DelayWrites,
+			land:        func() { memory.Land() },
+			stale:       memory.SetStale,
+			compact:     memory.Compact,
+		},
+		"etcd": {
+			store:       store,
+			unavailable: func(on bool) { service.SetFaults(Faults{Outage: on}) },
+			loseAnswers: func(n int) { service.SetFaults(Faults{Lost: int64(n)}) },
+			delayWrites: func(n int) {
+				service.SetFaults(Faults{
+					Late:    int64(n),
+					Landing: Duration(1),
+				})
+			},
+			land: func() {
+				clock.Advance(1)
+				// AfterFunc of the fake clock runs in a goroutine of its own.
+				for len(service.Dump("late")) == 0 {
+				}
+			},
+			stale:   func(on bool) { service.SetFaults(Faults{Stale: on}) },
+			compact: func() { service.Compact(service.store.current()) },
+		},
+	}
+}
+
+// put commits one unconditional write.
+func put(t *testing.T, s storer.Store, key, value string) storer.Result {
+	t.Helper()
+	result, err := s.Commit(context.Background(), storer.Txn{
+		Writes: []storer.Write{{
+			Key:   key,
+			Value: []byte(value),
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func TestConformance(t *testing.T) {
+	tests := []struct {
+		name string
+		run  func(t *testing.T, r rig)
+	}{
+		{name: "read", run: testRead},
+		{name: "conditions", run: testConditions},
+		{name: "outage", run: testOutage},
+		{name: "lost answer", run: testLostAnswer},
+		{name: "late write", run: testLateWrite},
+		{name: "stale read", run: testStaleRead},
+		{name: "watch", run: testWatch},
+		{name: "watch compacted", run: testWatchCompacted},
+		{name: "lease", run: testLease},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for name, r := range rigs(t) {
+				t.Run(name, func(t *testing.T) { test.run(t, r) })
+			}
+		})
+	}
+}
+
+func testRead(t *testing.T, r rig) {
+	put(t, r.store, "a/2", "x")
+	put(t, r.store, "b/1", "y")
+	put(t, r.store, "a/1", "z")
+	last := put(t, r.store, "a/2", "w")
+	page, err := r.store.Read(context.Background(), "a/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(page.Items) != 2 || page.Items[0].Key != "a/1" || string(page.Items[1].Value) != "w" {
+		t.Fatalf("Read = %v", page.Items)
+	}
+	if page.Revision != last.Revision {
+		t.Errorf("Revision = %d, want %d", page.Revision, last.Revision)
+	}
+	if got := page.Items[1]; got.Modified != last.Revision || got.Created >= got.Modified {
+		t.Errorf("Created = %d, Modified = %d", got.Created, got.Modified)
+	}
+	if _, found, err := r.store.Get(context.Background(), "a/3"); found || err != nil {
+		t.Errorf("Get = %v, %v", found, err)
+	}
+}
+
+func testConditions(t *testing.T, r rig) {
+	create := storer.Txn{
+		Conditions: []storer.Condition{{Key: "k"}},
+		Writes: []storer.Write{
+			{
+				Key:   "k",
+				Value: []byte("1"),
+			},
+			{
+				Key:   "l",
+				Value: []byte("1"),
+			},
+		},
+	}
+	first, err := r.store.Commit(context.Background(), create)
+	if err != nil || !first.Applied {
+		t.Fatalf("first = %v, %v", first, err)
+	}
+	second, err := r.store.Commit(context.Background(), create)
+	if err != nil || second.Applied {
+		t.Fatalf("second = %v, %v", second, err)
+	}
+	remove := storer.Txn{
+		Conditions: []storer.Condition{{
+			Key:      "k",
+			Modified: first.Revision,
+		}},
+		Writes: []storer.Write{{
+			Key:    "l",
+			Delete: true,
+		}},
+	}
+	if got, err := r.store.Commit(context.Background(), remove); err != nil || !got.Applied {
+		t.Fatalf("remove = %v, %v", got, err)
+	}
+	if _, found, _ := r.store.Get(context.Background(), "l"); found {
+		t.Error("l was not deleted")
+	}
+}
+
+func testOutage(t *testing.T, r rig) {
+	put(t, r.store, "k", "1")
+	watch := r.store.Watch(context.Background(), "k", 0)
+	if event := <-watch; event.Err != nil {
+		t.Fatal(event.Err)
+	}
+	r.unavailable(true)
+	if event := <-watch; !errors.Is(event.Err, storer.ErrUnavailable) {
+		t.Errorf("watch: %v", event.Err)
+	}
+	if _, ok := <-watch; ok {
+		t.Error("watch goes on after its error")
+	}
+	if _, err := r.store.Read(context.Background(), ""); !errors.Is(err, storer.ErrUnavailable) {
+		t.Errorf("read: %v", err)
+	}
+	txn := storer.Txn{
+		Writes: []storer.Write{{
+			Key:    "k",
+			Delete: true,
+		}},
+	}
+	if _, err := r.store.Commit(context.Background(), txn); !errors.Is(err, storer.ErrUnavailable) {
+		t.Errorf("commit: %v", err)
+	}
+	r.unavailable(false)
+	if _, found, err := r.store.Get(context.Background(), "k"); !found || err != nil {
+		t.Errorf("after the outage: %v, %v", found, err)
+	}
+}
+
+func testLostAnswer(t *testing.T, r rig) {
+	r.loseAnswers(1)
+	txn := storer.Txn{
+		Writes: []storer.Write{{
+			Key:   "k",
+			Value: []byte("1"),
+		}},
+	}
+	if _, err := r.store.Commit(context.Background(), txn); !errors.Is(err, storer.ErrUnknown) {
+		t.Fatalf("commit: %v", err)
+	}
+	if _, found, err := r.store.Get(context.Background(), "k"); !found || err != nil {
+		t.Errorf("the write had no effect: %v, %v", found, err)
+	}
+	put(t, r.store, "k", "2")
+}
+
+func testLateWrite(t *testing.T, r rig) {
+	r.delayWrites(1)
+	txn := storer.Txn{
+		Conditions: []storer.Condition{{Key: "late"}},
+		Writes: []storer.Write{{
+			Key:   "late",
+			Value: []byte("1"),
+		}},
+	}
+	if _, err := r.store.Commit(context.Background(), txn); !errors.Is(err, storer.ErrUnknown) {
+		t.Fatalf("commit: %v", err)
+	}
+	if _, found, _ := r.store.Get(context.Background(), "late"); found {
+		t.Error("the write took effect at once")
+	}
+	r.land()
+	if _, found, _ := r.store.Get(context.Background(), "late"); !found {
+		t.Error("the write did not land")
+	}
+}
+
+func testStaleRead(t *testing.T, r rig) {
+	put(t, r.store, "k", "1")
+	r.stale(true)
+	put(t, r.store, "k", "2")
+	if item, _, _ := r.store.Get(context.Background(), "k"); string(item.Value) != "1" {
+		t.Errorf("stale value = %q", item.Value)
+	}
+	r.stale(false)
+	if item, _, _ := r.store.Get(context.Background(), "k"); string(item.Value) != "2" {
+		t.Errorf("value = %q", item.Value)
+	}
+}
+
+func testWatch(t *testing.T, r rig) {
+	first := put(t, r.store, "a/1", "1")
+	put(t, r.store, "b/1", "2")
+	put(t, r.store, "a/2", "3")
+	ctx, cancel := context.WithCancel(context.Background())
+	watch := r.store.Watch(ctx, "a/", first.Revision)
+	if e := <-watch; e.Item.Key != "a/2" || string(e.Item.Value) != "3" {
+		t.Errorf("event from the history: %v", e)
+	}
+	txn := storer.Txn{
+		Writes: []storer.Write{{
+			Key:    "a/1",
+			Delete: true,
+		}},
+	}
+	if _, err := r.store.Commit(ctx, txn); err != nil {
+		t.Fatal(err)
+	}
+	if e := <-watch; e.Item.Key != "a/1" || !e.Deleted {
+		t.Errorf("event of the deletion: %v", e)
+	}
+	cancel()
+	if e, ok := <-watch; ok {
+		t.Errorf("event after the end: %v", e)
+	}
+}
+
+func testWatchCompacted(t *testing.T, r rig) {
+	first := put(t, r.store, "k", "1")
+	put(t, r.store, "k", "2")
+	r.compact()
+	watch := r.store.Watch(context.Background(), "k", first.Revision)
+	if e := <-watch; !errors.Is(e.Err, storer.ErrCompacted) {
+		t.Errorf("err = %v", e.Err)
+	}
+}
+
+func testLease(t *testing.T, r rig) {
+	ctx := context.Background()
+	id, err := r.store.Grant(ctx, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	txn := storer.Txn{
+		Writes: []storer.Write{{
+			Key:   "k",
+			Value: []byte("1"),
+			Lease: id,
+		}},
+	}
+	if _, err := r.store.Commit(ctx, txn); err != nil {
+		t.Fatal(err)
+	}
+	if left, err := r.store.Renew(ctx, id); left == 0 || err != nil {
+		t.Errorf("renew = %d, %v", left, err)
+	}
+	if err := r.store.Revoke(ctx, id); err != nil {
+		t.Fatal(err)
+	}
+	if _, found, _ := r.store.Get(ctx, "k"); found {
+		t.Error("the key outlived its lease")
+	}
+	if left, err := r.store.Renew(ctx, id); left != 0 || err != nil {
+		t.Errorf("renew after the end = %d, %v", left, err)
+	}
+}
--- /dev/null
+++ b/standin/pkg/kvserver/lease.go
@@ -0,0 +1,94 @@
+package kvserver
+
+import (
+	"sort"
+	"time"
+
+	etcd "plantaincleat/tier/gen/etcdserverpb"
+)
+
+// checkLeases refuses puts on leases that do not exist.
+func (s *store) checkLeases(ops []*etcd.RequestOp) error {
+	for _, op := range ops {
+		id := op.GetRequestPut().GetLease()
+		if id != 0 && s.leases[id] == nil {
+			return errLeaseNotFound
+		}
+	}
+	return nil
+}
+
+// grant creates a lease of ttl seconds. An id of zero lets the store choose.
+func (s *store) grant(id, ttl int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if id == 0 {
+		s.lastLease++
+		id = s.lastLease
+	}
+	if s.leases[id] != nil {
+		return 0, errLeaseExists
+	}
+	d := time.Duration(ttl) * time.Second
+	s.leases[id] = &lease{
+		ttl:     ttl,
+		expires: s.clock.Now().Add(d),
+		keys:    map[string]bool{},
+	}
+	s.leases[id].timer = s.clock.AfterFunc(d, func() { s.expire(id) })
+	return id, nil
+}
+
+// renew extends a lease and returns its seconds, zero if it has lapsed.
+func (s *store) renew(id int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return 0
+	}
+	d := time.Duration(l.ttl) * time.Second
+	l.expires = s.clock.Now().Add(d)
+	l.timer.Reset(d)
+	return l.ttl
+}
+
+// revoke ends a lease and deletes its keys.
+func (s *store) revoke(id int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == nil {
+		return errLeaseNotFound
+	}
+	s.drop(id)
+	return nil
+}
+
+// expire ends a lease unless it was renewed meanwhile.
+func (s *store) expire(id int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil || s.clock.Now().Before(l.expires) {
+		return
+	}
+	s.drop(id)
+}
+
+// drop removes a lease and deletes its keys at one new revision.
+func (s *store) drop(id int64) {
+	l := s.leases[id]
+	l.timer.Stop()
+	keys := make([]string, 0, len(l.keys))
+	for key := range l.keys {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	delete(s.leases, id)
+	next := s.revision + 1
+	before := len(s.history)
+	for _, key := range keys {
+		s.remove(s.space.items[key], next)
+	}
+	s.publish(before, next)
+}
--- /dev/null
+++ b/standin/pkg/kvserver/server_test.go
@@ -0,0 +1,259 @@
+package kvserver
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"plantaincleat/tier/pkg/storer"
+
+	etcd "plantaincleat/tier/gen/etcdserverpb"
+)
+
+func putOp(key, value string) *etcd.RequestOp {
+	return newPutOp(&etcd.PutRequest{
+		Key:   []byte(key),
+		Value: []byte(value),
+	})
+}
+
+func newPutOp(r *etcd.PutRequest) *etcd.RequestOp {
+	return &etcd.RequestOp{
+		Request: &etcd.RequestOp_RequestPut{RequestPut: r},
+	}
+}
+
+func TestRevisions(t *testing.T) {
+	service, _, _ := newServed(t)
+	ctx := context.Background()
+	for range 2 {
+		if _, err := service.Txn(ctx, &etcd.TxnRequest{
+			Success: []*etcd.RequestOp{putOp("a", "1"), putOp("b", "1")},
+		}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := service.Dump("a")[0]
+	if got.CreateRevision != 2 || got.ModRevision != 3 || got.Version != 2 {
+		t.Errorf("create %d, mod %d, version %d", got.CreateRevision, got.ModRevision, got.Version)
+	}
+	if b := service.Dump("b")[0]; b.ModRevision != got.ModRevision {
+		t.Errorf("one transaction has two revisions: %d and %d", b.ModRevision, got.ModRevision)
+	}
+	empty, err := service.Txn(ctx, &etcd.TxnRequest{
+		Compare: []*etcd.Compare{{
+			Target:      etcd.Compare_VERSION,
+			Result:      etcd.Compare_GREATER,
+			Key:         []byte("a"),
+			TargetUnion: &etcd.Compare_Version{Version: 2},
+		}},
+		Success: []*etcd.RequestOp{putOp("a", "3")},
+	})
+	if err != nil || empty.Succeeded || empty.Header.Revision != 3 {
+		t.Errorf("failed comparison: %v, %v", empty, err)
+	}
+}
+
+func TestTxnRefused(t *testing.T) {
+	tests := []struct {
+		name string
+		ops  []*etcd.RequestOp
+		want error
+	}{
+		{
+			name: "duplicate key",
+			ops:  []*etcd.RequestOp{putOp("a", "1"), putOp("a", "2")},
+			want: errDuplicateKey,
+		},
+		{
+			name: "value over 1 MB",
+			ops:  []*etcd.RequestOp{putOp("a", strings.Repeat("x", valueLimit+1))},
+			want: errTooLarge,
+		},
+		{
+			name: "no key",
+			ops:  []*etcd.RequestOp{putOp("", "1")},
+			want: errEmptyKey,
+		},
+		{
+			name: "unknown lease",
+			ops: []*etcd.RequestOp{newPutOp(&etcd.PutRequest{
+				Key:   []byte("a"),
+				Lease: 7,
+			})},
+			want: errLeaseNotFound,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			service, _, _ := newServed(t)
+			_, err := service.Txn(context.Background(), &etcd.TxnRequest{Success: test.ops})
+			if !errors.Is(err, test.want) {
+				t.Errorf("err = %v, want %v", err, test.want)
+			}
+			if got := service.Dump(""); len(got) != 0 {
+				t.Errorf("items = %v", got)
+			}
+		})
+	}
+}
+
+func TestLeaseExpires(t *testing.T) {
+	service, store, clock := newServed(t)
+	ctx := context.Background()
+	id, err := store.Grant(ctx, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := store.Commit(ctx, storer.Txn{
+		Writes: []storer.Write{{
+			Key:   "k",
+			Lease: id,
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	watch := store.Watch(ctx, "k", result.Revision)
+	clock.Advance(9 * time.Second)
+	if left, err := store.Renew(ctx, id); left != 10 || err != nil {
+		t.Fatalf("renew = %d, %v", left, err)
+	}
+	clock.Advance(9 * time.Second)
+	if len(service.Dump("k")) != 1 {
+		t.Fatal("the key went before its lease")
+	}
+	clock.Advance(time.Second)
+	if e := <-watch; !e.Deleted || e.Item.Key != "k" {
+		t.Errorf("event = %v", e)
+	}
+	if left, err := store.Renew(ctx, id); left != 0 || err != nil {
+		t.Errorf("renew after the end = %d, %v", left, err)
+	}
+}
+
+func TestLimitAndCounts(t *testing.T) {
+	service, store, clock := newServed(t)
+	ctx := context.Background()
+	service.SetFaults(Faults{
+		Reads:  2,
+		Writes: 1,
+	})
+	for i := range 3 {
+		_, err := store.Read(ctx, "")
+		if refused := i == 2; errors.Is(err, storer.ErrUnavailable) != refused {
+			t.Errorf("read %d: %v", i, err)
+		}
+	}
+	put(t, store, "k", "1")
+	if _, err := store.Commit(ctx, storer.Txn{}); !errors.Is(err, storer.ErrUnavailable) {
+		t.Errorf("write over the limit: %v", err)
+	}
+	clock.Advance(time.Second)
+	put(t, store, "k", "2")
+	watch := store.Watch(ctx, "", 0)
+	<-watch
+	want := Counts{
+		Reads:   3,
+		Writes:  3,
+		Opened:  1,
+		Watches: 1,
+		Refused: 2,
+	}
+	if got := service.Counts(); got != want {
+		t.Errorf("counts = %+v, want %+v", got, want)
+	}
+}
+
+func TestMute(t *testing.T) {
+	service, store, _ := newServed(t)
+	service.SetFaults(Faults{Mute: true})
+	watch := store.Watch(context.Background(), "", 0)
+	put(t, store, "k", "1")
+	select {
+	case e := <-watch:
+		t.Fatalf("event while mute: %v", e)
+	default:
+	}
+	service.SetFaults(Faults{})
+	if e := <-watch; e.Item.Key != "k" {
+		t.Errorf("event = %v", e)
+	}
+}
+
+func TestCut(t *testing.T) {
+	f := Faults{
+		Outage: true,
+		Cut:    []string{"127.0.1."},
+	}
+	if !f.out("127.0.1.5") || f.out("127.0.2.5") {
+		t.Error("the outage does not follow the caller's address")
+	}
+}
+
+func TestAdmin(t *testing.T) {
+	tests := []struct {
+		name, method, path, body string
+		code                     int
+		want                     string
+	}{
+		{
+			name:   "set",
+			method: "POST",
+			path:   "/faults",
+			body:   `{"delay":"50ms","lost":2}`,
+			code:   200,
+			want:   `"delay":"50ms","lost":2`,
+		},
+		{
+			name:   "unknown field",
+			method: "POST",
+			path:   "/faults",
+			body:   `{"outrage":true}`,
+			code:   400,
+			want:   `unknown field "outrage"`,
+		},
+		{
+			name:   "bad duration",
+			method: "POST",
+			path:   "/faults",
+			body:   `{"delay":"-1s"}`,
+			code:   400,
+			want:   `bad value "-1s"`,
+		},
+		{
+			name:   "counts",
+			method: "GET",
+			path:   "/counts",
+			code:   200,
+			want:   `"writes":1`,
+		},
+		{
+			name:   "dump",
+			method: "GET",
+			path:   "/dump?prefix=k",
+			code:   200,
+			want:   `"key":"k","value":"MQ=="`,
+		},
+	}
+	service, store, _ := newServed(t)
+	put(t, store, "k", "1")
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			r := httptest.NewRequest(test.method, test.path, strings.NewReader(test.body))
+			service.Admin().ServeHTTP(w, r)
+			body, err := io.ReadAll(w.Result().Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if w.Code != test.code || !strings.Contains(string(body), test.want) {
+				t.Errorf("answer = %d %s", w.Code, body)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/standin/pkg/kvserver/space.go
@@ -0,0 +1,99 @@
+package kvserver
+
+import (
+	"bytes"
+	"maps"
+	"slices"
+
+	etcd "plantaincleat/tier/gen/etcdserverpb"
+)
+
+// space is the items of one revision with their keys in order. The items are
+// shared between revisions and never changed in place.
+type space struct {
+	items map[string]*etcd.KeyValue
+	keys  []string
+}
+
+func (s *space) clone() space {
+	return space{
+		items: maps.Clone(s.items),
+		keys:  slices.Clone(s.keys),
+	}
+}
+
+func (s *space) set(kv *etcd.KeyValue) {
+	key := string(kv.Key)
+	if i, found := slices.BinarySearch(s.keys, key); !found {
+		s.keys = slices.Insert(s.keys, i, key)
+	}
+	s.items[key] = kv
+}
+
+func (s *space) unset(key string) {
+	if i, found := slices.BinarySearch(s.keys, key); found {
+		s.keys = slices.Delete(s.keys, i, i+1)
+	}
+	delete(s.items, key)
+}
+
+// find evaluates a range request at the revision of the space.
+func (s *space) find(revision int64, r *etcd.RangeRequest) *etcd.RangeResponse {
+	found := s.between(r.GetKey(), r.GetRangeEnd())
+	response := &etcd.RangeResponse{
+		Header: &etcd.ResponseHeader{Revision: revision},
+		Count:  int64(len(found)),
+	}
+	if r.GetCountOnly() {
+		return response
+	}
+	if n := r.GetLimit(); n > 0 && int64(len(found)) > n {
+		found = found[:n]
+		response.More = true
+	}
+	response.Kvs = found
+	if r.GetKeysOnly() {
+		response.Kvs = withoutValues(found)
+	}
+	return response
+}
+
+// between returns the items of a range in the order of their keys.
+func (s *space) between(key, end []byte) []*etcd.KeyValue {
+	var found []*etcd.KeyValue
+	first, _ := slices.BinarySearch(s.keys, string(key))
+	for _, k := range s.keys[first:] {
+		if !within([]byte(k), key, end) {
+			break
+		}
+		found = append(found, s.items[k])
+	}
+	return found
+}
+
+func withoutValues(kvs []*etcd.KeyValue) []*etcd.KeyValue {
+	stripped := make([]*etcd.KeyValue, 0, len(kvs))
+	for _, kv := range kvs {
+		stripped = append(stripped, &etcd.KeyValue{
+			Key:            kv.Key,
+			CreateRevision: kv.CreateRevision,
+			ModRevision:    kv.ModRevision,
+			Version:        kv.Version,
+			Lease:          kv.Lease,
+		})
+	}
+	return stripped
+}
+
+// within tells whether k lies in the range of the etcd API: an empty end
+// means the single key, an end of one zero byte means all keys from key on.
+func within(k, key, end []byte) bool {
+	switch {
+	case len(end) == 0:
+		return bytes.Equal(k, key)
+	case len(end) == 1 && end[0] == 0:
+		return bytes.Compare(k, key) >= 0
+	default:
+		return bytes.Compare(k, key) >= 0 && bytes.Compare(k, end) < 0
+	}
+}
--- /dev/null
+++ b/standin/pkg/kvserver/store.go
@@ -0,0 +1,237 @@
+package kvserver
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	etcd "plantaincleat/tier/gen/etcdserverpb"
+)
+
+// historyLimit is the number of events kept for watches that start in the past.
+const historyLimit = 16384
+
+// store is the versioned key space. It is safe for concurrent use.
+type store struct {
+	clock clockwork.Clock
+
+	mu        sync.Mutex
+	revision  int64
+	compacted int64
+	space     space
+	history   []*etcd.Event
+	leases    map[int64]*lease
+	lastLease int64
+	// changed is closed and replaced at each new revision.
+	changed chan struct{}
+}
+
+// lease is a granted lease with the keys attached to it.
+type lease struct {
+	ttl     int64
+	expires time.Time
+	timer   clockwork.Timer
+	keys    map[string]bool
+}
+
+func newStore(clock clockwork.Clock) *store {
+	return &store{
+		clock:    clock,
+		revision: 1,
+		space:    space{items: map[string]*etcd.KeyValue{}},
+		leases:   map[int64]*lease{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// snapshot returns the key space at the present revision. Values are shared
+// and never changed in place.
+func (s *store) snapshot() (space, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.space.clone(), s.revision
+}
+
+// current returns the present revision.
+func (s *store) current() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// lookup returns the items of a range in the order of their keys.
+func (s *store) lookup(r *etcd.RangeRequest) *etcd.RangeResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.space.find(s.revision, r)
+}
+
+// txn runs a transaction as one step.
+func (s *store) txn(r *etcd.TxnRequest) (*etcd.TxnResponse, error) {
+	if err := checkTxn(r); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	succeeded := true
+	for _, c := range r.Compare {
+		succeeded = succeeded && holds(c, s.space.items[string(c.Key)])
+	}
+	ops := r.Success
+	if !succeeded {
+		ops = r.Failure
+	}
+	if err := s.checkLeases(ops); err != nil {
+		return nil, err
+	}
+	next := s.revision + 1
+	before := len(s.history)
+	responses := make([]*etcd.ResponseOp, 0, len(ops))
+	for _, op := range ops {
+		responses = append(responses, s.apply(op, next))
+	}
+	s.publish(before, next)
+	return &etcd.TxnResponse{
+		Header:    s.header(),
+		Succeeded: succeeded,
+		Responses: responses,
+	}, nil
+}
+
+// publish moves to the next revision if events were added since before.
+func (s *store) publish(before int, next int64) {
+	if len(s.history) == before {
+		return
+	}
+	s.revision = next
+	if extra := len(s.history) - historyLimit; extra > 0 {
+		s.compacted = s.history[extra-1].Kv.ModRevision
+		s.history = append([]*etcd.Event(nil), s.history[extra:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// apply runs one operation of a transaction at revision next.
+func (s *store) apply(op *etcd.RequestOp, next int64) *etcd.ResponseOp {
+	switch r := op.Request.(type) {
+	case *etcd.RequestOp_RequestPut:
+		s.put(r.RequestPut, next)
+		return &etcd.ResponseOp{
+			Response: &etcd.ResponseOp_ResponsePut{
+				ResponsePut: &etcd.PutResponse{Header: &etcd.ResponseHeader{Revision: next}},
+			},
+		}
+	case *etcd.RequestOp_RequestDeleteRange:
+		n := s.deleteRange(r.RequestDeleteRange, next)
+		return &etcd.ResponseOp{
+			Response: &etcd.ResponseOp_ResponseDeleteRange{
+				ResponseDeleteRange: &etcd.DeleteRangeResponse{
+					Header:  &etcd.ResponseHeader{Revision: next},
+					Deleted: n,
+				},
+			},
+		}
+	default:
+		return &etcd.ResponseOp{
+			Response: &etcd.ResponseOp_ResponseRange{
+				ResponseRange: s.space.find(s.revision, op.GetRequestRange()),
+			},
+		}
+	}
+}
+
+func (s *store) put(r *etcd.PutRequest, next int64) {
+	key := string(r.Key)
+	kv := &etcd.KeyValue{
+		Key:            r.Key,
+		Value:          r.Value,
+		CreateRevision: next,
+		ModRevision:    next,
+		Version:        1,
+		Lease:          r.Lease,
+	}
+	if old := s.space.items[key]; old != nil {
+		kv.CreateRevision = old.CreateRevision
+		kv.Version = old.Version + 1
+		s.detach(old)
+	}
+	if l := s.leases[r.Lease]; l != nil {
+		l.keys[key] = true
+	}
+	s.space.set(kv)
+	s.history = append(s.history, &etcd.Event{
+		Type: etcd.Event_PUT,
+		Kv:   kv,
+	})
+}
+
+func (s *store) deleteRange(r *etcd.DeleteRangeRequest, next int64) int64 {
+	found := s.space.find(s.revision, &etcd.RangeRequest{
+		Key:      r.Key,
+		RangeEnd: r.RangeEnd,
+	}).Kvs
+	for _, kv := range found {
+		s.remove(kv, next)
+	}
+	return int64(len(found))
+}
+
+func (s *store) remove(kv *etcd.KeyValue, next int64) {
+	s.detach(kv)
+	s.space.unset(string(kv.Key))
+	s.history = append(s.history, &etcd.Event{
+		Type: etcd.Event_DELETE,
+		Kv: &etcd.KeyValue{
+			Key:         kv.Key,
+			ModRevision: next,
+		},
+	})
+}
+
+func (s *store) detach(kv *etcd.KeyValue) {
+	if l := s.leases[kv.Lease]; l != nil {
+		delete(l.keys, string(kv.Key))
+	}
+}
+
+// since returns the events of a range from revision start on, the revision up
+// to which they are complete, and a channel that is closed at the next one.
+// compacted is not zero if events from start on are no longer kept.
+func (s *store) since(key, end []byte, start int64) (events []*etcd.Event, revision, compacted int64, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if start <= s.compacted {
+		return nil, s.revision, s.compacted, s.changed
+	}
+	i := sort.Search(len(s.history), func(i int) bool {
+		return s.history[i].Kv.ModRevision >= start
+	})
+	for _, e := range s.history[i:] {
+		if within(e.Kv.Key, key, end) {
+			events = append(events, e)
+		}
+	}
+	return events, s.revision, 0, s.changed
+}
+
+// compact drops the events up to and including a revision.
+func (s *store) compact(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision = min(revision, s.revision)
+	if revision <= s.compacted {
+		return
+	}
+	i := sort.Search(len(s.history), func(i int) bool {
+		return s.history[i].Kv.ModRevision > revision
+	})
+	s.history = append([]*etcd.Event(nil), s.history[i:]...)
+	s.compacted = revision
+}
+
+func (s *store) header() *etcd.ResponseHeader {
+	return &etcd.ResponseHeader{Revision: s.revision}
+}
--- /dev/null
+++ b/standin/pkg/kvserver/txn.go
@@ -0,0 +1,112 @@
+package kvserver
+
+import (
+	"bytes"
+	"cmp"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	etcd "plantaincleat/tier/gen/etcdserverpb"
+)
+
+const (
+	// valueLimit is the size in bytes of the largest value that is stored.
+	valueLimit = 1 << 20
+	// opLimit is the number of operations in the largest transaction.
+	opLimit = 128
+)
+
+// Refusals before execution, in the words of the published service.
+var (
+	errTooLarge      = status.Error(codes.InvalidArgument, "etcdserver: request is too large")
+	errTooManyOps    = status.Error(codes.InvalidArgument, "etcdserver: too many operations in txn request")
+	errDuplicateKey  = status.Error(codes.InvalidArgument, "etcdserver: duplicate key given in txn request")
+	errEmptyKey      = status.Error(codes.InvalidArgument, "etcdserver: key is not provided")
+	errLeaseNotFound = status.Error(codes.NotFound, "etcdserver: requested lease not found")
+	errLeaseExists   = status.Error(codes.FailedPrecondition, "etcdserver: lease already exists")
+	errNoLeader      = status.Error(codes.Unavailable, "etcdserver: no leader")
+	errTooMany       = status.Error(codes.ResourceExhausted, "etcdserver: too many requests")
+	errFuture        = status.Error(codes.OutOfRange, "etcdserver: mvcc: required revision is a future revision")
+	errCompacted     = status.Error(codes.OutOfRange, "etcdserver: mvcc: required revision has been compacted")
+)
+
+// errTimeout is an error after which a write may have taken effect.
+var errTimeout = status.Error(codes.Unavailable, "etcdserver: request timed out")
+
+// checkTxn refuses a transaction that the published service would refuse.
+func checkTxn(r *etcd.TxnRequest) error {
+	if max(len(r.Compare), len(r.Success), len(r.Failure)) > opLimit {
+		return errTooManyOps
+	}
+	for _, ops := range [][]*etcd.RequestOp{r.Success, r.Failure} {
+		if err := checkOps(ops); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkOps(ops []*etcd.RequestOp) error {
+	puts := map[string]bool{}
+	for _, op := range ops {
+		p := op.GetRequestPut()
+		if p == nil {
+			continue
+		}
+		switch {
+		case len(p.Key) == 0:
+			return errEmptyKey
+		case len(p.Value) > valueLimit:
+			return errTooLarge
+		case puts[string(p.Key)]:
+			return errDuplicateKey
+		}
+		puts[string(p.Key)] = true
+	}
+	for _, op := range ops {
+		d := op.GetRequestDeleteRange()
+		if d == nil {
+			continue
+		}
+		for key := range puts {
+			if within([]byte(key), d.Key, d.RangeEnd) {
+				return errDuplicateKey
+			}
+		}
+	}
+	return nil
+}
+
+// holds evaluates a comparison against a key, nil if the key does not exist.
+func holds(c *etcd.Compare, kv *etcd.KeyValue) bool {
+	if kv == nil {
+		if c.Target == etcd.Compare_VALUE {
+			return false
+		}
+		kv = &etcd.KeyValue{}
+	}
+	order := 0
+	switch c.Target {
+	case etcd.Compare_VERSION:
+		order = cmp.Compare(kv.Version, c.GetVersion())
+	case etcd.Compare_CREATE:
+		order = cmp.Compare(kv.CreateRevision, c.GetCreateRevision())
+	case etcd.Compare_MOD:
+		order = cmp.Compare(kv.ModRevision, c.GetModRevision())
+	case etcd.Compare_VALUE:
+		order = bytes.Compare(kv.Value, c.GetValue())
+	case etcd.Compare_LEASE:
+		order = cmp.Compare(kv.Lease, c.GetLease())
+	}
+	switch c.Result {
+	case etcd.Compare_GREATER:
+		return order > 0
+	case etcd.Compare_LESS:
+		return order < 0
+	case etcd.Compare_NOT_EQUAL:
+		return order != 0
+	default:
+		return order == 0
+	}
+}
--- /dev/null
+++ b/tier/pkg/storer/etcd.go
@@ -0,0 +1,306 @@
+package storer
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/resolver"
+	"google.golang.org/grpc/resolver/manual"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+
+	etcd "plantaincleat/tier/gen/etcdserverpb"
+)
+
+const (
+	// answerLimit is the size in bytes of the largest answer.
+	answerLimit = 64 << 20
+	// pingInterval and pingTimeout end a connection whose far end is silent.
+	pingInterval = 10 * time.Second
+	pingTimeout  = 5 * time.Second
+	// scheme names the resolver of the fixed list of addresses.
+	scheme = "plantaincleat-kv"
+	// balance spreads the calls over the addresses that are connected.
+	balance = `{"loadBalancingConfig":[{"round_robin":{}}]}`
+)
+
+// Refusals of the published service that come before execution, although
+// their codes do not tell so.
+const (
+	refusedNoLeader = "etcdserver: no leader"
+	refusedTooMany  = "etcdserver: too many requests"
+)
+
+// Etcd is a Store over the etcd v3 API. It never repeats a call.
+type Etcd struct {
+	conn      *grpc.ClientConn
+	addresses string
+	kv        etcd.KVClient
+	watch     etcd.WatchClient
+	lease     etcd.LeaseClient
+}
+
+// DialEtcd returns a Store that spreads its calls over the given addresses.
+// The options must hold transport credentials. Connections are made when
+// they are needed.
+func DialEtcd(addresses []string, options ...grpc.DialOption) (*Etcd, error) {
+	if len(addresses) == 0 {
+		return nil, eris.New("dial kv: no address")
+	}
+	state := resolver.State{}
+	for _, address := range addresses {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, eris.Wrapf(err, "dial kv: peer %s", address)
+		}
+		state.Endpoints = append(state.Endpoints, resolver.Endpoint{
+			Addresses: []resolver.Address{{
+				Addr:       address,
+				ServerName: host,
+			}},
+		})
+	}
+	fixed := manual.NewBuilderWithScheme(scheme)
+	fixed.InitialState(state)
+	options = append([]grpc.DialOption{
+		grpc.WithResolvers(fixed),
+		grpc.WithDefaultServiceConfig(balance),
+		grpc.WithDisableRetry(),
+		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(answerLimit)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time:    pingInterval,
+			Timeout: pingTimeout,
+		}),
+	}, options...)
+	conn, err := grpc.NewClient(scheme+":///kv", options...)
+	if err != nil {
+		return nil, eris.Wrapf(err, "dial kv: peer %s", strings.Join(addresses, ","))
+	}
+	return &Etcd{
+		conn:      conn,
+		addresses: strings.Join(addresses, ","),
+		kv:        etcd.NewKVClient(conn),
+		watch:     etcd.NewWatchClient(conn),
+		lease:     etcd.NewLeaseClient(conn),
+	}, nil
+}
+
+// Close ends all connections.
+func (e *Etcd) Close() error {
+	return e.conn.Close()
+}
+
+// Read implements Store.
+func (e *Etcd) Read(ctx context.Context, prefix string) (Page, error) {
+	return e.lookup(ctx, &etcd.RangeRequest{
+		Key:      []byte(prefix),
+		RangeEnd: prefixEnd(prefix),
+	})
+}
+
+// Get implements Store.
+func (e *Etcd) Get(ctx context.Context, key string) (Item, bool, error) {
+	page, err := e.lookup(ctx, &etcd.RangeRequest{Key: []byte(key)})
+	if err != nil || len(page.Items) == 0 {
+		return Item{}, false, err
+	}
+	return page.Items[0], true, nil
+}
+
+func (e *Etcd) lookup(ctx context.Context, r *etcd.RangeRequest) (Page, error) {
+	var from peer.Peer
+	response, err := e.kv.Range(requireLeader(ctx), r, grpc.Peer(&from))
+	if err != nil {
+		return Page{}, eris.Wrapf(ErrUnavailable, "read %q: peer %s: %v", r.Key, e.name(&from), err)
+	}
+	page := Page{
+		Items:    make([]Item, 0, len(response.Kvs)),
+		Revision: response.GetHeader().GetRevision(),
+	}
+	for _, kv := range response.Kvs {
+		page.Items = append(page.Items, newItem(kv))
+	}
+	return page, nil
+}
+
+// Commit implements Store.
+func (e *Etcd) Commit(ctx context.Context, txn Txn) (Result, error) {
+	var from peer.Peer
+	sent := new(atomic.Bool)
+	ctx = context.WithValue(requireLeader(ctx), sentKey{}, sent)
+	response, err := e.kv.Txn(ctx, newTxnRequest(txn), grpc.Peer(&from))
+	if err != nil {
+		return Result{}, eris.Wrapf(writeError(err, sent.Load()), "commit: peer %s: %v", e.name(&from), err)
+	}
+	return Result{
+		Applied:  response.Succeeded,
+		Revision: response.GetHeader().GetRevision(),
+	}, nil
+}
+
+// Grant implements Store.
+func (e *Etcd) Grant(ctx context.Context, ttl int64) (int64, error) {
+	var from peer.Peer
+	response, err := e.lease.LeaseGrant(ctx, &etcd.LeaseGrantRequest{TTL: ttl}, grpc.Peer(&from))
+	if err != nil {
+		return 0, eris.Wrapf(ErrUnavailable, "grant lease: peer %s: %v", e.name(&from), err)
+	}
+	return response.ID, nil
+}
+
+// Renew implements Store.
+func (e *Etcd) Renew(ctx context.Context, lease int64) (int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := e.lease.LeaseKeepAlive(ctx)
+	if err == nil {
+		err = stream.Send(&etcd.LeaseKeepAliveRequest{ID: lease})
+	}
+	if err != nil {
+		return 0, eris.Wrapf(ErrUnavailable, "renew lease %d: peer %s: %v", lease, e.addresses, err)
+	}
+	response, err := stream.Recv()
+	if err != nil {
+		return 0, eris.Wrapf(ErrUnavailable, "renew lease %d: peer %s: %v", lease, e.addresses, err)
+	}
+	return response.TTL, nil
+}
+
+// Revoke implements Store.
+func (e *Etcd) Revoke(ctx context.Context, lease int64) error {
+	var from peer.Peer
+	sent := new(atomic.Bool)
+	ctx = context.WithValue(ctx, sentKey{}, sent)
+	_, err := e.lease.LeaseRevoke(ctx, &etcd.LeaseRevokeRequest{ID: lease}, grpc.Peer(&from))
+	if err != nil && status.Code(err) != codes.NotFound {
+		return eris.Wrapf(writeError(err, sent.Load()), "revoke lease %d: peer %s: %v", lease, e.name(&from), err)
+	}
+	return nil
+}
+
+// name returns the address of the peer that a call went to, or all addresses
+// if it went to none.
+func (e *Etcd) name(from *peer.Peer) string {
+	if from.Addr == nil {
+		return e.addresses
+	}
+	return from.Addr.String()
+}
+
+// writeError classifies the error of a write. Only a call that was never
+// handed to a transport, or that the service refused before execution, is
+// certain to have had no effect.
+func writeError(err error, sent bool) error {
+	if !sent {
+		return ErrUnavailable
+	}
+	s := status.Convert(err)
+	switch s.Code() {
+	case codes.InvalidArgument, codes.NotFound, codes.FailedPrecondition, codes.OutOfRange,
+		codes.PermissionDenied, codes.Unauthenticated, codes.Unimplemented:
+		return ErrUnavailable
+	}
+	switch s.Message() {
+	case refusedNoLeader, refusedTooMany:
+		return ErrUnavailable
+	}
+	return ErrUnknown
+}
+
+// requireLeader asks the service to refuse a call at once, before execution,
+// when it has no quorum.
+func requireLeader(ctx context.Context) context.Context {
+	return metadata.AppendToOutgoingContext(ctx, "hasleader", "true")
+}
+
+// sentKey is the context key of the flag that sentHandler raises.
+type sentKey struct{}
+
+// sentHandler raises a flag in the context of a call as soon as the call is
+// handed to a transport.
+type sentHandler struct{}
+
+// TagRPC implements stats.Handler.
+func (sentHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+
+// HandleRPC implements stats.Handler.
+func (sentHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	if _, ok := s.(*stats.OutHeader); !ok {
+		return
+	}
+	if sent, ok := ctx.Value(sentKey{}).(*atomic.Bool); ok {
+		sent.Store(true)
+	}
+}
+
+// TagConn implements stats.Handler.
+func (sentHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+
+// HandleConn implements stats.Handler.
+func (sentHandler) HandleConn(context.Context, stats.ConnStats) {}
+
+func newTxnRequest(txn Txn) *etcd.TxnRequest {
+	r := &etcd.TxnRequest{}
+	for _, c := range txn.Conditions {
+		r.Compare = append(r.Compare, &etcd.Compare{
+			Result:      etcd.Compare_EQUAL,
+			Target:      etcd.Compare_MOD,
+			Key:         []byte(c.Key),
+			TargetUnion: &etcd.Compare_ModRevision{ModRevision: c.Modified},
+		})
+	}
+	for _, w := range txn.Writes {
+		r.Success = append(r.Success, newOp(w))
+	}
+	return r
+}
+
+func newOp(w Write) *etcd.RequestOp {
+	if w.Delete {
+		return &etcd.RequestOp{
+			Request: &etcd.RequestOp_RequestDeleteRange{
+				RequestDeleteRange: &etcd.DeleteRangeRequest{Key: []byte(w.Key)},
+			},
+		}
+	}
+	return &etcd.RequestOp{
+		Request: &etcd.RequestOp_RequestPut{
+			RequestPut: &etcd.PutRequest{
+				Key:   []byte(w.Key),
+				Value: w.Value,
+				Lease: w.Lease,
+			},
+		},
+	}
+}
+
+func newItem(kv *etcd.KeyValue) Item {
+	return Item{
+		Key:      string(kv.Key),
+		Value:    kv.Value,
+		Created:  kv.CreateRevision,
+		Modified: kv.ModRevision,
+	}
+}
+
+// prefixEnd returns the end of the range of all keys with a prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
