Add concurrency limits to targets and budgets for extra sub-requests

The limit starts from the slots and a queue and follows sheds and timeouts. Requests sent before a cut cause no second one, so a burst of sheds cuts once.

The budget is a token bucket filled by sub-requests. A windowed counter was ruled out: when load falls, the window that ends now may allow extras that an overlapping window with few sends does not cover. The bucket's bound holds in every window, which the rapid test checks between all pairs of steps.

--- /dev/null
+++ b/entryd/pkg/budgeter/budgeter.go
@@ -0,0 +1,103 @@
+// Package budgeter limits the extra sub-requests that hedges and retries send
+// to targets.
+//
+// A Budget is a token bucket filled by sub-requests in place of time: each one
+// sent earns a fraction of a token, each extra one spends a whole token, and
+// at most Burst tokens are kept. So within any interval, however long,
+//
+//	extra ≤ fraction × sent + Burst
+//
+// and, as the bucket starts empty, extra ≤ fraction × sent since the start.
+//
+// All methods are safe for concurrent use and allocate nothing.
+package budgeter
+
+import "sync/atomic"
+
+const (
+	// DefaultHedge is the fraction of extra sub-requests for hedges.
+	DefaultHedge = 0.05
+	// DefaultRetry is the fraction of extra sub-requests for retries.
+	DefaultRetry = 0.1
+	// Burst is the number of tokens that a budget keeps at most.
+	Burst = 64
+
+	// unit is one token in fixed-point arithmetic.
+	unit = 1 << 20
+)
+
+// Budget counts one kind of extra sub-request. Make it with New.
+type Budget struct {
+	// earned is what one sub-request earns, in units.
+	earned  atomic.Int64
+	tokens  atomic.Int64
+	spent   atomic.Int64
+	refused atomic.Int64
+}
+
+// New returns an empty budget of a fraction in [0,1] of the sub-requests.
+func New(fraction float64) *Budget {
+	b := &Budget{}
+	b.SetFraction(fraction)
+	return b
+}
+
+// SetFraction changes the fraction for what is sent from now on.
+func (b *Budget) SetFraction(fraction float64) {
+	fraction = min(max(fraction, 0), 1)
+	b.earned.Store(int64(fraction * unit))
+}
+
+// Sent earns for n first attempts. Extra ones earn nothing.
+func (b *Budget) Sent(n int) {
+	for {
+		old := b.tokens.Load()
+		tokens := min(old+int64(n)*b.earned.Load(), Burst*unit)
+		if tokens == old || b.tokens.CompareAndSwap(old, tokens) {
+			return
+		}
+	}
+}
+
+// Take spends a token for one extra sub-request and reports whether there was
+// one. There is none while the targets that could take it are saturated.
+func (b *Budget) Take(saturated bool) bool {
+	if saturated {
+		b.refused.Add(1)
+		return false
+	}
+	for {
+		old := b.tokens.Load()
+		if old < unit {
+			b.refused.Add(1)
+			return false
+		}
+		if b.tokens.CompareAndSwap(old, old-unit) {
+			b.spent.Add(1)
+			return true
+		}
+	}
+}
+
+// Refund gives back a token whose sub-request was not sent. The token counts
+// as earned at the time of the refund.
+func (b *Budget) Refund() {
+	b.spent.Add(-1)
+	for {
+		old := b.tokens.Load()
+		tokens := min(old+unit, Burst*unit)
+		if b.tokens.CompareAndSwap(old, tokens) {
+			return
+		}
+	}
+}
+
+// Spent returns the number of extra sub-requests allowed so far.
+func (b *Budget) Spent() int64 {
+	return b.spent.Load()
+}
+
+// Refused returns the number of extra sub-requests refused so far.
+func (b *Budget) Refused() int64 {
+	return b.refused.Load()
+}
--- /dev/null
+++ b/entryd/pkg/budgeter/budgeter_test.go
@@ -0,0 +1,85 @@
+package budgeter
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestBoundHoldsInEveryWindow checks the bound between each two points of a
+// random run, and so for windows of any length, 10 s among them.
+func TestBoundHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fraction := rapid.SampledFrom([]float64{0, 0.01, DefaultHedge, DefaultRetry, 1}).Draw(t, "fraction")
+		b := New(fraction)
+		sent, extra := []float64{0}, []float64{0}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			n := rapid.SampledFrom([]int{0, 1, 20, 710, 50_000}).Draw(t, "sent")
+			b.Sent(n)
+			got := 0
+			for range rapid.IntRange(0, 100).Draw(t, "wanted") {
+				if b.Take(false) {
+					got++
+				}
+			}
+			sent = append(sent, sent[len(sent)-1]+float64(n))
+			extra = append(extra, extra[len(extra)-1]+float64(got))
+		}
+		for i := range sent {
+			if extra[i] > fraction*sent[i] {
+				t.Fatalf("%v extra of %v sent since the start", extra[i], sent[i])
+			}
+			for j := range i {
+				if extra[i]-extra[j] > fraction*(sent[i]-sent[j])+Burst {
+					t.Fatalf("%v extra of %v sent in a window", extra[i]-extra[j], sent[i]-sent[j])
+				}
+			}
+		}
+	})
+}
+
+func TestBudgetIsUsable(t *testing.T) {
+	b := New(DefaultHedge)
+	got := 0
+	for range 10_000 {
+		b.Sent(1)
+		if b.Take(false) {
+			got++
+		}
+	}
+	if got < 498 || got > 500 {
+		t.Errorf("%d extra of 10000, want nearly 500", got)
+	}
+	if b.Spent() != int64(got) || b.Refused() != int64(10_000-got) {
+		t.Errorf("spent %d, refused %d", b.Spent(), b.Refused())
+	}
+}
+
+func TestRefund(t *testing.T) {
+	b := New(1)
+	b.Sent(1)
+	if b.Take(true) {
+		t.Fatal("a token while saturated")
+	}
+	if !b.Take(false) || b.Take(false) {
+		t.Fatal("want one token")
+	}
+	b.Refund()
+	if !b.Take(false) || b.Take(false) {
+		t.Error("want the refunded token, once")
+	}
+	if b.Spent() != 1 {
+		t.Errorf("spent %d", b.Spent())
+	}
+}
+
+func BenchmarkSentTake(b *testing.B) {
+	budget := New(DefaultHedge)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			budget.Sent(1)
+			budget.Take(false)
+		}
+	})
+}
--- /dev/null
+++ b/entryd/pkg/limiter/limiter_test.go
@@ -0,0 +1,165 @@
+package limiter
+
+import (
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestLimitsHoldForAnySequence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var g Group
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		l := g.New(Settings{
+			Slots: slots,
+		})
+		var held []Permit
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "acquire") {
+				allowed := rapid.SampledFrom([]int{1, 3, math.MaxInt}).Draw(t, "allowed")
+				before := l.Flight()
+				p, ok := l.Acquire(allowed)
+				if ok != (before < min(allowed, l.Limit())) {
+					t.Fatalf("acquire %v with %d of %d in flight, allowed %d", ok, before, l.Limit(), allowed)
+				}
+				if ok {
+					held = append(held, p)
+				}
+			} else if len(held) > 0 {
+				i := rapid.IntRange(0, len(held)-1).Draw(t, "i")
+				r := rapid.SampledFrom([]Result{Neutral, Success, Shed, Timeout}).Draw(t, "result")
+				l.Release(held[i], r, 0)
+				held = append(held[:i], held[i+1:]...)
+			}
+			if l.Flight() != len(held) || g.Flight() != len(held) {
+				t.Fatalf("flight %d, group %d, held %d", l.Flight(), g.Flight(), len(held))
+			}
+			if l.Limit() < 1 || l.Limit() > slots*2*ceilingFactor || g.Limit() != l.Limit() {
+				t.Fatalf("limit %d, group %d", l.Limit(), g.Limit())
+			}
+		}
+	})
+}
+
+// fill acquires all that the limit allows.
+func fill(l *Limiter) []Permit {
+	var permits []Permit
+	for {
+		p, ok := l.Acquire(math.MaxInt)
+		if !ok {
+			return permits
+		}
+		permits = append(permits, p)
+	}
+}
+
+func TestLimitMoves(t *testing.T) {
+	cases := []struct {
+		name   string
+		result Result
+		queue  int
+		rounds int
+		want   int
+	}{
+		{name: "starts from the slots and a queue", rounds: 0, want: 4},
+		{name: "one round of sheds cuts once", result: Shed, rounds: 1, want: 3},
+		{name: "one round of timeouts halves", result: Timeout, rounds: 1, want: 2},
+		{name: "sheds never close a target", result: Shed, rounds: 50, want: 1},
+		{name: "successes raise", result: Success, rounds: 200, want: 16},
+		{name: "a long queue at the target does not", result: Success, queue: 9, rounds: 200, want: 4},
+		{name: "other results change nothing", result: Neutral, rounds: 50, want: 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var g Group
+			l := g.New(Settings{
+				Slots: 2,
+			})
+			for range c.rounds {
+				for _, p := range fill(l) {
+					l.Release(p, c.result, c.queue)
+				}
+			}
+			if l.Limit() != c.want {
+				t.Errorf("limit %d, want %d", l.Limit(), c.want)
+			}
+		})
+	}
+}
+
+func TestUnusedLimitDoesNotRise(t *testing.T) {
+	var g Group
+	l := g.New(Settings{
+		Slots: 4,
+	})
+	for range 1000 {
+		p, _ := l.Acquire(math.MaxInt)
+		l.Release(p, Success, 0)
+	}
+	if l.Limit() != 8 {
+		t.Errorf("limit %d, want 8", l.Limit())
+	}
+}
+
+func TestSaturation(t *testing.T) {
+	var g Group
+	l := g.New(Settings{
+		Slots: 2,
+	})
+	other := g.New(Settings{
+		Slots: 2,
+	})
+	fill(l)
+	if g.Saturated() {
+		t.Error("saturated with one of two targets busy")
+	}
+	fill(other)
+	if !g.Saturated() {
+		t.Error("not saturated with both busy")
+	}
+}
+
+func TestConnectionsStayWithinTheShare(t *testing.T) {
+	cases := []struct {
+		connections, cells, want int
+	}{
+		{connections: 25, cells: 1, want: 12},
+		{connections: 25, cells: 8, want: 1},
+		{connections: 110, cells: 8, want: 6},
+		{connections: 0, cells: 0, want: 1},
+	}
+	for _, c := range cases {
+		share := Share(c.connections, c.cells)
+		if share != c.want {
+			t.Errorf("Share(%d, %d) = %d, want %d", c.connections, c.cells, share, c.want)
+		}
+		var g Group
+		l := g.New(Settings{
+			Connections: share,
+		})
+		n := 0
+		for l.Connect() {
+			n++
+		}
+		l.Disconnect()
+		if n != c.want || !l.Connect() || l.Connect() {
+			t.Errorf("%d connections opened, want %d", n, c.want)
+		}
+	}
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	var g Group
+	l := g.New(Settings{
+		Slots: 6,
+	})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if p, ok := l.Acquire(math.MaxInt); ok {
+				l.Release(p, Success, 0)
+			}
+		}
+	})
+}
