--- /dev/null
+++ b/standin/pkg/acceptor/acceptor_test.go
@@ -0,0 +1,87 @@
+package acceptor
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+func listen(t *testing.T, o Options) *Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := New(l, o)
+	t.Cleanup(func() { a.Close() })
+	return a
+}
+
+func dial(t *testing.T, l *Listener) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func TestLimit(t *testing.T) {
+	l := listen(t, Options{Limit: 1})
+	dial(t, l)
+	first, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := dial(t, l).Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("read beyond the limit: %v, want a reset", err)
+	}
+	first.Close()
+	first.Close()
+	if l.Open() != 0 || l.Refused() != 1 || l.Peak() != 1 {
+		t.Errorf("open %d refused %d peak %d, want 0 1 1", l.Open(), l.Refused(), l.Peak())
+	}
+	dial(t, l)
+	if _, err := l.Accept(); err != nil {
+		t.Errorf("no connection after one was closed: %v", err)
+	}
+}
+
+func TestSetup(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	l := listen(t, Options{
+		Setup: 6 * time.Millisecond,
+		Clock: clock,
+	})
+	dial(t, l)
+	accepted := make(chan net.Conn)
+	go func() {
+		c, _ := l.Accept()
+		accepted <- c
+	}()
+	if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-accepted:
+		t.Fatal("accepted before the set-up time")
+	default:
+	}
+	clock.Advance(6 * time.Millisecond)
+	if c := <-accepted; c == nil {
+		t.Error("no connection after the set-up time")
+	}
+}
+
+func TestCloseEndsAccept(t *testing.T) {
+	l := listen(t, Options{})
+	l.Close()
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("Accept() = %v, want %v", err, net.ErrClosed)
+	}
+}
--- a/standin/pkg/commander/target.go
+++ b/standin/pkg/commander/target.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	defer journal.Close()
+	defer func() { _ = journal.Close() }()
 	admin, err := listen("admin", f.admin)
 	if err != nil {
 		return err
@@ -95,7 +95,7 @@
 		Handler:           l.Handler(),
 		ReadHeaderTimeout: adminTimeout,
 	}
-	defer h.Close()
+	defer func() { _ = h.Close() }()
 	failed := make(chan error, 1)
 	go func() { failed <- eris.Wrap(h.Serve(admin), "serve admin") }()
 	select {
