--- a/entryd/pkg/gatherer/gatherer.go
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -12,6 +12,7 @@
 
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/exchanger"
+	"plantaincleat/entryd/pkg/limiter"
 	"plantaincleat/entryd/pkg/router"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/pkg/indexer"
@@ -37,14 +38,16 @@
 	configs    Configs
 	departures Departures
 	dial       exchanger.Dialer
+	connector  Connector
 	clock      clockwork.Clock
 	budget     router.Budget
 
 	nonce  atomic.Uint64
 	counts Counts
 
-	group estimator.Group
-	pace  pace
+	gauges estimator.Group
+	limits limiter.Group
+	pace   pace
 
 	mu    sync.RWMutex
 	lanes map[string]*lane
@@ -57,6 +60,7 @@
 	Configs    Configs
 	Departures Departures
 	Dial       exchanger.Dialer
+	Connector  Connector
 	Clock      clockwork.Clock
 	Budget     router.Budget
 }
@@ -68,6 +72,7 @@
 		configs:    o.Configs,
 		departures: o.Departures,
 		dial:       o.Dial,
+		connector:  o.Connector,
 		clock:      o.Clock,
 		budget:     o.Budget,
 		lanes:      map[string]*lane{},
@@ -109,12 +114,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l = g.lanes[key]; l == nil {
-		l = newLane(t, exchanger.NewTargetLink(t.GetAddress(), g.dial, g.clock), &g.group, g.clock)
+		l = newLane(t, exchanger.NewTargetLink(t.GetAddress(), g.dial, g.clock), &g.gauges, &g.limits, g.clock)
 		g.lanes[key] = l
 	}
 	return l
 }
 
+// Saturated reports whether the targets have no capacity left for extra
+// sub-requests.
+func (g *Gatherer) Saturated() bool { return g.limits.Saturated() }
+
 // Close ends the links to targets.
 func (g *Gatherer) Close() {
 	g.mu.Lock()
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -9,18 +9,14 @@
 
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/exchanger"
+	"plantaincleat/entryd/pkg/limiter"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/target"
 )
 
-const (
-	// outstandingPerSlot bounds the requests at a target, running or queued
-	// there, per slot. The rest wait here, where they can be withdrawn free
-	// of cost.
-	outstandingPerSlot = 2
-	// waitingPerSlot bounds the requests that wait here per slot.
-	waitingPerSlot = 32
-)
+// waitingPerSlot bounds the requests that wait here per slot. Requests above
+// the target's limit wait here, where they can be withdrawn free of cost.
+const waitingPerSlot = 32
 
 // reply is what became of one request to a target.
 type reply struct {
@@ -39,8 +35,8 @@
 	expiry time.Time
 	sink   func(reply)
 
-	sent   bool
 	ticket estimator.Ticket
+	permit limiter.Permit
 }
 
 // lane is the one queue of this gatherer for one target.
@@ -50,6 +46,7 @@
 	clock clockwork.Clock
 	link  *exchanger.TargetLink
 	gauge *estimator.Estimator
+	limit *limiter.Limiter
 
 	mu      sync.Mutex
 	waiting []*request
@@ -57,14 +54,17 @@
 	leaving bool
 }
 
-func newLane(t *config.Target, link *exchanger.TargetLink, group *estimator.Group, clock clockwork.Clock) *lane {
+func newLane(t *config.Target, link *exchanger.TargetLink, gauges *estimator.Group, limits *limiter.Group, clock clockwork.Clock) *lane {
 	slots := max(int(t.GetSlots()), 1)
 	return &lane{
 		id:    t.GetId(),
 		slots: slots,
 		clock: clock,
 		link:  link,
-		gauge: group.New(estimator.Settings{
+		gauge: gauges.New(estimator.Settings{
+			Slots: slots,
+		}),
+		limit: limits.New(limiter.Settings{
 			Slots: slots,
 		}),
 		flying: map[uint64]*request{},
@@ -88,18 +88,19 @@
 }
 
 // withdraw ends the interest in a request and cancels it at the target if it
-// was sent.
-func (l *lane) withdraw(nonce uint64) {
+// was sent. late tells that its deadline has passed.
+func (l *lane) withdraw(nonce uint64, late bool) {
 	l.mu.Lock()
 	r, flying := l.flying[nonce]
 	if flying {
 		delete(l.flying, nonce)
 		l.gauge.Drop()
+		l.limit.Release(r.permit, withdrawal(late), 0)
 	} else {
 		l.unqueue(nonce)
 	}
 	l.mu.Unlock()
-	if flying && r.sent {
+	if flying {
 		l.link.Forget(nonce)
 		l.link.Post(&target.Call{
 			Nonce: nonce,
@@ -111,6 +112,13 @@
 	l.pump()
 }
 
+func withdrawal(late bool) limiter.Result {
+	if late {
+		return limiter.Timeout
+	}
+	return limiter.Neutral
+}
+
 func (l *lane) unqueue(nonce uint64) {
 	for i, r := range l.waiting {
 		if r.nonce == nonce {
@@ -140,8 +148,11 @@
 func (l *lane) next() *request {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	room := min(outstandingPerSlot*l.slots, l.gauge.Allowed())
-	if len(l.waiting) == 0 || len(l.flying) >= room {
+	if len(l.waiting) == 0 {
+		return nil
+	}
+	permit, ok := l.limit.Acquire(l.gauge.Allowed())
+	if !ok {
 		return nil
 	}
 	r := l.waiting[0]
@@ -150,7 +161,7 @@
 	now := l.clock.Now()
 	r.search.Remaining = max(r.expiry.Sub(now), 0).Microseconds()
 	r.ticket = l.gauge.Send(now)
-	r.sent = true
+	r.permit = permit
 	l.flying[r.nonce] = r
 	return r
 }
@@ -178,8 +189,10 @@
 func (l *lane) record(r *request, a *target.Answer, err error) {
 	if err != nil {
 		l.gauge.Fail()
+		l.limit.Release(r.permit, limiter.Neutral, 0)
 		return
 	}
+	l.limit.Release(r.permit, results[a.GetStatus()], int(a.GetLoad().GetQueue()))
 	l.leaving = a.GetLoad().GetLeaving()
 	report := estimator.Report{
 		Incarnation: a.GetIncarnation(),
@@ -196,6 +209,13 @@
 	}
 }
 
+// results maps the status of an answer to what it says about the limit.
+var results = map[target.Status]limiter.Result{
+	target.Status_STATUS_DONE:    limiter.Success,
+	target.Status_STATUS_SHED:    limiter.Shed,
+	target.Status_STATUS_EXPIRED: limiter.Timeout,
+}
+
 // expected returns when one more request would be answered, its wait here
 // included.
 func (l *lane) expected(now time.Time) time.Duration {
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -25,15 +25,19 @@
 	HedgeDelay(path P) time.Duration
 	// Failed reports whether a path is taken to be out of service. Sending
 	// its open units elsewhere then counts as a retry instead of a hedge.
+	// Choose avoids failed paths while there are others.
 	Failed(path P, now time.Time) bool
 }
 
 // Budget bounds extra sub-requests. Implementations may share one budget
 // between queries.
 type Budget interface {
+	// Sent counts n first attempts.
+	Sent(n int)
 	// Hedge reports whether n more sub-requests may be sent as hedges.
 	Hedge(n int, now time.Time) bool
-	// Retry reports whether n more sub-requests may be sent as retries.
+	// Retry reports whether n more sub-requests may be sent as retries of
+	// attempts that may have used capacity. Other retries are free.
 	Retry(n int, now time.Time) bool
 }
 
@@ -127,6 +131,7 @@
 	for i := range all {
 		all[i] = i
 	}
+	q.budget.Sent(len(all))
 	q.send(all, now, false)
 	q.settle(now)
 	return q.out
@@ -373,7 +378,7 @@
 			q.closeIfIdle(u, q.units[u].reason)
 			continue
 		}
-		if !q.budget.Retry(1, now) {
+		if costly[q.units[u].reason] && !q.budget.Retry(1, now) {
 			q.closeIfIdle(u, peer.Reason_REASON_BUDGET)
 			continue
 		}
@@ -393,8 +398,18 @@
 	q.closed++
 }
 
-// hedge sends the open units of overdue attempts on a second path, within the
-// budget for hedges or, where the first path failed, for retries.
+// costly holds the reasons after which a retry is charged to the budget: the
+// failed attempt used capacity, or the targets have none to spare.
+var costly = map[peer.Reason]bool{
+	peer.Reason_REASON_SHED:   true,
+	peer.Reason_REASON_FAILED: true,
+	peer.Reason_REASON_BUDGET: true,
+	peer.Reason_REASON_LATE:   true,
+}
+
+// hedge sends the open units of overdue attempts on a second path. Hedges are
+// charged to the budget. Leaving a failed path is free: it happens once for a
+// unit, and later units avoid the path.
 func (q *Query[P]) hedge(now time.Time) {
 	var hedges, retries []int
 	for _, a := range q.overdue(now) {
@@ -407,9 +422,9 @@
 				continue
 			}
 			switch {
-			case failed && q.budget.Retry(1, now):
+			case failed:
 				retries = append(retries, u)
-			case !failed && q.budget.Hedge(1, now):
+			case q.budget.Hedge(1, now):
 				hedges = append(hedges, u)
 			default:
 				continue
--- a/tier/pkg/pager/pager.go
+++ b/tier/pkg/pager/pager.go
@@ -14,6 +14,7 @@
 
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/hasher"
 )
 
 // Errors of Decode.
@@ -64,13 +65,5 @@
 
 // Hash returns the hash of what a query asks, apart from its place and limit.
 func Hash(collection, version, class string, q *target.Query) uint64 {
-	d := xxhash.New()
-	parts := append([]string{collection, version, class, q.GetPrefix()}, q.GetTerms()...)
-	for _, p := range parts {
-		var n [checksumBytes]byte
-		binary.BigEndian.PutUint64(n[:], uint64(len(p)))
-		_, _ = d.Write(n[:])
-		_, _ = d.WriteString(p)
-	}
-	return d.Sum64()
+	return hasher.Strings(append([]string{collection, version, class, q.GetPrefix()}, q.GetTerms()...)...)
 }
