Add the relay that cuts, resets and delays links

Rules go by link, source prefix and direction. A cut holds bytes back instead of closing, as a partition does; they are forwarded once it heals.

--- a/standin/pkg/commander/root.go
+++ b/standin/pkg/commander/root.go
@@ -25,6 +25,7 @@
 	return []*cobra.Command{
 		newKV(),
 		newTarget(),
+		newRelay(),
 	}
 }
 
--- /dev/null
+++ b/standin/pkg/relayer/admin.go
@@ -0,0 +1,60 @@
+package relayer
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxBody bounds the size of a request in bytes.
+const maxBody = 1 << 20
+
+// ruleList is the body of the rules' requests and answers.
+type ruleList struct {
+	Rules []Rule `json:"rules"`
+}
+
+// failure is the answer to a request that was refused.
+type failure struct {
+	Error string `json:"error"`
+}
+
+// Handler serves the switches:
+//
+//	GET  /rules   the rules in force
+//	POST /rules   replaces them
+//	GET  /links   links with their counts
+func (r *Relayer) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rules", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, ruleList{Rules: r.Rules()})
+	})
+	mux.HandleFunc("POST /rules", r.serveRules)
+	mux.HandleFunc("GET /links", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, r.Counts())
+	})
+	return mux
+}
+
+func (r *Relayer) serveRules(w http.ResponseWriter, req *http.Request) {
+	var list ruleList
+	d := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxBody))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&list); err != nil {
+		reply(w, http.StatusBadRequest, failure{Error: eris.Wrap(err, "decode rules").Error()})
+		return
+	}
+	if err := r.SetRules(list.Rules); err != nil {
+		reply(w, http.StatusBadRequest, failure{Error: err.Error()})
+		return
+	}
+	reply(w, http.StatusOK, list)
+}
+
+func reply(w http.ResponseWriter, code int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	// The caller is gone if this fails.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/pkg/relayer/relayer_test.go
@@ -0,0 +1,246 @@
+package relayer
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// echo serves a listener that returns what it receives.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				io.Copy(c, c)
+				c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func start(t *testing.T, clock clockwork.Clock, rules ...Rule) *Relayer {
+	t.Helper()
+	r := New(clock)
+	plan := &Plan{
+		Links: []Link{{
+			Name:   "echo",
+			Listen: "127.0.0.1:0",
+			To:     echo(t),
+		}},
+		Rules: rules,
+	}
+	if err := r.Start(plan); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Stop)
+	return r
+}
+
+// dial connects to the first link from a source address.
+func dial(t *testing.T, r *Relayer, source string) net.Conn {
+	t.Helper()
+	d := net.Dialer{
+		LocalAddr: &net.TCPAddr{
+			IP: net.ParseIP(source),
+		},
+	}
+	c, err := d.Dial("tcp", r.links[0].Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func write(t *testing.T, c net.Conn, s string) {
+	t.Helper()
+	if _, err := c.Write([]byte(s)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func wantRead(t *testing.T, c net.Conn, want string) {
+	t.Helper()
+	b := make([]byte, len(want))
+	if _, err := io.ReadFull(c, b); err != nil || string(b) != want {
+		t.Fatalf("read %q, %v; want %q", b, err, want)
+	}
+}
+
+func from(prefix string, a Action) Rule {
+	return Rule{
+		From:   netip.MustParsePrefix(prefix),
+		Action: a,
+	}
+}
+
+// A cut holds what one data centre sends, on open and on new connections, and
+// leaves the other alone. Nothing is lost once it has healed.
+func TestCutBySource(t *testing.T) {
+	r := start(t, nil)
+	cut, other := dial(t, r, "127.0.1.1"), dial(t, r, "127.0.2.1")
+	write(t, cut, "a")
+	wantRead(t, cut, "a")
+	if err := r.SetRules([]Rule{from("127.0.1.0/24", Cut)}); err != nil {
+		t.Fatal(err)
+	}
+	late := dial(t, r, "127.0.1.2")
+	write(t, cut, "b")
+	write(t, late, "c")
+	write(t, other, "d")
+	wantRead(t, other, "d")
+	if got := r.Counts()[0]; got.Up != 2 || got.Down != 2 {
+		t.Errorf("forwarded %d up and %d down during the cut, want 2 and 2", got.Up, got.Down)
+	}
+	if err := r.SetRules(nil); err != nil {
+		t.Fatal(err)
+	}
+	wantRead(t, cut, "b")
+	wantRead(t, late, "c")
+}
+
+func TestCutOneWay(t *testing.T) {
+	rule := from("127.0.0.0/8", Cut)
+	rule.Direction = Down
+	r := start(t, nil, rule)
+	c := dial(t, r, "127.0.1.1")
+	write(t, c, "a")
+	for r.Counts()[0].Up < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	if got := r.Counts()[0].Down; got != 0 {
+		t.Errorf("forwarded %d down, want none", got)
+	}
+	if err := r.SetRules(nil); err != nil {
+		t.Fatal(err)
+	}
+	wantRead(t, c, "a")
+}
+
+func TestReset(t *testing.T) {
+	r := start(t, nil)
+	open := dial(t, r, "127.0.1.1")
+	write(t, open, "a")
+	wantRead(t, open, "a")
+	if err := r.SetRules([]Rule{from("127.0.0.0/8", Reset)}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := open.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("read on an open connection: %v, want a reset", err)
+	}
+	// The reset of a new connection may overtake the end of its dial.
+	fresh, err := net.Dial("tcp", r.links[0].Listen)
+	if err == nil {
+		defer fresh.Close()
+		_, err = fresh.Read(make([]byte, 1))
+	}
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("dial and read: %v, want a reset", err)
+	}
+}
+
+func TestDelay(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	rule := from("127.0.0.0/8", Pass)
+	rule.Delay = 1500
+	r := start(t, clock, rule)
+	c := dial(t, r, "127.0.1.1")
+	write(t, c, "a")
+	for range 2 {
+		if err := clock.BlockUntilContext(t.Context(), 1); err != nil {
+			t.Fatal(err)
+		}
+		clock.Advance(1500 * time.Microsecond)
+	}
+	wantRead(t, c, "a")
+}
+
+func TestHalfCloseIsPassedOn(t *testing.T) {
+	r := start(t, nil)
+	c := dial(t, r, "127.0.1.1")
+	write(t, c, "a")
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(c); err != nil || string(b) != "a" {
+		t.Errorf("read %q, %v; want a and the end", b, err)
+	}
+}
+
+func TestFirstMatchCounts(t *testing.T) {
+	set := newRuleSet([]Rule{
+		{Link: "kv", Action: Reset},
+		from("127.0.1.0/24", Cut),
+		{Action: Pass, Delay: 10},
+	})
+	tests := []struct {
+		link   string
+		source string
+		want   Action
+		delay  time.Duration
+	}{
+		{link: "kv", source: "127.0.1.1", want: Reset},
+		{link: "d1", source: "127.0.1.1", want: Cut},
+		{link: "d1", source: "127.0.2.1", want: Pass, delay: 10 * time.Microsecond},
+	}
+	for _, tt := range tests {
+		action, delay := set.match(flow{
+			link:      tt.link,
+			from:      netip.MustParseAddr(tt.source),
+			direction: Up,
+		})
+		if action != tt.want || delay != tt.delay {
+			t.Errorf("%s from %s: %s %v, want %s %v", tt.link, tt.source, action, delay, tt.want, tt.delay)
+		}
+	}
+}
+
+func TestAdmin(t *testing.T) {
+	h := start(t, nil).Handler()
+	tests := []struct {
+		method string
+		path   string
+		body   string
+		code   int
+		want   string
+	}{
+		{method: "POST", path: "/rules", body: `{"rules":[{"from":"127.0.1.0/24","action":"cut"}]}`, code: 200, want: "127.0.1.0/24"},
+		{method: "GET", path: "/rules", code: 200, want: `"cut"`},
+		{method: "POST", path: "/rules", body: `{"rules":[{"action":"drop"}]}`, code: 400, want: "field rules[0]: field action"},
+		{method: "POST", path: "/rules", body: `{"rule":[]}`, code: 400, want: "unknown field"},
+		{method: "POST", path: "/rules", body: `{"rules":[{"action":"cut","from":"x"}]}`, code: 400, want: "decode rules"},
+		{method: "GET", path: "/links", code: 200, want: `"name":"echo"`},
+	}
+	for _, tt := range tests {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), tt.method, tt.path, strings.NewReader(tt.body)))
+		if w.Code != tt.code || !strings.Contains(w.Body.String(), tt.want) {
+			t.Errorf("%s %s: %d %s, want %d with %s", tt.method, tt.path, w.Code, w.Body, tt.code, tt.want)
+		}
+	}
+}
+
+func TestPlanNeedsNames(t *testing.T) {
+	if _, err := Parse([]byte(`{"links": [{"listen": "127.0.0.1:0"}], /* no name */}`)); err == nil || !strings.Contains(err.Error(), "links[0]") {
+		t.Errorf("Parse() = %v, want an error that names links[0]", err)
+	}
+}
