--- /dev/null
+++ b/entryd/pkg/handler/search.go
@@ -0,0 +1,223 @@
+package handler
+
+import (
+	"net/http"
+	"time"
+
+	"plantaincleat/entryd/pkg/coordinator"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/pager"
+	"plantaincleat/tier/pkg/tracer"
+)
+
+type searchBody struct {
+	Collection string   `json:"collection"`
+	Version    string   `json:"version"`
+	Class      string   `json:"class"`
+	Prefix     string   `json:"prefix"`
+	Terms      []string `json:"terms"`
+	Limit      int      `json:"limit"`
+	Cursor     string   `json:"cursor"`
+}
+
+type searchAnswer struct {
+	Request  string            `json:"request"`
+	Trace    string            `json:"trace"`
+	Revision uint64            `json:"revision"`
+	Snapshot string            `json:"snapshot"`
+	Coverage coverage          `json:"coverage"`
+	Records  []record          `json:"records"`
+	Cursor   string            `json:"cursor,omitempty"`
+	Stats    coordinator.Stats `json:"stats"`
+}
+
+type coverage struct {
+	Fraction float64   `json:"fraction"`
+	Covered  []string  `json:"covered"`
+	Missing  []missing `json:"missing"`
+}
+
+type missing struct {
+	Shard  string `json:"shard"`
+	Reason string `json:"reason"`
+}
+
+type record struct {
+	Key   string  `json:"key"`
+	Score float64 `json:"score"`
+	Text  string  `json:"text"`
+}
+
+// query is a parsed search.
+type query struct {
+	institution *config.Institution
+	class       *config.Class
+	body        searchBody
+	request     *coordinator.Request
+	hash        uint64
+}
+
+func (h *Handler) search(w http.ResponseWriter, r *http.Request) {
+	ctx, span := tracer.Start(tracer.Extract(r.Context(), r.Header.Get("Traceparent")), "search")
+	defer span.End()
+	q, err := h.parseSearch(w, r)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	if err := h.checkQuarantine(q); err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	end, err := h.Admitter.Admit(ctx, q.institution, q.class, q.request.Deadline)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	start := h.Clock.Now()
+	result, err := h.Searcher.Run(ctx, q.request)
+	end(err == nil && len(result.Missing) == 0)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	h.Quarantine.Done(q.request.Fingerprint, q.institution.GetName(), result.Crashed)
+	answer := buildAnswer(q, result)
+	answer.Request = requestID(r)
+	answer.Trace = tracer.ID(ctx)
+	h.record(&answer, q, result, h.Clock.Since(start))
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (h *Handler) parseSearch(w http.ResponseWriter, r *http.Request) (*query, error) {
+	q := &query{}
+	ix := h.Configs.Index()
+	var err error
+	if q.institution, err = identify(ix, r); err != nil {
+		return nil, err
+	}
+	if err = decode(w, r, &q.body); err != nil {
+		return nil, err
+	}
+	if err = checkSearch(&q.body); err != nil {
+		return nil, err
+	}
+	if q.class, err = ix.Class(q.institution, q.body.Class); err != nil {
+		return nil, err
+	}
+	left, err := deadline(r, q.class)
+	if err != nil {
+		return nil, err
+	}
+	return q, h.plan(q, left)
+}
+
+func checkSearch(b *searchBody) error {
+	switch {
+	case b.Collection == "":
+		return malformed("collection", "is missing")
+	case b.Version == "":
+		return malformed("version", "is missing")
+	case b.Class == "":
+		return malformed("class", "is missing")
+	case b.Limit < 0 || b.Limit > maxLimit:
+		return malformed("limit", "is not between 1 and 1000")
+	case len(b.Terms) > maxTerms:
+		return malformed("terms", "has more than 32 words")
+	}
+	if b.Limit == 0 {
+		b.Limit = defaultLimit
+	}
+	return nil
+}
+
+// plan fills in what the coordinator needs.
+func (h *Handler) plan(q *query, left time.Duration) error {
+	now := h.Clock.Now()
+	tq := &target.Query{
+		Prefix: q.body.Prefix,
+		Terms:  q.body.Terms,
+		Limit:  uint32(q.body.Limit),
+	}
+	q.hash = pager.Hash(q.body.Collection, q.body.Version, q.body.Class, tq)
+	q.request = &coordinator.Request{
+		Collection:  q.body.Collection,
+		Version:     q.body.Version,
+		Query:       tq,
+		Deadline:    now.Add(left),
+		Floor:       q.class.GetFloor(),
+		Fingerprint: q.hash,
+	}
+	if goal := q.class.GetGoal().AsDuration(); goal > 0 {
+		q.request.Goal = now.Add(goal)
+	}
+	if q.body.Cursor == "" {
+		return nil
+	}
+	cursor, err := pager.Decode(q.body.Cursor, q.hash)
+	if err != nil {
+		return err
+	}
+	q.request.Snapshot = cursor.GetSnapshot()
+	tq.After = cursor.GetPlace()
+	return nil
+}
+
+func (h *Handler) checkQuarantine(q *query) error {
+	left, suspected := h.Quarantine.Check(q.request.Fingerprint)
+	if left > 0 {
+		return &Refusal{
+			Kind:       KindQuarantined,
+			Message:    "this request is quarantined because targets crashed while they ran it",
+			Run:        RunNo,
+			RetryAfter: left,
+		}
+	}
+	q.request.Suspected = suspected
+	return nil
+}
+
+func buildAnswer(q *query, result *coordinator.Result) searchAnswer {
+	a := searchAnswer{
+		Revision: result.Revision,
+		Snapshot: result.Snapshot.ID(),
+		Stats:    result.Stats,
+		Coverage: coverage{
+			Covered: append([]string{}, result.Covered...),
+			Missing: []missing{},
+		},
+		Records: []record{},
+	}
+	for _, m := range result.Missing {
+		a.Coverage.Missing = append(a.Coverage.Missing, missing{
+			Shard:  m.GetShard(),
+			Reason: reasonName(m.GetReason()),
+		})
+	}
+	if n := result.Snapshot.Len(); n > 0 {
+		a.Coverage.Fraction = float64(len(result.Covered)) / float64(n)
+	}
+	for _, rec := range result.Records {
+		a.Records = append(a.Records, record{
+			Key:   rec.GetKey(),
+			Score: rec.GetScore(),
+			Text:  rec.GetText(),
+		})
+	}
+	if n := len(result.Records); n == q.body.Limit && n > 0 {
+		last := result.Records[n-1]
+		a.Cursor = pager.Encode(&peer.Cursor{
+			Collection: q.body.Collection,
+			Version:    q.body.Version,
+			Snapshot:   result.Snapshot.ID(),
+			Query:      q.hash,
+			Place: &target.Place{
+				Score: last.GetScore(),
+				Key:   last.GetKey(),
+			},
+		})
+	}
+	return a
+}
