--- a/standin/pkg/commander/root.go
+++ b/standin/pkg/commander/root.go
@@ -26,6 +26,7 @@
 	return []*cobra.Command{
 		newKV(),
 		newTarget(),
+		newRelay(),
 	}
 }
 
