--- /dev/null
+++ b/entryd/pkg/commander/commander.go
@@ -0,0 +1,123 @@
+// Package commander is the command line of the daemon.
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/spf13/cobra"
+
+	"plantaincleat/entryd/pkg/starter"
+	"plantaincleat/tier/gen/settings"
+	"plantaincleat/tier/pkg/loader"
+	"plantaincleat/tier/pkg/logger"
+	"plantaincleat/tier/pkg/tracer"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+	// exitCut reports that a stop cut requests that were running.
+	exitCut = 3
+)
+
+var errCut = errors.New("running requests were cut")
+
+// usageError is a fault of the command line.
+type usageError struct{ error }
+
+// Run executes the command line and returns the exit code.
+func Run(args []string, stdout, stderr io.Writer) int {
+	cmd := newRoot(stderr)
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	err := cmd.Execute()
+	var usage usageError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.Is(err, errCut):
+		return exitCut
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(stderr, "entryd:", err)
+		return exitUsage
+	}
+	_, _ = fmt.Fprintln(stderr, "entryd:", err)
+	return exitFailed
+}
+
+func newRoot(stderr io.Writer) *cobra.Command {
+	var file string
+	var check bool
+	cmd := &cobra.Command{
+		Use:   "entryd --settings FILE",
+		Short: "Serve queries over many shards",
+		Long: `Serves callers' queries and mutations over many shards, as a root for callers
+and as a gatherer for other daemons.
+
+SIGTERM or SIGINT stops gracefully; a second one stops at once.
+Exit codes: 0 stopped, 1 failed, 2 wrong usage, 3 a stop cut running requests.`,
+		Example: `  entryd --settings /etc/plantaincleat/entryd.json
+  entryd --settings entryd.json --check`,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(*cobra.Command, []string) error {
+			if file == "" {
+				return usageError{errors.New("--settings is missing")}
+			}
+			cfg, err := loader.LoadSettings(file)
+			if err != nil || check {
+				return err
+			}
+			return serve(cfg, stderr)
+		},
+	}
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	cmd.Flags().StringVar(&file, "settings", "", "settings `file`, JSON with comments")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	return cmd
+}
+
+func serve(cfg *settings.Entryd, stderr io.Writer) error {
+	err := logger.Set(stderr, cfg.GetLog().GetLevel(), slog.String("daemon", cfg.GetId()), slog.String("datacentre", cfg.GetDatacentre()))
+	if err != nil {
+		return err
+	}
+	flush, err := tracer.Set("entryd", cfg.GetTrace().GetFile(), cfg.GetTrace().GetSample())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(context.Background()) }()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d, err := starter.New(cfg, clockwork.NewRealClock())
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		return err
+	}
+	<-signals
+	ctx, cancel := context.WithTimeout(context.Background(), d.Grace())
+	defer cancel()
+	go func() {
+		<-signals
+		slog.Warn("second signal: stopping at once")
+		cancel()
+	}()
+	if d.Stop(ctx) > 0 {
+		return errCut
+	}
+	return nil
+}
--- a/entryd/pkg/dialer/dialer.go
+++ b/entryd/pkg/dialer/dialer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,3 +122,6 @@
 		}
 	}
 }
+
+// Options returns the options with which connections are made.
+func (d *Dialer) Options() []grpc.DialOption { return slices.Clone(d.opts) }
--- /dev/null
+++ b/entryd/pkg/forwarder/forwarder.go
@@ -0,0 +1,110 @@
+// Package forwarder hands a mutation to the one target that runs it, through
+// the daemon that gathers for that target.
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"plantaincleat/entryd/pkg/coordinator"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/indexer"
+)
+
+// ErrNotRun reports that no target was asked to run the mutation.
+var ErrNotRun = errors.New("mutation was not run")
+
+// connectWait bounds the wait for a connection to the gatherer.
+const connectWait = 500 * time.Millisecond
+
+// Connector returns established connections.
+type Connector interface {
+	Ready(ctx context.Context, address string) (*grpc.ClientConn, error)
+}
+
+// Configs returns the configuration in force.
+type Configs interface {
+	Index() *indexer.Index
+}
+
+// Departures tells which targets take no new work.
+type Departures interface {
+	Leaving(target string) bool
+}
+
+// Local runs mutations on the targets that this daemon gathers.
+type Local interface {
+	Mutate(ctx context.Context, in *peer.MutateRequest) (*target.Outcome, error)
+}
+
+// Forwarder routes mutations. It is safe for concurrent use.
+type Forwarder struct {
+	ID         string
+	Configs    Configs
+	Placement  coordinator.Placement
+	Departures Departures
+	Connector  Connector
+	Local      Local
+}
+
+// Forward sends a mutation on its way once. Errors that match ErrNotRun state
+// that no target was asked; after any other error a target may have run it.
+func (f *Forwarder) Forward(ctx context.Context, m *target.Mutation) (*target.Outcome, error) {
+	snapshot, err := f.Configs.Index().Pin(m.GetCollection(), m.GetVersion(), "")
+	if err != nil {
+		return nil, errors.Join(ErrNotRun, err)
+	}
+	at := snapshot.Locate(m.GetRecord().GetKey())
+	if at < 0 {
+		return nil, eris.Wrapf(ErrNotRun, "route: key %q is in no shard", m.GetRecord().GetKey())
+	}
+	shard := snapshot.Shard(at)
+	m.Shard = shard.ID()
+	t := f.choose(shard)
+	if t == nil {
+		return nil, eris.Wrapf(ErrNotRun, "route: every replica of shard %s is leaving", shard.ID())
+	}
+	return f.send(ctx, t, m)
+}
+
+// choose returns the first replica that takes work.
+func (f *Forwarder) choose(shard *indexer.Shard) *config.Target {
+	for _, t := range shard.Replicas() {
+		if !f.Departures.Leaving(t.GetId()) {
+			return t
+		}
+	}
+	return nil
+}
+
+func (f *Forwarder) send(ctx context.Context, t *config.Target, m *target.Mutation) (*target.Outcome, error) {
+	in := &peer.MutateRequest{
+		Target:   t.GetId(),
+		Mutation: m,
+	}
+	gatherers := f.Placement.Gatherers(t.GetDatacentre(), t.GetId())
+	if len(gatherers) == 0 {
+		return nil, eris.Wrapf(ErrNotRun, "route: no daemon gathers for target %s", t.GetId())
+	}
+	d := gatherers[0]
+	if d.ID == f.ID {
+		return f.Local.Mutate(ctx, in)
+	}
+	wait, cancel := context.WithTimeout(ctx, connectWait)
+	defer cancel()
+	conn, err := f.Connector.Ready(wait, d.Address)
+	if err != nil {
+		return nil, errors.Join(ErrNotRun, err)
+	}
+	out, err := peer.NewPeerClient(conn).Mutate(ctx, in)
+	if err != nil {
+		return nil, eris.Wrapf(err, "mutate: daemon %s", d.ID)
+	}
+	return out, nil
+}
--- a/entryd/pkg/gatherer/gatherer.go
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +51,10 @@
 	limits limiter.Group
 	pace   pace
 
+	running atomic.Int64
+	drained chan struct{}
+	drain   sync.Once
+
 	mu    sync.RWMutex
 	lanes map[string]*lane
 }
@@ -76,6 +82,7 @@
 		clock:      o.Clock,
 		budget:     o.Budget,
 		lanes:      map[string]*lane{},
+		drained:    make(chan struct{}),
 	}
 }
 
@@ -85,6 +92,8 @@
 // Run answers one sub-plan. It calls emit with one or more partials, the last
 // of which is marked, and returns when that is done or ctx ends.
 func (g *Gatherer) Run(ctx context.Context, nonce uint64, task *peer.Gather, emit func(*peer.Partial)) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
 	ctx, span := tracer.Start(tracer.Extract(ctx, task.GetTrace()), "gather")
 	defer span.End()
 	j := newJob(g, nonce, task, tracer.Inject(ctx))
@@ -120,6 +129,54 @@
 	return l
 }
 
+const (
+	// quietTime is how long no sub-plan may run before a drain ends.
+	quietTime = 300 * time.Millisecond
+	// renewInterval is the time between two renewals of leaving notices.
+	renewInterval = 5 * time.Second
+)
+
+// Drain waits until no sub-plan has run for a while, since others send none to
+// a daemon that has left, and ends the streams.
+func (g *Gatherer) Drain(ctx context.Context) {
+	defer g.drain.Do(func() { close(g.drained) })
+	tasks := g.counts.Tasks.Load()
+	for {
+		select {
+		case <-g.clock.After(quietTime):
+		case <-ctx.Done():
+			return
+		}
+		now := g.counts.Tasks.Load()
+		if g.running.Load() == 0 && now == tasks {
+			return
+		}
+		tasks = now
+	}
+}
+
+// Running returns the number of sub-plans in progress.
+func (g *Gatherer) Running() int64 { return g.running.Load() }
+
+// Watch renews the notices of targets that are still draining, until ctx ends.
+func (g *Gatherer) Watch(ctx context.Context) {
+	for {
+		select {
+		case <-g.clock.After(renewInterval):
+		case <-ctx.Done():
+			return
+		}
+		g.mu.RLock()
+		lanes := slices.Collect(maps.Values(g.lanes))
+		g.mu.RUnlock()
+		for _, l := range lanes {
+			if incarnation, leaving := l.departure(); leaving {
+				g.departures.Announce(l.id, incarnation)
+			}
+		}
+	}
+}
+
 // Saturated reports whether the targets have no capacity left for extra
 // sub-requests.
 func (g *Gatherer) Saturated() bool { return g.limits.Saturated() }
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -51,7 +51,8 @@
 	mu      sync.Mutex
 	waiting []*request
 	flying  map[uint64]*request
-	leaving bool
+	// leaving is the incarnation that has said that it is leaving, or zero.
+	leaving uint64
 }
 
 func newLane(t *config.Target, link *exchanger.TargetLink, gauges *estimator.Group, limits *limiter.Group, clock clockwork.Clock) *lane {
@@ -193,7 +194,10 @@
 		return
 	}
 	l.limit.Release(r.permit, results[a.GetStatus()], int(a.GetLoad().GetQueue()))
-	l.leaving = a.GetLoad().GetLeaving()
+	l.leaving = 0
+	if a.GetLoad().GetLeaving() {
+		l.leaving = a.GetIncarnation()
+	}
 	report := estimator.Report{
 		Incarnation: a.GetIncarnation(),
 		Queue:       a.GetLoad().GetQueue(),
@@ -225,9 +229,13 @@
 	return l.gauge.Finish(now) + l.gauge.Service()*time.Duration(waiting)/time.Duration(l.slots)
 }
 
-// left reports whether the target has said that it is leaving.
-func (l *lane) left() bool {
+// departure returns the incarnation of the target that is draining and still
+// connected.
+func (l *lane) departure() (incarnation uint64, leaving bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.leaving
+	if !l.link.Up() {
+		l.leaving = 0
+	}
+	return l.leaving, l.leaving != 0
 }
--- a/entryd/pkg/gatherer/selector.go
+++ b/entryd/pkg/gatherer/selector.go
@@ -27,7 +27,10 @@
 			continue
 		}
 		l := s.job.gatherer.lane(id)
-		if l == nil || l.left() {
+		if l == nil {
+			continue
+		}
+		if _, leaving := l.departure(); leaving {
 			continue
 		}
 		if d := l.expected(now); !found || d < least {
--- a/entryd/pkg/gatherer/session.go
+++ b/entryd/pkg/gatherer/session.go
@@ -28,25 +28,34 @@
 	}
 }
 
+// run serves the stream until the peer ends it or the gatherer drains.
 func (s *session) run() error {
 	ctx, cancel := context.WithCancel(s.stream.Context())
+	defer cancel()
 	var writer sync.WaitGroup
 	writer.Go(func() { s.write(ctx) })
-	err := s.read(ctx)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		s.read(ctx)
+	}()
+	select {
+	case <-read:
+	case <-s.gatherer.drained:
+	}
 	// Sub-plans that are running still send their partials: the peer may have
 	// closed only its sending side.
 	s.wg.Wait()
 	s.queue.Close()
 	writer.Wait()
-	cancel()
-	return err
+	return nil
 }
 
-func (s *session) read(ctx context.Context) error {
+func (s *session) read(ctx context.Context) {
 	for {
 		msg, err := s.stream.Recv()
 		if err != nil {
-			return nil
+			return
 		}
 		for _, t := range msg.GetTasks() {
 			if t.GetCancel() {
--- /dev/null
+++ b/entryd/pkg/starter/report.go
@@ -0,0 +1,85 @@
+package starter
+
+import (
+	"expvar"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"plantaincleat/entryd/pkg/administrator"
+)
+
+// Status implements administrator.Reporter.
+func (d *Daemon) Status() administrator.Status {
+	ix := d.configs.Index()
+	s := administrator.Status{
+		ID:         d.cfg.GetId(),
+		DataCentre: d.cfg.GetDatacentre(),
+		Revision:   ix.Revision(),
+		Ready:      ix.Revision() > 0,
+		Stale:      d.stale(),
+		Leaving:    append([]string{}, d.departer.List()...),
+	}
+	for _, m := range d.gossip.View().Members() {
+		state := strings.ToLower(strings.TrimPrefix(m.State().String(), "STATE_"))
+		if !m.Reachable() {
+			state = "unreachable"
+		}
+		s.Members = append(s.Members, administrator.Member{
+			ID:         m.ID(),
+			DataCentre: m.DataCentre(),
+			State:      state,
+			Revision:   m.Revision(),
+			Admin:      m.Admin(),
+		})
+	}
+	return s
+}
+
+var published atomic.Bool
+
+// publish registers the daemon's metrics. Only the first daemon of a process
+// is published.
+func (d *Daemon) publish() {
+	if !published.CompareAndSwap(false, true) {
+		return
+	}
+	c, g := d.coordinator.Counts(), d.gatherer.Counts()
+	ints := []struct {
+		name string
+		v    *atomic.Int64
+	}{
+		{"queries", &c.Queries},
+		{"partial", &c.Partial},
+		{"restarts", &c.Restarts},
+		{"hedges", &c.Hedges},
+		{"retries", &c.Retries},
+		{"late", &c.Late},
+		{"mismatched", &c.Crossed},
+		{"tasks", &g.Tasks},
+		{"sent", &g.Sent},
+		{"crossed", &g.Crossed},
+		{"sheds", &g.Sheds},
+		{"lost", &g.Lost},
+	}
+	for _, i := range ints {
+		expvar.Publish(i.name, expvar.Func(func() any { return i.v.Load() }))
+	}
+	expvar.Publish("refusals", &d.handler.Counts().Refusals)
+	expvar.Publish("answers", &d.handler.Counts().Answers)
+	expvar.Publish("revision", expvar.Func(func() any { return d.configs.Index().Revision() }))
+	expvar.Publish("exchanges", expvar.Func(func() any { return d.gossip.Exchanges() }))
+	expvar.Publish("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
+	expvar.Publish("cpu", expvar.Func(func() any { return processorTime().Seconds() }))
+}
+
+// processorTime returns the processor time that the process has used.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/entryd/pkg/starter/starter.go
@@ -0,0 +1,258 @@
+// Package starter assembles a daemon from its settings, runs it and stops it.
+package starter
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"plantaincleat/entryd/pkg/administrator"
+	"plantaincleat/entryd/pkg/coordinator"
+	"plantaincleat/entryd/pkg/departer"
+	"plantaincleat/entryd/pkg/dialer"
+	"plantaincleat/entryd/pkg/gatherer"
+	"plantaincleat/entryd/pkg/gossiper"
+	"plantaincleat/entryd/pkg/handler"
+	"plantaincleat/entryd/pkg/recorder"
+	"plantaincleat/entryd/pkg/server"
+	"plantaincleat/tier/gen/settings"
+	"plantaincleat/tier/pkg/indexer"
+	"plantaincleat/tier/pkg/securer"
+	"plantaincleat/tier/pkg/storer"
+)
+
+const (
+	// defaultGrace is the time for running work at a graceful shutdown.
+	defaultGrace = 30 * time.Second
+	// lameDuckTime lies between failing readiness and refusing connections.
+	lameDuckTime = time.Second
+	// readHeaderTimeout bounds the time in which a caller sends its headers.
+	readHeaderTimeout = 10 * time.Second
+	// explanations is the number of complete, and of partial, answers kept.
+	explanations = 1024
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	cfg   *settings.Entryd
+	clock clockwork.Clock
+
+	tls         *securer.Securer
+	dialer      *dialer.Dialer
+	store       storer.Store
+	configs     *configs
+	adopter     Adopter
+	gossip      *gossiper.Runner
+	departer    *departer.Departer
+	gatherer    *gatherer.Gatherer
+	coordinator *coordinator.Coordinator
+	handler     *handler.Handler
+	admin       *administrator.Administrator
+
+	peers  *grpc.Server
+	web    *http.Server
+	adminS *http.Server
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// New assembles a daemon. Nothing runs before Start.
+func New(cfg *settings.Entryd, clock clockwork.Clock) (*Daemon, error) {
+	d := &Daemon{
+		cfg:     cfg,
+		clock:   clock,
+		configs: newConfigs(),
+	}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	var err error
+	if d.tls, err = securer.New(cfg.GetSecurity(), clock); err != nil {
+		return nil, err
+	}
+	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource()); err != nil {
+		return nil, err
+	}
+	if d.store, err = storer.DialEtcd(cfg.GetKv(), d.dialer.Options()...); err != nil {
+		return nil, eris.Wrap(err, "kv")
+	}
+	d.buildFleet()
+	d.buildQueries()
+	return d, nil
+}
+
+// buildFleet makes what daemons agree on: members, configuration, departures.
+func (d *Daemon) buildFleet() {
+	d.gossip = gossiper.NewRunner(gossiper.Config{
+		Self: gossiper.Identity{
+			ID:         d.cfg.GetId(),
+			Address:    d.advertise(),
+			DataCentre: d.cfg.GetDatacentre(),
+			Admin:      d.cfg.GetListen().GetAdmin(),
+		},
+		Seeds:  d.cfg.GetSeeds(),
+		Source: rand.NewPCG(rand.Uint64(), rand.Uint64()),
+	}, d.clock, gossiper.NewTransport(d.dialer.Dial))
+	d.adopter = d.newAdopter()
+	d.departer = departer.New(d.gossip, d.configs, d.clock)
+}
+
+// buildQueries makes the path of a query.
+func (d *Daemon) buildQueries() {
+	gathering, rooting := newBudget(), newBudget()
+	d.gatherer = gatherer.New(gatherer.Options{
+		ID:         d.cfg.GetId(),
+		Configs:    d.configs,
+		Departures: d.departer,
+		Dial:       d.dialer.Dial,
+		Connector:  d.dialer,
+		Clock:      d.clock,
+		Budget:     gathering,
+	})
+	gathering.saturated = d.gatherer.Saturated
+	d.coordinator = coordinator.New(coordinator.Options{
+		ID:         d.cfg.GetId(),
+		DataCentre: d.cfg.GetDatacentre(),
+		Configs:    d.configs,
+		Placement: &placement{
+			views: d.gossip,
+		},
+		Gatherer: d.gatherer,
+		Dial:     d.dialer.Dial,
+		Clock:    d.clock,
+		Budget:   rooting,
+	})
+	record := recorder.New[*handler.Explanation](explanations)
+	d.handler = handler.New(handler.Options{
+		ID:         d.cfg.GetId(),
+		DataCentre: d.cfg.GetDatacentre(),
+		Configs:    d.configs,
+		Searcher:   d.coordinator,
+		Mutator:    d.newMutator(),
+		Admitter:   openAdmitter{},
+		Quarantine: openQuarantine{},
+		Clock:      d.clock,
+		Recorder:   record,
+	})
+	d.admin = administrator.New(d, record)
+	d.configs.onChange = append(d.configs.onChange, func(ix *indexer.Index) {
+		gathering.set(ix.Policy())
+		rooting.set(ix.Policy())
+		d.gossip.SetRevision(ix.Revision())
+		slog.Info("configuration in force", "revision", ix.Revision(), "change", ix.Accepted().GetHead().GetChange())
+	})
+}
+
+func (d *Daemon) advertise() string {
+	if a := d.cfg.GetAdvertise(); a != "" {
+		return a
+	}
+	return d.cfg.GetListen().GetPeer()
+}
+
+// Start opens the listeners and starts the daemon's work.
+func (d *Daemon) Start() error {
+	d.peers = grpc.NewServer(grpc.Creds(d.tls.ServerCredentials()))
+	server.Register(d.peers, server.Options{
+		Gatherer: d.gatherer,
+		Gossiper: d.gossip,
+		Fetcher:  d.adopter,
+		Mutator:  d.gatherer,
+	})
+	d.web = newHTTPServer(d.handler)
+	d.adminS = newHTTPServer(d.admin)
+	peerL, err := net.Listen("tcp", d.cfg.GetListen().GetPeer())
+	if err != nil {
+		return eris.Wrap(err, "listen.peer")
+	}
+	webL, err := net.Listen("tcp", d.cfg.GetListen().GetHttp())
+	if err != nil {
+		return eris.Wrap(err, "listen.http")
+	}
+	adminL, err := net.Listen("tcp", d.cfg.GetListen().GetAdmin())
+	if err != nil {
+		return eris.Wrap(err, "listen.admin")
+	}
+	d.publish()
+	d.wg.Go(func() { d.failed("peer listener", d.peers.Serve(peerL)) })
+	d.wg.Go(func() { d.failed("http listener", d.web.Serve(d.tls.Listen(webL, false))) })
+	d.wg.Go(func() { d.failed("admin listener", d.adminS.Serve(d.tls.Listen(adminL, false))) })
+	d.wg.Go(func() { d.gossip.Run(d.ctx) })
+	d.wg.Go(func() { d.adopter.Run(d.ctx) })
+	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
+	d.wg.Go(func() { d.departer.Run(d.ctx) })
+	d.wg.Go(func() { d.gatherer.Watch(d.ctx) })
+	slog.Info("started", "http", d.cfg.GetListen().GetHttp(), "peer", d.cfg.GetListen().GetPeer(), "admin", d.cfg.GetListen().GetAdmin())
+	return nil
+}
+
+func newHTTPServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+}
+
+func (d *Daemon) failed(step string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+		slog.Error("stopped unexpectedly", "step", step, "error", err.Error())
+	}
+}
+
+// Stop ends the daemon gracefully: the balancer and the other daemons turn
+// away from it first, and running work ends. What still runs when ctx ends is
+// cut; the number of cut requests is returned.
+func (d *Daemon) Stop(ctx context.Context) int64 {
+	slog.Info("stopping")
+	d.admin.Stop()
+	d.gossip.Leave(ctx)
+	select {
+	case <-d.clock.After(lameDuckTime):
+	case <-ctx.Done():
+	}
+	if err := d.web.Shutdown(ctx); err != nil {
+		_ = d.web.Close()
+	}
+	d.gatherer.Drain(ctx)
+	cut := d.gatherer.Running()
+	d.end(ctx)
+	slog.Info("stopped", "cut", cut)
+	return cut
+}
+
+// end closes every listener and connection.
+func (d *Daemon) end(ctx context.Context) {
+	stopped := make(chan struct{})
+	go func() {
+		d.peers.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		d.peers.Stop()
+	}
+	d.cancel()
+	_ = d.adminS.Close()
+	d.coordinator.Close()
+	d.gatherer.Close()
+	d.wg.Wait()
+	d.dialer.Close()
+}
+
+// Grace returns the time allowed for Stop.
+func (d *Daemon) Grace() time.Duration {
+	if g := d.cfg.GetGrace().AsDuration(); g > 0 {
+		return g
+	}
+	return defaultGrace
+}
