--- /dev/null
+++ b/tier/pkg/checker/checker.go
@@ -0,0 +1,115 @@
+// Package checker tells what is wrong with a configuration or with settings
+// that are well-formed. All problems are reported at once.
+package checker
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strings"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+)
+
+// nameLimit is the length in bytes of the longest name or id.
+const nameLimit = 128
+
+// Problem is one reason to refuse a configuration or settings.
+type Problem struct {
+	// Field is a path such as collections[0].versions[1].snapshots[0].id.
+	Field  string
+	Reason string
+}
+
+// String returns "field: reason".
+func (p Problem) String() string {
+	if p.Field == "" {
+		return p.Reason
+	}
+	return p.Field + ": " + p.Reason
+}
+
+// report collects problems.
+type report struct {
+	problems []Problem
+}
+
+func (r *report) add(field, format string, args ...any) {
+	r.problems = append(r.problems, Problem{
+		Field:  field,
+		Reason: fmt.Sprintf(format, args...),
+	})
+}
+
+// name checks a name or id. Names stand in URLs, keys and headers.
+func (r *report) name(field, name string) {
+	switch {
+	case name == "":
+		r.add(field, "is missing")
+	case len(name) > nameLimit:
+		r.add(field, "is longer than %d bytes", nameLimit)
+	case !utf8.ValidString(name) || strings.ContainsFunc(name, unfit):
+		r.add(field, "%q contains a space, a slash or a control character", name)
+	}
+}
+
+func unfit(c rune) bool {
+	return c == '/' || unicode.IsSpace(c) || !unicode.IsPrint(c)
+}
+
+// unique reports a value that was seen before in the same scope.
+func (r *report) unique(seen map[string]string, field, value string) {
+	if value == "" {
+		return
+	}
+	if first, found := seen[value]; found {
+		r.add(field, "%q is taken by %s", value, first)
+		return
+	}
+	seen[value] = field
+}
+
+// address checks an IP address with a port. Port zero is refused unless any
+// is true.
+func (r *report) address(field, address string, any bool) (netip.AddrPort, bool) {
+	if address == "" {
+		r.add(field, "is missing")
+		return netip.AddrPort{}, false
+	}
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		r.add(field, "%q is not an IP address with a port", address)
+		return netip.AddrPort{}, false
+	}
+	if a.Port() == 0 && !any {
+		r.add(field, "%q has port 0", address)
+		return netip.AddrPort{}, false
+	}
+	return a, true
+}
+
+// fraction checks a number in [0,1].
+func (r *report) fraction(field string, f float64) {
+	if math.IsNaN(f) || f < 0 || f > 1 {
+		r.add(field, "%v is not between 0 and 1", f)
+	}
+}
+
+// duration checks a duration that must be positive. It may be absent if
+// optional is true. It returns zero for a bad one.
+func (r *report) duration(field string, d *durationpb.Duration, optional bool) time.Duration {
+	if d == nil {
+		if !optional {
+			r.add(field, "is missing")
+		}
+		return 0
+	}
+	if !d.IsValid() || d.AsDuration() <= 0 {
+		r.add(field, "%s is not a positive duration", d.AsDuration())
+		return 0
+	}
+	return d.AsDuration()
+}
--- /dev/null
+++ b/tier/pkg/checker/checker_test.go
@@ -0,0 +1,123 @@
+package checker
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/pkg/encoder"
+)
+
+// TestMain fixes the seed, so that each run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func TestPartTooLarge(t *testing.T) {
+	shards := []*config.Shard{}
+	for i := range encoder.ValueLimit / 100 {
+		shards = append(shards, &config.Shard{
+			Id:       strings.Repeat("x", 90) + fmt.Sprint(i),
+			From:     fmt.Sprintf("%08d", i),
+			To:       fmt.Sprintf("%08d", i+1),
+			Replicas: []string{"t1"},
+		})
+	}
+	shards[0].From, shards[len(shards)-1].To = "", ""
+	problems := Config(&config.Config{
+		Targets: []*config.Target{{
+			Id:          "t1",
+			Address:     "127.0.0.1:1",
+			Datacentre:  "wlg",
+			Slots:       1,
+			Connections: 1,
+		}},
+		Collections: []*config.Collection{{
+			Name: "c",
+			Versions: []*config.Version{{
+				Name: "v",
+				Snapshots: []*config.Snapshot{{
+					Id:     "s",
+					Shards: shards,
+				}},
+			}},
+		}},
+	})
+	if len(problems) != 1 || problems[0].Field != "collections[0]" {
+		t.Errorf("problems = %v", problems)
+	}
+}
+
+// TestPartition compares the verdict on random ranges with a search for each
+// key of a small key space.
+func TestPartition(t *testing.T) {
+	keys := []string{"", "a", "b", "c", "d", "e", "f"}
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.SampledFrom(keys)
+		n := rapid.IntRange(1, 4).Draw(t, "n")
+		var shards []*config.Shard
+		if rapid.Bool().Draw(t, "chain") {
+			shards = chain(rapid.Permutation(keys[1:]).Draw(t, "cuts")[:n-1])
+		} else {
+			for range n {
+				shards = append(shards, &config.Shard{
+					From: bound.Draw(t, "from"),
+					To:   bound.Draw(t, "to"),
+				})
+			}
+		}
+		r := &report{}
+		r.partition("s", shards)
+		if got, want := len(r.problems) == 0, partitions(keys, shards); got != want {
+			t.Fatalf("accepted = %v, want %v: %v", got, want, r.problems)
+		}
+	})
+}
+
+// chain returns the ranges between the cuts, in the order of the cuts.
+func chain(cuts []string) []*config.Shard {
+	shards := []*config.Shard{}
+	for _, from := range append([]string{""}, cuts...) {
+		to := ""
+		for _, cut := range cuts {
+			if cut > from && (to == "" || cut < to) {
+				to = cut
+			}
+		}
+		shards = append(shards, &config.Shard{
+			From: from,
+			To:   to,
+		})
+	}
+	return shards
+}
+
+// partitions tells whether each key lies in one range and no range is empty.
+func partitions(keys []string, shards []*config.Shard) bool {
+	for _, s := range shards {
+		if s.To != "" && s.To <= s.From {
+			return false
+		}
+	}
+	for _, key := range keys {
+		holders := 0
+		for _, s := range shards {
+			if key >= s.From && (s.To == "" || key < s.To) {
+				holders++
+			}
+		}
+		if holders != 1 {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/tier/pkg/checker/settings.go
@@ -0,0 +1,170 @@
+package checker
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+
+	"plantaincleat/tier/gen/settings"
+)
+
+// levels are the names of the log levels. Empty means the default.
+var levels = map[string]bool{
+	"":      true,
+	"debug": true,
+	"info":  true,
+	"warn":  true,
+	"error": true,
+}
+
+// Settings returns all problems of a daemon's settings. readable tells why a
+// file can not be read, nil if it can.
+func Settings(s *settings.Entryd, readable func(file string) error) []Problem {
+	r := &report{}
+	r.name("id", s.GetId())
+	r.name("datacentre", s.GetDatacentre())
+	r.listeners(s)
+	r.upstream(s)
+	r.security(s.GetSecurity(), readable)
+	r.duration("grace", s.GetGrace(), true)
+	if level := s.GetLog().GetLevel(); !levels[level] {
+		r.add("log.level", "%q is not one of debug, info, warn, error", level)
+	}
+	r.fraction("trace.sample", s.GetTrace().GetSample())
+	return r.problems
+}
+
+// listeners checks the addresses at which the daemon is reached.
+func (r *report) listeners(s *settings.Entryd) {
+	plain := s.GetSecurity().GetCertificate() == "" && !s.GetSecurity().GetInsecure()
+	l := s.GetListen()
+	listeners := []struct {
+		field, address string
+	}{
+		{
+			field:   "listen.http",
+			address: l.GetHttp(),
+		},
+		{
+			field:   "listen.peer",
+			address: l.GetPeer(),
+		},
+		{
+			field:   "listen.admin",
+			address: l.GetAdmin(),
+		},
+	}
+	taken := map[string]string{}
+	for _, one := range listeners {
+		a, ok := r.address(one.field, one.address, true)
+		if !ok {
+			continue
+		}
+		if a.Port() != 0 {
+			r.unique(taken, one.field, one.address)
+		}
+		if plain && !a.Addr().IsLoopback() {
+			r.add(one.field, "%q is not a loopback address, so that security.certificate is needed", one.address)
+		}
+	}
+	if s.GetAdvertise() != "" {
+		r.address("advertise", s.GetAdvertise(), false)
+		return
+	}
+	if a, err := netip.ParseAddrPort(l.GetPeer()); err == nil && a.Addr().IsUnspecified() {
+		r.add("advertise", "is missing, and listen.peer %q is no address that others can dial", l.GetPeer())
+	}
+}
+
+// upstream checks the addresses that the daemon connects to.
+func (r *report) upstream(s *settings.Entryd) {
+	plain := s.GetSecurity().GetCa() == "" && !s.GetSecurity().GetInsecure()
+	if s.GetSource() != "" {
+		if _, err := netip.ParseAddr(s.GetSource()); err != nil {
+			r.add("source", "%q is not an IP address", s.GetSource())
+		}
+	}
+	if len(s.GetKv()) == 0 {
+		r.add("kv", "is missing")
+	}
+	lists := []struct {
+		field     string
+		addresses []string
+	}{
+		{
+			field:     "kv",
+			addresses: s.GetKv(),
+		},
+		{
+			field:     "seeds",
+			addresses: s.GetSeeds(),
+		},
+	}
+	for _, list := range lists {
+		for i, address := range list.addresses {
+			field := fmt.Sprintf("%s[%d]", list.field, i)
+			a, ok := r.address(field, address, false)
+			if ok && plain && !a.Addr().IsLoopback() {
+				r.add(field, "%q is not a loopback address, so that security.ca is needed", address)
+			}
+		}
+	}
+	r.hosts(s)
+}
+
+// hosts checks the URL of the host list.
+func (r *report) hosts(s *settings.Entryd) {
+	if s.GetHosts() == "" {
+		return
+	}
+	u, err := url.Parse(s.GetHosts())
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") {
+		r.add("hosts", "%q is not an http or https URL", s.GetHosts())
+		return
+	}
+	a, err := netip.ParseAddr(u.Hostname())
+	if err != nil {
+		r.add("hosts", "%q has no IP address", s.GetHosts())
+		return
+	}
+	if u.Scheme == "http" && !a.IsLoopback() && !s.GetSecurity().GetInsecure() {
+		r.add("hosts", "%q is not a loopback address, so that https is needed", s.GetHosts())
+	}
+}
+
+// security checks that the PEM files go together and can be read.
+func (r *report) security(s *settings.Security, readable func(string) error) {
+	if s.GetCertificate() == "" && s.GetKey() != "" {
+		r.add("security.certificate", "is missing beside security.key")
+	}
+	if s.GetCertificate() != "" && s.GetKey() == "" {
+		r.add("security.key", "is missing beside security.certificate")
+	}
+	if s.GetCertificate() != "" && s.GetCa() == "" {
+		r.add("security.ca", "is missing beside security.certificate")
+	}
+	files := []struct {
+		field, file string
+	}{
+		{
+			field: "security.certificate",
+			file:  s.GetCertificate(),
+		},
+		{
+			field: "security.key",
+			file:  s.GetKey(),
+		},
+		{
+			field: "security.ca",
+			file:  s.GetCa(),
+		},
+	}
+	for _, f := range files {
+		if f.file == "" {
+			continue
+		}
+		if err := readable(f.file); err != nil {
+			r.add(f.field, "%v", err)
+		}
+	}
+}
