Gossip of membership, revisions, notices and demands

Every daemon must know the others, which revision they run, which targets leave and which requests are quarantined, without a lease per daemon and without a store of our own. A deterministic machine with the SWIM rules and a runner on a clock and a transport.

--- /dev/null
+++ b/entryd/pkg/gossiper/facts.go
@@ -0,0 +1,216 @@
+package gossiper
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+// factKey names what a notice is about. Two notices with one key are merged.
+type factKey struct {
+	target      string
+	incarnation uint64
+	fingerprint uint64
+}
+
+type fact struct {
+	notice *peer.Notice
+	hash   uint64
+	size   int
+	left   int
+}
+
+// facts holds the notices in force.
+type facts struct {
+	byKey map[factKey]*fact
+	keys  []factKey
+	// next is the place in keys at which the next message starts.
+	next int
+	hash uint64
+}
+
+func newFacts() facts {
+	return facts{
+		byKey: make(map[factKey]*fact),
+	}
+}
+
+// keyOf returns false for a notice without a subject.
+func keyOf(n *peer.Notice) (factKey, bool) {
+	switch body := n.GetBody().(type) {
+	case *peer.Notice_Leaving:
+		return factKey{
+			target:      body.Leaving.GetTarget(),
+			incarnation: body.Leaving.GetIncarnation(),
+		}, body.Leaving.GetTarget() != ""
+	case *peer.Notice_Quarantine:
+		return factKey{
+			fingerprint: body.Quarantine.GetFingerprint(),
+		}, body.Quarantine.GetFingerprint() != 0
+	}
+	return factKey{}, false
+}
+
+// expiry returns the Unix milliseconds after which a notice is forgotten.
+func expiry(n *peer.Notice) int64 {
+	if l := n.GetLeaving(); l != nil {
+		return l.GetExpires()
+	}
+	return n.GetQuarantine().GetExpires()
+}
+
+// Merge returns the least notice at or above a and b, which are about the same
+// incarnation of a target or the same fingerprint. It is commutative,
+// associative and idempotent; the expiry never falls. Of two quarantines the
+// higher epoch holds, and in one epoch the clearance.
+func Merge(a, b *peer.Notice) *peer.Notice {
+	if l := a.GetLeaving(); l != nil {
+		if l.GetExpires() >= b.GetLeaving().GetExpires() {
+			return a
+		}
+		return b
+	}
+	qa, qb := a.GetQuarantine(), b.GetQuarantine()
+	expires := max(qa.GetExpires(), qb.GetExpires())
+	out := &peer.Quarantine{
+		Fingerprint: qa.GetFingerprint(),
+		Expires:     expires,
+	}
+	switch compareEpochs(qa, qb) {
+	case 1:
+		copyQuarantine(out, qa)
+	case -1:
+		copyQuarantine(out, qb)
+	default:
+		copyQuarantine(out, qa)
+		out.Targets = union(qa.GetTargets(), qb.GetTargets())
+		out.Institution = max(qa.GetInstitution(), qb.GetInstitution())
+	}
+	return &peer.Notice{
+		Body: &peer.Notice_Quarantine{
+			Quarantine: out,
+		},
+	}
+}
+
+func copyQuarantine(dst, src *peer.Quarantine) {
+	dst.Epoch = src.GetEpoch()
+	dst.Cleared = src.GetCleared()
+	dst.Targets = union(src.GetTargets(), nil)
+	dst.Institution = src.GetInstitution()
+}
+
+func compareEpochs(a, b *peer.Quarantine) int {
+	if c := cmp.Compare(a.GetEpoch(), b.GetEpoch()); c != 0 {
+		return c
+	}
+	switch {
+	case a.GetCleared() && !b.GetCleared():
+		return 1
+	case b.GetCleared() && !a.GetCleared():
+		return -1
+	}
+	return 0
+}
+
+func union(a, b []string) []string {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// add merges a notice and reports whether that told anything new.
+func (f *facts) add(n *peer.Notice, copies int, now time.Time) bool {
+	key, ok := keyOf(n)
+	if !ok || expiry(n) <= now.UnixMilli() {
+		return false
+	}
+	old, known := f.byKey[key]
+	if known {
+		n = Merge(old.notice, n)
+	}
+	data, err := proto.MarshalOptions{
+		Deterministic: true,
+	}.Marshal(n)
+	if err != nil {
+		return false
+	}
+	h := xxhash.Sum64(data)
+	if known && h == old.hash {
+		return false
+	}
+	if known {
+		f.hash ^= old.hash
+	} else {
+		f.keys = append(f.keys, key)
+	}
+	f.hash ^= h
+	f.byKey[key] = &fact{
+		notice: n,
+		hash:   h,
+		size:   len(data) + binary.MaxVarintLen16,
+		left:   copies,
+	}
+	return true
+}
+
+// expire removes the notices whose time is over and reports whether any was.
+func (f *facts) expire(now time.Time) bool {
+	ms := now.UnixMilli()
+	n := len(f.keys)
+	f.keys = slices.DeleteFunc(f.keys, func(k factKey) bool {
+		old := f.byKey[k]
+		if expiry(old.notice) > ms {
+			return false
+		}
+		f.hash ^= old.hash
+		delete(f.byKey, k)
+		return true
+	})
+	return len(f.keys) != n
+}
+
+// take returns notices of at most limit bytes in all. If all is false only
+// those that have copies left to send are taken.
+func (f *facts) take(limit int, all bool) []*peer.Notice {
+	var out []*peer.Notice
+	n := len(f.keys)
+	for i := range n {
+		at := (f.next + i) % n
+		one := f.byKey[f.keys[at]]
+		if one.left == 0 && !all {
+			continue
+		}
+		limit -= one.size
+		if limit < 0 {
+			f.next = at
+			break
+		}
+		out = append(out, one.notice)
+		one.left = max(0, one.left-1)
+	}
+	return out
+}
+
+// list returns the notices in a fixed order.
+func (f *facts) list() []*peer.Notice {
+	keys := slices.Clone(f.keys)
+	slices.SortFunc(keys, func(a, b factKey) int {
+		return cmp.Or(
+			cmp.Compare(a.target, b.target),
+			cmp.Compare(a.incarnation, b.incarnation),
+			cmp.Compare(a.fingerprint, b.fingerprint),
+		)
+	})
+	out := make([]*peer.Notice, 0, len(keys))
+	for _, k := range keys {
+		out = append(out, f.byKey[k].notice)
+	}
+	return out
+}
--- /dev/null
+++ b/entryd/pkg/gossiper/machine_test.go
@@ -0,0 +1,345 @@
+package gossiper
+
+import (
+	"testing"
+	"time"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+// settle is enough for a fleet of the tests' sizes to find itself.
+const settle = 15 * time.Second
+
+func TestFleetLearnsAll(t *testing.T) {
+	cases := []struct {
+		name       string
+		dcs, hosts int
+	}{
+		{
+			name:  "one",
+			dcs:   1,
+			hosts: 1,
+		},
+		{
+			name:  "nine",
+			dcs:   3,
+			hosts: 3,
+		},
+		{
+			name:  "hundred",
+			dcs:   5,
+			hosts: 20,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := fleet(c.dcs, c.hosts, nil)
+			w.run(settle)
+			w.requireAlive(t, c.dcs*c.hosts)
+			for _, n := range w.order {
+				if !n.m.Awake() {
+					t.Errorf("%s is not awake", n.cfg.Self.ID)
+				}
+			}
+		})
+	}
+}
+
+func TestDeadAndRestarted(t *testing.T) {
+	for _, hosts := range []int{3, 30} {
+		w := fleet(3, hosts, nil)
+		w.run(settle)
+		victim := w.order[4]
+		victim.down = true
+		took, ok := w.until(time.Minute, func(n *node) bool { return dead(n.state("d1-001")) })
+		if !ok {
+			t.Fatalf("%d hosts: death not known everywhere after %v", hosts, took)
+		}
+		w.run(time.Second)
+		w.requireAlive(t, 3*hosts-1)
+		before, _ := w.order[0].m.View().Lookup("d1-001")
+		w.start(victim.cfg)
+		took, ok = w.until(settle, func(n *node) bool {
+			m, _ := n.m.View().Lookup("d1-001")
+			return m.Live() && m.Incarnation() > before.Incarnation()
+		})
+		if !ok {
+			t.Errorf("%d hosts: restart not known everywhere after %v", hosts, took)
+		}
+	}
+}
+
+func TestRestartWithClockBehind(t *testing.T) {
+	w := fleet(1, 3, nil)
+	w.run(settle)
+	n := w.order[1]
+	late := w.now
+	w.now = late.Add(-time.Hour)
+	w.start(n.cfg)
+	w.now = late
+	w.run(settle)
+	w.requireAlive(t, 3)
+	if got := n.m.self().incarnation; got < uint64(late.Add(-time.Minute).UnixMilli()) {
+		t.Errorf("incarnation %d is not above the one before the restart", got)
+	}
+}
+
+func TestLeave(t *testing.T) {
+	w := fleet(3, 10, nil)
+	w.run(settle)
+	n := w.order[4]
+	w.send(n, n.m.Leave(w.now))
+	w.arm(n)
+	took, ok := w.until(3*time.Second, func(n *node) bool {
+		return n.state("d1-001") == peer.State_STATE_LEFT
+	})
+	if !ok {
+		t.Errorf("leave not known everywhere after %v", took)
+	}
+	w.run(settle)
+	if got := w.order[0].state("d1-001"); got != peer.State_STATE_LEFT {
+		t.Errorf("state %v after a leave", got)
+	}
+}
+
+// A one-way cut between two daemons must not kill either: others still reach
+// both. Without indirect probes it does.
+func TestOneWayCut(t *testing.T) {
+	cases := []struct {
+		name    string
+		proxies int
+		suspect bool
+	}{
+		{
+			name:    "indirect probes",
+			proxies: DefaultProxies,
+		},
+		{
+			name:    "no indirect probes",
+			proxies: -1,
+			suspect: true,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := fleet(1, 5, func(cfg *Config) { cfg.Proxies = c.proxies })
+			w.run(settle)
+			w.cut = func(from, to Identity) bool { return from.ID == "d0-001" && to.ID == "d0-002" }
+			suspected := false
+			for range 300 {
+				w.run(100 * time.Millisecond)
+				for _, n := range w.order {
+					suspected = suspected || n.state("d0-002") != peer.State_STATE_ALIVE
+				}
+			}
+			if suspected != c.suspect {
+				t.Errorf("suspected %v, want %v", suspected, c.suspect)
+			}
+		})
+	}
+}
+
+// A daemon that has lost all others of its data centre but reaches other data
+// centres is vouched for by those.
+func TestLostOwnDataCentre(t *testing.T) {
+	w := fleet(3, 3, nil)
+	w.run(settle)
+	w.cut = func(from, to Identity) bool {
+		return from.DataCentre == "dc1" && to.DataCentre == "dc1" &&
+			(from.ID == "d1-001" || to.ID == "d1-001")
+	}
+	w.run(30 * time.Second)
+	w.requireAlive(t, 9)
+}
+
+// A daemon that nobody reaches is declared dead although it still sends, and
+// comes back when it can be reached.
+func TestDeaf(t *testing.T) {
+	w := fleet(2, 5, nil)
+	w.run(settle)
+	w.cut = func(_, to Identity) bool { return to.ID == "d0-002" }
+	w.run(settle)
+	for _, n := range w.order {
+		if got := n.state("d0-002"); n.cfg.Self.ID != "d0-002" && got != peer.State_STATE_DEAD {
+			t.Errorf("%s takes the deaf daemon for %v", n.cfg.Self.ID, got)
+		}
+	}
+	w.cut = func(_, _ Identity) bool { return false }
+	w.run(settle)
+	w.requireAlive(t, 10)
+}
+
+func TestFreezeAndWake(t *testing.T) {
+	w := fleet(1, 5, nil)
+	w.run(settle)
+	n := w.order[2]
+	before := n.m.self().incarnation
+	n.frozen = true
+	w.run(10 * time.Second)
+	if got := w.order[0].state("d0-002"); got != peer.State_STATE_DEAD {
+		t.Fatalf("state of a frozen daemon is %v", got)
+	}
+	w.order[3].down = true
+	w.run(10 * time.Second)
+	w.thaw(n)
+	if n.m.Awake() {
+		t.Error("awake right after a freeze")
+	}
+	if n.m.self().incarnation <= before {
+		t.Error("incarnation not raised by the freeze")
+	}
+	w.run(time.Second)
+	if !n.m.Awake() {
+		t.Error("not awake after the others have answered")
+	}
+	if got := n.state("d0-003"); got != peer.State_STATE_DEAD {
+		t.Errorf("death during the freeze not known: %v", got)
+	}
+	w.run(settle)
+	w.requireAlive(t, 4)
+}
+
+// A daemon that wakes while cut off goes on alone after the suspicion time.
+func TestWakeWhileCutOff(t *testing.T) {
+	w := fleet(1, 3, nil)
+	w.run(settle)
+	n := w.order[1]
+	n.frozen = true
+	w.run(10 * time.Second)
+	w.cut = func(from, to Identity) bool { return from.ID == "d0-001" || to.ID == "d0-001" }
+	w.thaw(n)
+	w.run(time.Second)
+	if n.m.Awake() {
+		t.Error("awake before anybody has answered")
+	}
+	w.run(5 * time.Second)
+	if !n.m.Awake() {
+		t.Error("not awake long after the suspicion time")
+	}
+}
+
+func TestCutDataCentre(t *testing.T) {
+	for _, hosts := range []int{3, 20} {
+		w := fleet(3, hosts, nil)
+		w.run(settle)
+		w.cut = func(from, to Identity) bool {
+			return (from.DataCentre == "dc2") != (to.DataCentre == "dc2")
+		}
+		took, ok := w.until(30*time.Second, func(n *node) bool {
+			if n.cfg.Self.DataCentre == "dc2" {
+				return n.alive() == hosts
+			}
+			return n.alive() == 2*hosts
+		})
+		if !ok {
+			t.Fatalf("%d hosts: cut not known after %v", hosts, took)
+		}
+		w.run(5 * time.Minute)
+		if got := w.order[0].state("d2-001"); got != peer.State_STATE_ALIVE {
+			t.Errorf("a cut member is %v: only its own data centre may judge it", got)
+		}
+		w.order[5].down = true // d2-001
+		w.cut = func(_, _ Identity) bool { return false }
+		took, ok = w.until(20*time.Second, func(n *node) bool { return n.alive() == 3*hosts-1 })
+		if !ok {
+			t.Errorf("%d hosts: not whole %v after the cut healed", hosts, took)
+		}
+	}
+}
+
+// Of three data centres two lose each other while the third reaches both.
+// Nobody dies by it.
+func TestPartialCut(t *testing.T) {
+	w := fleet(3, 5, nil)
+	w.run(settle)
+	w.cut = func(from, to Identity) bool {
+		return from.DataCentre != "dc2" && to.DataCentre != "dc2" && from.DataCentre != to.DataCentre
+	}
+	w.run(30 * time.Second)
+	for _, n := range w.order {
+		want := 10
+		if n.cfg.Self.DataCentre == "dc2" {
+			want = 15
+		}
+		if got := n.alive(); got != want {
+			t.Errorf("%s sees %d live members, want %d", n.cfg.Self.ID, got, want)
+		}
+	}
+}
+
+// Both halves of a split data centre declare the other dead and find each
+// other again.
+func TestSplitHeals(t *testing.T) {
+	w := fleet(1, 6, nil)
+	w.run(settle)
+	half := func(i Identity) bool { return i.ID < "d0-003" }
+	w.cut = func(from, to Identity) bool { return half(from) != half(to) }
+	w.run(30 * time.Second)
+	w.requireAlive(t, 3)
+	w.cut = func(_, _ Identity) bool { return false }
+	w.run(20 * time.Second)
+	w.requireAlive(t, 6)
+}
+
+func TestRevisionAndNoticeReachAll(t *testing.T) {
+	for _, hosts := range []int{3, 20} {
+		w := fleet(5, hosts, nil)
+		w.run(settle)
+		w.order[7].m.SetRevision(w.now, 42)
+		w.order[7].m.Publish(w.now, leaving("t1", 7, w.now.Add(time.Minute).UnixMilli()))
+		w.arm(w.order[7])
+		took, ok := w.until(3*time.Second, func(n *node) bool {
+			return n.m.View().Mark() == 42 && len(n.m.Notices()) == 1
+		})
+		if !ok {
+			t.Errorf("%d hosts: not known everywhere after %v", hosts, took)
+		}
+		for _, n := range w.order {
+			n.m.SetRevision(w.now, 42)
+		}
+		took, ok = w.until(5*time.Second, func(n *node) bool {
+			return len(n.m.View().Holders(42)) == 5*hosts-1
+		})
+		if !ok {
+			t.Errorf("%d hosts: confirmations not known everywhere after %v", hosts, took)
+		}
+		w.run(time.Minute)
+		if got := w.order[0].m.Notices(); len(got) != 0 {
+			t.Errorf("%d notices after their expiry", len(got))
+		}
+	}
+}
+
+func TestDemands(t *testing.T) {
+	w := fleet(3, 3, nil)
+	w.run(settle)
+	for _, n := range w.order {
+		n.m.SetDemand(w.now, "corrib", 10, 2)
+	}
+	w.run(15 * time.Second)
+	for _, n := range w.order {
+		total := 0.0
+		for _, d := range n.m.Demands() {
+			total += d.GetRate()
+		}
+		if total != 90 {
+			t.Errorf("%s sees a demand of %v, want 90", n.cfg.Self.ID, total)
+		}
+	}
+	w.run(time.Minute + DefaultExpiry)
+	if got := w.order[0].m.Demands(); len(got) != 0 {
+		t.Errorf("%d demands after their expiry", len(got))
+	}
+}
+
+func leaving(target string, incarnation uint64, expires int64) *peer.Notice {
+	return &peer.Notice{
+		Body: &peer.Notice_Leaving{
+			Leaving: &peer.Leaving{
+				Target:      target,
+				Incarnation: incarnation,
+				Expires:     expires,
+			},
+		},
+	}
+}
--- /dev/null
+++ b/entryd/pkg/gossiper/merge_test.go
@@ -0,0 +1,74 @@
+package gossiper
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+func drawMember(t *rapid.T) Member {
+	return Member{
+		id:          "d",
+		address:     rapid.SampledFrom([]string{"a", "b"}).Draw(t, "address"),
+		datacentre:  rapid.SampledFrom([]string{"x", "y"}).Draw(t, "datacentre"),
+		incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+		state:       peer.State(rapid.IntRange(1, 4).Draw(t, "state")),
+		beat:        rapid.Uint64Range(0, 3).Draw(t, "beat"),
+		revision:    rapid.Uint64Range(0, 3).Draw(t, "revision"),
+	}
+}
+
+func drawNotice(t *rapid.T) *peer.Notice {
+	return &peer.Notice{
+		Body: &peer.Notice_Quarantine{
+			Quarantine: &peer.Quarantine{
+				Fingerprint: 1,
+				Expires:     rapid.Int64Range(1, 4).Draw(t, "expires"),
+				Epoch:       rapid.Uint64Range(0, 2).Draw(t, "epoch"),
+				Cleared:     rapid.Bool().Draw(t, "cleared"),
+				Targets: union(rapid.SliceOfN(rapid.SampledFrom([]string{"t", "u", "v"}), 0, 3).
+					Draw(t, "targets"), nil),
+				Institution: rapid.SampledFrom([]string{"i", "j"}).Draw(t, "institution"),
+			},
+		},
+	}
+}
+
+func drawLeaving(t *rapid.T) *peer.Notice {
+	return leaving("t", 1, rapid.Int64Range(1, 4).Draw(t, "expires"))
+}
+
+// requireSemilattice fails unless merge is commutative, associative,
+// idempotent and never loses what it has.
+func requireSemilattice[T any](t *rapid.T, draw func(*rapid.T) T, merge func(a, b T) T, equal func(a, b T) bool) {
+	a, b, c := draw(t), draw(t), draw(t)
+	ab := merge(a, b)
+	if !equal(ab, merge(b, a)) {
+		t.Fatalf("not commutative: %v and %v", a, b)
+	}
+	if !equal(merge(ab, c), merge(a, merge(b, c))) {
+		t.Fatalf("not associative: %v, %v and %v", a, b, c)
+	}
+	if !equal(merge(a, a), a) {
+		t.Fatalf("not idempotent: %v", a)
+	}
+	if !equal(merge(ab, a), ab) || !equal(merge(ab, b), ab) {
+		t.Fatalf("not monotone: %v and %v", a, b)
+	}
+}
+
+func TestMergeRules(t *testing.T) {
+	equalNotices := func(a, b *peer.Notice) bool { return proto.Equal(a, b) }
+	t.Run("member", rapid.MakeCheck(func(t *rapid.T) {
+		requireSemilattice(t, drawMember, join, func(a, b Member) bool { return a == b })
+	}))
+	t.Run("quarantine", rapid.MakeCheck(func(t *rapid.T) {
+		requireSemilattice(t, drawNotice, Merge, equalNotices)
+	}))
+	t.Run("leaving", rapid.MakeCheck(func(t *rapid.T) {
+		requireSemilattice(t, drawLeaving, Merge, equalNotices)
+	}))
+}
--- /dev/null
+++ b/entryd/pkg/gossiper/network_test.go
@@ -0,0 +1,254 @@
+package gossiper
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+var errLost = errors.New("no answer")
+
+// latency is the one-way delay of every message.
+const latency = 2 * time.Millisecond
+
+type event struct {
+	at  time.Time
+	seq int
+	to  *node
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// node is one machine with its fate.
+type node struct {
+	m      *Machine
+	cfg    Config
+	down   bool
+	frozen bool
+	held   []func()
+	ticks  time.Time
+	sent   int
+	bytes  int
+}
+
+// network carries the messages of many machines in simulated time, always in
+// the same order.
+type network struct {
+	now    time.Time
+	queue  events
+	seq    int
+	nodes  map[string]*node
+	order  []*node
+	cut    func(from, to Identity) bool
+	weighs bool
+}
+
+func newNetwork() *network {
+	return &network{
+		now:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		nodes: make(map[string]*node),
+		cut:   func(_, _ Identity) bool { return false },
+	}
+}
+
+// fleet starts hosts daemons in each of dcs data centres. The first of each
+// data centre is the seed of all.
+func fleet(dcs, hosts int, edit func(*Config)) *network {
+	w := newNetwork()
+	for i := range hosts {
+		for dc := range dcs {
+			cfg := Config{
+				Self: Identity{
+					ID:         fmt.Sprintf("d%d-%03d", dc, i),
+					Address:    fmt.Sprintf("10.%d.0.%d:7000", dc, i),
+					DataCentre: fmt.Sprintf("dc%d", dc),
+				},
+				Source: rand.NewPCG(uint64(dc), uint64(i)),
+			}
+			for s := range dcs {
+				cfg.Seeds = append(cfg.Seeds, fmt.Sprintf("10.%d.0.0:7000", s))
+			}
+			if edit != nil {
+				edit(&cfg)
+			}
+			w.start(cfg)
+		}
+	}
+	return w
+}
+
+func (w *network) start(cfg Config) *node {
+	n := w.nodes[cfg.Self.Address]
+	if n == nil {
+		n = &node{}
+		w.nodes[cfg.Self.Address] = n
+		w.order = append(w.order, n)
+	}
+	*n = node{
+		m:   New(cfg, w.now),
+		cfg: cfg,
+	}
+	w.arm(n)
+	return n
+}
+
+func (w *network) at(d time.Duration, to *node, run func()) {
+	w.seq++
+	heap.Push(&w.queue, event{
+		at:  w.now.Add(d),
+		seq: w.seq,
+		to:  to,
+		run: run,
+	})
+}
+
+// arm makes sure that the node ticks when it wants to.
+func (w *network) arm(n *node) {
+	next := n.m.Next()
+	if n.ticks.After(w.now) && !next.Before(n.ticks) {
+		return
+	}
+	n.ticks = next
+	m := n.m
+	w.at(max(0, next.Sub(w.now)), n, func() {
+		if n.m == m && !w.now.Before(m.Next()) {
+			w.send(n, m.Tick(w.now))
+		}
+	})
+}
+
+func (w *network) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		switch {
+		case e.to.down:
+		case e.to.frozen:
+			e.to.held = append(e.to.held, e.run)
+		default:
+			e.run()
+			w.arm(e.to)
+		}
+	}
+	w.now = end
+}
+
+func (w *network) thaw(n *node) {
+	n.frozen = false
+	for _, run := range n.held {
+		run()
+	}
+	n.held = nil
+	w.arm(n)
+}
+
+func (w *network) open(from, to *node) bool {
+	return to != nil && !to.down && !to.frozen && !w.cut(from.cfg.Self, to.cfg.Self)
+}
+
+func (w *network) count(n *node, v *peer.Views) *peer.Views {
+	if w.weighs {
+		n.sent++
+		n.bytes += proto.Size(v)
+	}
+	return v
+}
+
+func (w *network) send(n *node, actions []Action) {
+	for _, a := range actions {
+		to := w.nodes[a.Address()]
+		m := n.m
+		if a.Kind() == KindProbe {
+			w.probe(n, to, w.nodes[a.Target()], a.ID())
+			continue
+		}
+		w.count(n, a.Views())
+		fail := func() { w.send(n, m.Done(w.now, a.ID(), nil, errLost)) }
+		if !w.open(n, to) {
+			w.at(exchangeTimeout, n, fail)
+			continue
+		}
+		w.at(latency, to, func() {
+			reply := w.count(to, to.m.Receive(w.now, a.Views()))
+			if !w.open(to, n) {
+				w.at(exchangeTimeout, n, fail)
+				return
+			}
+			w.at(latency, n, func() { w.send(n, m.Done(w.now, a.ID(), reply, nil)) })
+		})
+	}
+}
+
+func (w *network) probe(n, via, target *node, id uint64) {
+	m := n.m
+	alive := w.open(n, via) && w.open(via, n) && w.open(via, target) && w.open(target, via)
+	w.at(exchangeTimeout, n, func() { w.send(n, m.Probed(w.now, id, alive)) })
+}
+
+// state returns what n thinks of the member with an id.
+func (n *node) state(id string) peer.State {
+	m, _ := n.m.View().Lookup(id)
+	return m.State()
+}
+
+// alive counts the live members that n sees.
+func (n *node) alive() int {
+	count := 0
+	for _, m := range n.m.View().Members() {
+		if m.Live() {
+			count++
+		}
+	}
+	return count
+}
+
+// requireAlive fails unless each running node sees want live members.
+func (w *network) requireAlive(t *testing.T, want int) {
+	t.Helper()
+	for _, n := range w.order {
+		if got := n.alive(); !n.down && got != want {
+			t.Errorf("%s sees %d live members, want %d", n.cfg.Self.ID, got, want)
+		}
+	}
+}
+
+// until runs the network until all nodes satisfy ok, at most for limit, and
+// returns the time that it took.
+func (w *network) until(limit time.Duration, ok func(*node) bool) (time.Duration, bool) {
+	start := w.now
+	for w.now.Sub(start) < limit {
+		done := true
+		for _, n := range w.order {
+			done = done && (n.down || n.frozen || ok(n))
+		}
+		if done {
+			return w.now.Sub(start), true
+		}
+		w.run(10 * time.Millisecond)
+	}
+	return limit, false
+}
--- /dev/null
+++ b/entryd/pkg/gossiper/probe.go
@@ -0,0 +1,268 @@
+package gossiper
+
+import (
+	"time"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+// Kind tells what an Action asks for.
+type Kind uint8
+
+// Kinds of actions.
+const (
+	// KindExchange sends Views to Address; the answer goes to Done.
+	KindExchange Kind = iota + 1
+	// KindProbe asks the daemon at Address to probe Target; the answer goes to
+	// Probed.
+	KindProbe
+)
+
+// Action is a message to send.
+type Action struct {
+	id      uint64
+	kind    Kind
+	address string
+	target  string
+	views   *peer.Views
+}
+
+// ID names the action in Done and Probed.
+func (a Action) ID() uint64 { return a.id }
+
+// Kind tells what to send.
+func (a Action) Kind() Kind { return a.kind }
+
+// Address is where to send it.
+func (a Action) Address() string { return a.address }
+
+// Target is the address to be probed, for KindProbe.
+func (a Action) Target() string { return a.target }
+
+// Views is the message, for KindExchange.
+func (a Action) Views() *peer.Views { return a.views }
+
+// contact is a place to send a message to. The id is empty for an address of
+// which the daemon is not known.
+type contact struct {
+	id          string
+	address     string
+	incarnation uint64
+}
+
+func contactOf(r *record) contact {
+	return contact{
+		id:          r.id,
+		address:     r.address,
+		incarnation: r.incarnation,
+	}
+}
+
+// call is an exchange without an answer so far, or the indirect probes that
+// follow it.
+type call struct {
+	contact
+	full bool
+	// proxies counts the indirect probes without an answer.
+	proxies int
+}
+
+func (m *Machine) newCall(c contact, full bool) uint64 {
+	m.lastID++
+	m.calls[m.lastID] = &call{
+		contact: c,
+		full:    full,
+	}
+	return m.lastID
+}
+
+// exchange starts an exchange with c.
+func (m *Machine) exchange(c contact, full bool) Action {
+	return Action{
+		id:      m.newCall(c, full),
+		kind:    KindExchange,
+		address: c.address,
+		views:   m.request(c, full),
+	}
+}
+
+// probe exchanges views with the next member of this data centre. Every member
+// comes once before any comes again.
+func (m *Machine) probe(now time.Time) []Action {
+	for range 2 {
+		for len(m.shuffled) > 0 {
+			r, ok := m.table.records[m.shuffled[0]]
+			m.shuffled = m.shuffled[1:]
+			if ok && r.present() && r.datacentre == m.cfg.Self.DataCentre {
+				return []Action{m.exchange(contactOf(r), m.repair(now))}
+			}
+		}
+		for _, r := range m.neighbours() {
+			m.shuffled = append(m.shuffled, r.id)
+		}
+		shuffle(m.rng, m.shuffled)
+	}
+	return nil
+}
+
+// repair reports whether the next exchange should carry the whole table.
+func (m *Machine) repair(now time.Time) bool {
+	if m.mismatches < repairAfter || now.Before(m.nextFull) {
+		return false
+	}
+	m.mismatches = 0
+	m.nextFull = now.Add(m.cfg.Repair + time.Duration(m.rng.Int64N(int64(m.cfg.Repair))))
+	return true
+}
+
+// retry tries one dead member of this data centre or one seed that is no
+// known live member, so that a healed cut is found.
+func (m *Machine) retry(now time.Time) []Action {
+	if now.Before(m.nextRetry) {
+		return nil
+	}
+	m.nextRetry = now.Add(m.cfg.Retry)
+	var lost []contact
+	known := make(map[string]bool)
+	for _, r := range m.table.indexed().all {
+		known[r.address] = known[r.address] || r.present() && m.reaches(r.datacentre)
+		if r.state == peer.State_STATE_DEAD && r.datacentre == m.cfg.Self.DataCentre {
+			lost = append(lost, contactOf(r))
+		}
+	}
+	for _, s := range m.cfg.Seeds {
+		if !known[s] {
+			lost = append(lost, contact{
+				address: s,
+			})
+		}
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	return []Action{m.exchange(lost[m.rng.IntN(len(lost))], false)}
+}
+
+// Done takes the answer to an exchange, or the error if there is none.
+func (m *Machine) Done(now time.Time, id uint64, reply *peer.Views, err error) []Action {
+	m.observe(now)
+	c, ok := m.calls[id]
+	if !ok {
+		if err == nil {
+			m.absorb(reply, now)
+		}
+		return nil
+	}
+	if err != nil {
+		return m.failed(now, id, c)
+	}
+	delete(m.calls, id)
+	m.absorb(reply, now)
+	m.answered(reply, now)
+	var out []Action
+	if c.id != "" && reply.GetSender() != c.id {
+		m.suspect(c.contact, now)
+	}
+	if reply.GetFull() && !c.full {
+		out = append(out, m.exchange(c.contact, true))
+	}
+	if c.full && m.refreshing {
+		m.refreshing = false
+		m.changed |= ChangeMembers
+	}
+	if reply.GetHash() == m.table.hash {
+		m.mismatches = 0
+	} else {
+		m.mismatches++
+	}
+	return out
+}
+
+// failed starts the indirect probes of a member of this data centre.
+func (m *Machine) failed(now time.Time, id uint64, c *call) []Action {
+	r, known := m.table.records[c.id]
+	if !known {
+		delete(m.calls, id)
+		return nil
+	}
+	if r.datacentre != m.cfg.Self.DataCentre {
+		delete(m.calls, id)
+		m.unanswered(r.datacentre, now)
+		return nil
+	}
+	if !r.present() {
+		delete(m.calls, id)
+		return nil
+	}
+	proxies := m.proxies(c.id)
+	if len(proxies) == 0 {
+		delete(m.calls, id)
+		m.suspect(c.contact, now)
+		return nil
+	}
+	c.proxies = len(proxies)
+	var out []Action
+	for _, p := range proxies {
+		out = append(out, Action{
+			id:      id,
+			kind:    KindProbe,
+			address: p.address,
+			target:  c.address,
+		})
+	}
+	return out
+}
+
+// proxies chooses the daemons for indirect probes of a member. One of them is
+// of another data centre, so that a daemon that has lost its whole data centre
+// does not take itself for the only one alive.
+func (m *Machine) proxies(id string) []*record {
+	if m.cfg.Proxies < 0 {
+		return nil
+	}
+	var near, far []*record
+	for _, r := range m.table.indexed().present {
+		switch {
+		case r.id == id || r.id == m.cfg.Self.ID || r.state != peer.State_STATE_ALIVE:
+		case r.datacentre == m.cfg.Self.DataCentre:
+			near = append(near, r)
+		case m.reaches(r.datacentre):
+			far = append(far, r)
+		}
+	}
+	shuffle(m.rng, near)
+	shuffle(m.rng, far)
+	far = far[:min(len(far), 1)]
+	near = near[:min(len(near), m.cfg.Proxies-len(far))]
+	return append(near, far...)
+}
+
+// Probed takes the answer to an indirect probe. The member is suspected once
+// all have failed.
+func (m *Machine) Probed(now time.Time, id uint64, alive bool) []Action {
+	m.observe(now)
+	c, ok := m.calls[id]
+	if !ok {
+		return nil
+	}
+	c.proxies--
+	switch {
+	case alive:
+		delete(m.calls, id)
+	case c.proxies == 0:
+		delete(m.calls, id)
+		m.suspect(c.contact, now)
+	}
+	return nil
+}
+
+// suspect marks one incarnation of a member as suspected.
+func (m *Machine) suspect(c contact, now time.Time) {
+	r, ok := m.table.records[c.id]
+	if !ok || r.incarnation != c.incarnation || r.state != peer.State_STATE_ALIVE {
+		return
+	}
+	member := r.Member
+	member.state = peer.State_STATE_SUSPECT
+	m.put(member, now)
+}
--- /dev/null
+++ b/entryd/pkg/gossiper/runner_test.go
@@ -0,0 +1,226 @@
+package gossiper
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+// local is a Transport between Runners in one process.
+type local struct {
+	mu      sync.Mutex
+	runners map[string]*Runner
+}
+
+func (l *local) find(address string) (*Runner, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.runners[address]; r != nil {
+		return r, nil
+	}
+	return nil, errLost
+}
+
+func (l *local) set(address string, r *Runner) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runners[address] = r
+}
+
+func (l *local) Exchange(ctx context.Context, address string, v *peer.Views) (*peer.Views, error) {
+	r, err := l.find(address)
+	if err != nil {
+		return nil, err
+	}
+	return r.Gossip(ctx, v)
+}
+
+func (l *local) Probe(ctx context.Context, address, target string) (bool, error) {
+	r, err := l.find(address)
+	if err != nil {
+		return false, err
+	}
+	reply, err := r.Probe(ctx, &peer.ProbeRequest{
+		Address: target,
+	})
+	return reply.GetAlive(), err
+}
+
+func runnerConfig(i int) Config {
+	return Config{
+		Self: Identity{
+			ID:         fmt.Sprintf("d%d", i),
+			Address:    fmt.Sprintf("10.0.0.%d:7000", i),
+			DataCentre: "dc0",
+		},
+		Seeds:  []string{"10.0.0.0:7000"},
+		Source: rand.NewPCG(1, uint64(i)),
+	}
+}
+
+func TestRunner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		net := &local{
+			runners: make(map[string]*Runner),
+		}
+		var runners []*Runner
+		var running sync.WaitGroup
+		for i := range 4 {
+			cfg := runnerConfig(i)
+			r := NewRunner(cfg, clockwork.NewRealClock(), net)
+			net.set(cfg.Self.Address, r)
+			runners = append(runners, r)
+			running.Go(func() { r.Run(ctx) })
+		}
+		changes, unsubscribe := runners[3].Subscribe()
+		defer unsubscribe()
+		time.Sleep(5 * time.Second)
+		for i, r := range runners {
+			if got := len(r.View().Within("dc0")); got != 4 || !r.Awake() {
+				t.Errorf("runner %d: %d members, awake %v", i, got, r.Awake())
+			}
+		}
+		select {
+		case <-changes:
+		default:
+			t.Error("no change was told")
+		}
+		runners[0].SetRevision(3)
+		runners[0].SetDemand("corrib", 5, 1)
+		runners[0].Publish(leaving("t1", 0, time.Now().Add(time.Minute).UnixMilli()))
+		time.Sleep(2 * time.Second)
+		last := runners[3]
+		if last.View().Mark() != 3 || len(last.Notices()) != 1 || len(last.Demands()) != 1 {
+			t.Errorf("mark %d, %d notices, %d demands", last.View().Mark(), len(last.Notices()), len(last.Demands()))
+		}
+		runners[1].Leave(ctx)
+		net.set("10.0.0.2:7000", nil)
+		time.Sleep(8 * time.Second)
+		for id, want := range map[string]peer.State{
+			"d1": peer.State_STATE_LEFT,
+			"d2": peer.State_STATE_DEAD,
+		} {
+			if m, _ := last.View().Lookup(id); m.State() != want {
+				t.Errorf("%s is %v, want %v", id, m.State(), want)
+			}
+		}
+		cancel()
+		running.Wait()
+	})
+}
+
+// Awake turns false at once after a freeze, before the machine has run again.
+func TestRunnerAwakeAfterFreeze(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	cfg := runnerConfig(0)
+	cfg.Seeds = nil
+	r := NewRunner(cfg, clock, &local{})
+	clock.Advance(DefaultPeriod)
+	r.do(r.machine.Tick)
+	if !r.Awake() {
+		t.Fatal("a daemon that knows no other is not awake")
+	}
+	clock.Advance(DefaultSuspicion)
+	if r.Awake() {
+		t.Error("awake after a freeze")
+	}
+	r.SetSeeds(nil)
+	if r.Awake() {
+		t.Error("an input other than a round hid the freeze")
+	}
+}
+
+type server struct {
+	peer.UnimplementedPeerServer
+	*Runner
+}
+
+func (s server) Gossip(ctx context.Context, v *peer.Views) (*peer.Views, error) {
+	return s.Runner.Gossip(ctx, v)
+}
+
+func (s server) Probe(ctx context.Context, r *peer.ProbeRequest) (*peer.ProbeReply, error) {
+	return s.Runner.Probe(ctx, r)
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// pair returns a gRPC transport to a served Runner, its address, and a counter
+// of the bytes both ways.
+func pair(tb testing.TB) (Transport, string, *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	cfg := runnerConfig(0)
+	cfg.Self.Address = listener.Addr().String()
+	s := grpc.NewServer()
+	peer.RegisterPeerServer(s, server{
+		Runner: NewRunner(cfg, clockwork.NewRealClock(), &local{}),
+	})
+	go func() { _ = s.Serve(listener) }()
+	tb.Cleanup(s.Stop)
+	var bytes atomic.Int64
+	dial := func(_ context.Context, address string) (net.Conn, error) {
+		c, err := net.Dial("tcp", address)
+		return countedConn{
+			Conn:  c,
+			bytes: &bytes,
+		}, err
+	}
+	conn, err := grpc.NewClient("passthrough:///"+cfg.Self.Address,
+		grpc.WithContextDialer(dial),
+		grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = conn.Close() })
+	transport := NewTransport(func(string) (grpc.ClientConnInterface, error) { return conn, nil })
+	return transport, cfg.Self.Address, &bytes
+}
+
+func TestTransport(t *testing.T) {
+	transport, address, _ := pair(t)
+	reply, err := transport.Exchange(t.Context(), address, &peer.Views{
+		Sender: "stranger",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reply.GetFull() || reply.GetSender() != "d0" {
+		t.Errorf("answer to a stranger: %v", reply)
+	}
+	alive, err := transport.Probe(t.Context(), address, "127.0.0.1:1")
+	if err != nil || alive {
+		t.Errorf("probe of an unknown address: alive %v, error %v", alive, err)
+	}
+}
--- /dev/null
+++ b/entryd/pkg/gossiper/table.go
@@ -0,0 +1,198 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+// record is a member with what this daemon keeps beside it.
+type record struct {
+	Member
+	// left is how many more messages carry the record.
+	left int
+	// queued tells whether the record stands in the queue.
+	queued bool
+	// changed is when the state last changed here.
+	changed time.Time
+}
+
+// table holds all known members and the queue of changes to pass on.
+type table struct {
+	records map[string]*record
+	queue   []*record
+	// index is built when it is asked for; nil means that it is out of date.
+	index *index
+	// hash is the exclusive or of the hashes of the present members.
+	hash uint64
+}
+
+func newTable() table {
+	return table{
+		records: make(map[string]*record),
+	}
+}
+
+// put stores m and queues it for copies messages.
+func (t *table) put(m Member, copies int, now time.Time) *record {
+	r, ok := t.records[m.id]
+	if !ok {
+		r = &record{}
+		t.records[m.id] = r
+	} else if r.present() {
+		t.hash ^= r.hash()
+	}
+	if r.state != m.state || r.incarnation != m.incarnation {
+		r.changed = now
+	}
+	r.Member = m
+	if r.present() {
+		t.hash ^= r.hash()
+	}
+	t.index = nil
+	t.enqueue(r, copies)
+	return r
+}
+
+func (t *table) enqueue(r *record, copies int) {
+	r.left = copies
+	if copies > 0 && !r.queued {
+		r.queued = true
+		t.queue = append(t.queue, r)
+	}
+}
+
+// forget removes a member that is not present.
+func (t *table) forget(id string) {
+	r, ok := t.records[id]
+	if !ok || r.present() {
+		return
+	}
+	r.left = 0
+	t.index = nil
+	delete(t.records, id)
+}
+
+// take returns queued records of at most limit bytes in all, those that have
+// waited longest first, and counts one copy of each as sent.
+func (t *table) take(limit int) []Member {
+	var out []Member
+	n := len(t.queue)
+	for range n {
+		r := t.queue[0]
+		if r.left > 0 {
+			limit -= r.encodedSize()
+			if limit < 0 {
+				break
+			}
+			out = append(out, r.Member)
+			r.left--
+		}
+		t.queue = t.queue[1:]
+		r.queued = r.left > 0
+		if r.queued {
+			t.queue = append(t.queue, r)
+		}
+	}
+	if len(t.queue) == 0 {
+		t.queue = nil
+	}
+	return out
+}
+
+// index holds the records in the orders in which they are asked for. It stays
+// as it is until a record is put or forgotten.
+type index struct {
+	// all holds every record by id, so that whatever walks over the records
+	// does so in the same order each time.
+	all []*record
+	// present holds the present members by id.
+	present []*record
+	// datacentres holds the names of all data centres in order.
+	datacentres []string
+	// within holds the present members of each data centre by id.
+	within map[string][]*record
+	// delegates holds the representatives of each data centre.
+	delegates map[string][]*record
+}
+
+func (t *table) indexed() *index {
+	if t.index != nil {
+		return t.index
+	}
+	x := &index{
+		all:       make([]*record, 0, len(t.records)),
+		within:    make(map[string][]*record),
+		delegates: make(map[string][]*record),
+	}
+	for _, r := range t.records {
+		x.all = append(x.all, r)
+	}
+	slices.SortFunc(x.all, func(a, b *record) int { return cmp.Compare(a.id, b.id) })
+	for _, r := range x.all {
+		if !slices.Contains(x.datacentres, r.datacentre) {
+			x.datacentres = append(x.datacentres, r.datacentre)
+		}
+		if r.present() {
+			x.present = append(x.present, r)
+			x.within[r.datacentre] = append(x.within[r.datacentre], r)
+		}
+	}
+	slices.Sort(x.datacentres)
+	for dc, members := range x.within {
+		x.delegates[dc] = heaviest(members, representatives)
+	}
+	t.index = x
+	return x
+}
+
+// heaviest returns the n members with the highest rendezvous weights.
+func heaviest(members []*record, n int) []*record {
+	best := slices.Clone(members)
+	slices.SortFunc(best, func(a, b *record) int {
+		return cmp.Compare(weigh(b), weigh(a))
+	})
+	return best[:min(len(best), n)]
+}
+
+// weigh is the rendezvous weight of a daemon as a representative.
+func weigh(r *record) uint64 {
+	return xxhash.Sum64String(r.datacentre + "/" + r.id)
+}
+
+// confirmed returns the bitmap of the present members that have adopted mark.
+func (t *table) confirmed(mark uint64) []byte {
+	order := t.indexed().present
+	bits := make([]byte, (len(order)+7)/8)
+	for i, r := range order {
+		if r.revision >= mark {
+			bits[i/8] |= 1 << (i % 8)
+		}
+	}
+	return bits
+}
+
+// confirm raises the revision of the members whose bits are set to mark, but
+// that of self, and reports whether any was lower.
+func (t *table) confirm(mark uint64, bits []byte, self string) bool {
+	changed := false
+	for i, r := range t.indexed().present {
+		if i/8 >= len(bits) {
+			break
+		}
+		if bits[i/8]&(1<<(i%8)) != 0 && r.revision < mark && r.id != self {
+			r.revision = mark
+			changed = true
+		}
+	}
+	return changed
+}
+
+// dead reports whether the state says that the member runs no more.
+func dead(s peer.State) bool {
+	return s == peer.State_STATE_DEAD || s == peer.State_STATE_LEFT
+}
--- /dev/null
+++ b/entryd/pkg/gossiper/transport.go
@@ -0,0 +1,64 @@
+package gossiper
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+// Transport sends messages to other daemons. Implementations are safe for
+// concurrent use.
+type Transport interface {
+	// Exchange sends a message to the daemon at address and returns the answer.
+	Exchange(ctx context.Context, address string, v *peer.Views) (*peer.Views, error)
+	// Probe asks the daemon at address whether the one at target answers.
+	Probe(ctx context.Context, address, target string) (bool, error)
+}
+
+// Dialer returns the connection to a daemon. It may return the same one many
+// times and need not wait until it is ready.
+type Dialer func(address string) (grpc.ClientConnInterface, error)
+
+// remoteTransport is a Transport over the Peer service.
+type remoteTransport struct {
+	dial Dialer
+}
+
+// NewTransport returns a Transport that calls the Peer service over the
+// connections of dial.
+func NewTransport(dial Dialer) Transport {
+	return &remoteTransport{
+		dial: dial,
+	}
+}
+
+// Exchange implements Transport.
+func (t *remoteTransport) Exchange(ctx context.Context, address string, v *peer.Views) (*peer.Views, error) {
+	conn, err := t.dial(address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "gossip: dial peer %s", address)
+	}
+	reply, err := peer.NewPeerClient(conn).Gossip(ctx, v)
+	if err != nil {
+		return nil, eris.Wrapf(err, "gossip: peer %s", address)
+	}
+	return reply, nil
+}
+
+// Probe implements Transport.
+func (t *remoteTransport) Probe(ctx context.Context, address, target string) (bool, error) {
+	conn, err := t.dial(address)
+	if err != nil {
+		return false, eris.Wrapf(err, "probe of %s: dial peer %s", target, address)
+	}
+	reply, err := peer.NewPeerClient(conn).Probe(ctx, &peer.ProbeRequest{
+		Address: target,
+	})
+	if err != nil {
+		return false, eris.Wrapf(err, "probe of %s: peer %s", target, address)
+	}
+	return reply.GetAlive(), nil
+}
