--- /dev/null
+++ b/entryd/pkg/gatherer/mutate.go
@@ -0,0 +1,57 @@
+package gatherer
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/gen/target"
+)
+
+// connectWait bounds the wait for a connection to a target before a mutation
+// is given up as not run.
+const connectWait = 500 * time.Millisecond
+
+// Connector returns established connections.
+type Connector interface {
+	Ready(ctx context.Context, address string) (*grpc.ClientConn, error)
+}
+
+// Mutate hands one mutation to one target, once. An outcome whose status is
+// STATUS_SHED or STATUS_LEAVING states that the target did not run it. An
+// error leaves that unknown.
+func (g *Gatherer) Mutate(ctx context.Context, in *peer.MutateRequest) (*target.Outcome, error) {
+	m := in.GetMutation()
+	t := g.configs.Index().Target(in.GetTarget())
+	if t == nil || g.departures.Leaving(in.GetTarget()) {
+		return notRun(in, target.Status_STATUS_LEAVING, "target is unknown or leaving"), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.GetRemaining())*time.Microsecond)
+	defer cancel()
+	wait, stop := context.WithTimeout(ctx, connectWait)
+	defer stop()
+	conn, err := g.connector.Ready(wait, t.GetAddress())
+	if err != nil {
+		return notRun(in, target.Status_STATUS_SHED, err.Error()), nil
+	}
+	out, err := target.NewTargetClient(conn).Mutate(ctx, m)
+	if err != nil {
+		return nil, eris.Wrapf(err, "mutate: target %s", in.GetTarget())
+	}
+	if out.GetLoad().GetLeaving() {
+		g.departures.Announce(in.GetTarget(), out.GetIncarnation())
+	}
+	return out, nil
+}
+
+func notRun(in *peer.MutateRequest, s target.Status, detail string) *target.Outcome {
+	return &target.Outcome{
+		Key:    in.GetMutation().GetKey(),
+		Target: in.GetTarget(),
+		Status: s,
+		Detail: detail,
+	}
+}
