--- /dev/null
+++ b/entryd/pkg/admitter/admitter_test.go
@@ -0,0 +1,245 @@
+package admitter
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"plantaincleat/tier/gen/config"
+)
+
+var start = time.Unix(1_700_000_005, 0)
+
+// newAdmitter returns the Admitter of daemon "a" with two institutions.
+func newAdmitter() *Admitter {
+	a := New(Settings{
+		Daemon: "a",
+		Random: rand.New(rand.NewPCG(1, 2)),
+		Limit:  8,
+		Queue:  16,
+	})
+	a.Configure(start, []*config.Institution{
+		{
+			Name:        "corrib",
+			Rate:        300,
+			Concurrency: 30,
+		},
+		{
+			Name: "kahikatea",
+		},
+	})
+	return a
+}
+
+// request returns a request with a second left.
+func request(institution string) Request {
+	return Request{
+		Institution: institution,
+		Class:       "lookup",
+		Remaining:   time.Second,
+	}
+}
+
+func kind(err error) Kind {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r.Kind()
+	}
+	return 0
+}
+
+func TestRefusalsByTerms(t *testing.T) {
+	a := newAdmitter()
+	if _, err := a.Offer(start, request("nobody")); !errors.Is(err, ErrInstitution) {
+		t.Errorf("unknown institution: %v", err)
+	}
+	expired := request("corrib")
+	expired.Remaining = 0
+	if _, err := a.Offer(start, expired); kind(err) != KindDeadline {
+		t.Errorf("expired: %v", err)
+	}
+	admitted := 0
+	for range 400 {
+		ticket, err := a.Offer(start, request("corrib"))
+		if err == nil {
+			admitted++
+			a.Done(start, ticket, Completed)
+		} else if kind(err) != KindRate {
+			t.Fatalf("above the rate: %v", err)
+		}
+	}
+	if admitted != 75 {
+		t.Errorf("burst of %d, want 75", admitted)
+	}
+	if _, err := a.Offer(start.Add(time.Second), request("corrib")); err != nil {
+		t.Errorf("a second later: %v", err)
+	}
+}
+
+func TestRefusalByConcurrency(t *testing.T) {
+	a := newAdmitter()
+	a.governor.limit = 1000
+	var err error
+	n := 0
+	for ; err == nil; n++ {
+		_, err = a.Offer(start, request("corrib"))
+	}
+	if n != 31 || kind(err) != KindConcurrency {
+		t.Errorf("request %d: %v", n, err)
+	}
+	if _, err := a.Offer(start, request("kahikatea")); err != nil {
+		t.Errorf("the other institution: %v", err)
+	}
+}
+
+func TestRefusalOfWhatCannotFinish(t *testing.T) {
+	a := newAdmitter()
+	now := start
+	for range 32 {
+		ticket, _ := a.Offer(now, request("kahikatea"))
+		now = now.Add(100 * time.Millisecond)
+		a.Done(now, ticket, Completed)
+	}
+	short := request("kahikatea")
+	short.Remaining = 50 * time.Millisecond
+	if _, err := a.Offer(now, short); kind(err) != KindDeadline {
+		t.Errorf("half of the median left: %v", err)
+	}
+	short.Class = "other"
+	if _, err := a.Offer(now, short); err != nil {
+		t.Errorf("class without a history: %v", err)
+	}
+	short.Class = "lookup"
+	now = now.Add(staleService)
+	if _, err := a.Offer(now, short); err != nil {
+		t.Errorf("old history: %v", err)
+	}
+	if _, err := a.Offer(now, short); kind(err) != KindDeadline {
+		t.Errorf("second try on an old history: %v", err)
+	}
+}
+
+func TestQueueIsFairAndOrdered(t *testing.T) {
+	a := newAdmitter()
+	now := start
+	var running []*Ticket
+	offer := func(institution string, remaining time.Duration) (*Ticket, error) {
+		r := request(institution)
+		r.Remaining = remaining
+		return a.Offer(now, r)
+	}
+	for range 8 {
+		ticket, _ := offer("kahikatea", time.Second)
+		running = append(running, ticket)
+	}
+	a.left.rate = 1000
+	a.left.last = now
+	late, _ := offer("kahikatea", 900*time.Millisecond)
+	early, _ := offer("kahikatea", 800*time.Millisecond)
+	other, _ := offer("corrib", time.Second)
+	for i, want := range []*Ticket{other, early, late} {
+		decisions := a.Done(now, running[i], Completed)
+		if len(decisions) != 1 || decisions[0].Ticket != want || decisions[0].Refusal != nil {
+			t.Errorf("decision %d: %v", i, decisions)
+		}
+	}
+	var queued int
+	var err error
+	for ; err == nil; queued++ {
+		_, err = offer("kahikatea", time.Second)
+	}
+	queued--
+	if kind(err) != KindOverload || queued != a.max {
+		t.Errorf("after %d: %v", queued, err)
+	}
+	decisions := a.Tick(now.Add(DefaultWait))
+	if len(decisions) != queued || a.queued != 0 {
+		t.Errorf("%d decisions for %d waiting", len(decisions), queued)
+	}
+	for _, d := range decisions {
+		if d.Refusal == nil || d.Refusal.Kind() != KindOverload {
+			t.Errorf("at the end of the wait: %v", d.Refusal)
+		}
+	}
+}
+
+// TestInvariants drives random requests and checks that counts add up, that no
+// request waits longer than it may, and that equal seeds decide alike.
+func TestInvariants(t *testing.T) {
+	run := func(t *rapid.T, seed uint64) string {
+		a := newAdmitter()
+		steps := rand.New(rand.NewPCG(seed, 3))
+		now := start
+		var running []*Ticket
+		waiting := map[*Ticket]time.Time{}
+		log := ""
+		settle := func(decisions []Decision) {
+			for _, d := range decisions {
+				since, ok := waiting[d.Ticket]
+				if !ok {
+					t.Fatal("decision for a request that does not wait")
+				}
+				delete(waiting, d.Ticket)
+				log += fmt.Sprintln(d.Refusal)
+				if d.Refusal == nil {
+					running = append(running, d.Ticket)
+				} else if now.Sub(since) > DefaultWait+10*time.Millisecond {
+					t.Fatalf("refused after %v", now.Sub(since))
+				}
+			}
+		}
+		for range 500 {
+			now = now.Add(time.Duration(steps.IntN(10)) * time.Millisecond)
+			settle(a.Tick(now))
+			if len(running) > 0 && steps.IntN(3) == 0 {
+				i := steps.IntN(len(running))
+				ticket := running[i]
+				running = append(running[:i], running[i+1:]...)
+				settle(a.Done(now, ticket, Result(steps.IntN(3))))
+				continue
+			}
+			r := request([]string{"corrib", "kahikatea"}[steps.IntN(2)])
+			r.Remaining = time.Duration(steps.IntN(300)) * time.Millisecond
+			ticket, err := a.Offer(now, r)
+			log += fmt.Sprintln(err)
+			switch {
+			case err != nil:
+				var r *Refusal
+				if !errors.As(err, &r) || r.RetryAfter() < minRetry || r.RetryAfter() > 2*maxRetry {
+					t.Fatalf("refused with %v", err)
+				}
+			case ticket.Waiting():
+				waiting[ticket] = now
+			default:
+				running = append(running, ticket)
+			}
+			s := a.Stats(now)
+			if s.Flight != len(running) || s.Queued != len(waiting) || s.Queued > 16 {
+				t.Fatalf("%+v, want %d running and %d waiting", s, len(running), len(waiting))
+			}
+		}
+		return log
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		first := run(t, seed)
+		if first != run(t, seed) {
+			t.Fatal("equal runs differ")
+		}
+	})
+}
+
+func BenchmarkOfferDone(b *testing.B) {
+	a := newAdmitter()
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		ticket, _ := a.Offer(now, request("corrib"))
+		a.Done(now.Add(5*time.Millisecond), ticket, Completed)
+	}
+}
