--- /dev/null
+++ b/standin/pkg/commander/target.go
@@ -0,0 +1,145 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"plantaincleat/standin/pkg/launcher"
+	"plantaincleat/standin/pkg/searcher"
+)
+
+const journalMode = 0o644
+
+// targetFlags are the flags of the target command.
+type targetFlags struct {
+	config  string
+	ids     []string
+	admin   string
+	journal string
+	grace   time.Duration
+	options launcher.Options
+}
+
+// newTarget returns the subcommand of the targets.
+func newTarget() *cobra.Command {
+	f := &targetFlags{}
+	cmd := &cobra.Command{
+		Use:   "target",
+		Short: "Serve targets from synthesised records",
+		Long: "Serves some or all targets of an operators' configuration from one process.\n" +
+			"Addresses, slots, connection limits and shards come from the configuration.\n" +
+			"Faults are set with POST /faults?target=ID on the admin listener, state and\n" +
+			"counts are shown at GET /targets, runs of mutations at GET /executions, and\n" +
+			"POST /config replaces what the targets hold. SIGTERM drains.",
+		Example: "  standin target --config config.json --admin 127.0.0.1:9900\n" +
+			"  standin target --config config.json --ids s1,s2 --median 4ms --sigma 0.3 --slow 0.02\n" +
+			"  curl -d '{\"delay\":10}' 'http://127.0.0.1:9900/faults?target=s1'",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runTarget(cmd, f)
+		},
+	}
+	addTargetFlags(cmd, f)
+	return cmd
+}
+
+func addTargetFlags(cmd *cobra.Command, f *targetFlags) {
+	flags, o := cmd.Flags(), &f.options
+	flags.StringVar(&f.config, "config", "", "operators' configuration file, JSON with comments")
+	flags.StringSliceVar(&f.ids, "ids", nil, "ids of the targets to serve (default all)")
+	flags.StringVar(&f.admin, "admin", "127.0.0.1:0", "IP address and port of the switches")
+	flags.StringVar(&f.journal, "journal", "", "file to which runs of mutations are appended as JSON lines")
+	flags.DurationVar(&f.grace, "grace", 10*time.Second, "time allowed for accepted work at SIGTERM")
+	flags.IntVar(&o.Queue, "queue", 8, "requests that may wait at each target")
+	flags.DurationVar(&o.Setup, "setup", 0, "time that a new connection takes")
+	flags.Uint64Var(&o.Seed, "seed", 1, "seed of execution times and faults")
+	flags.DurationVar(&o.Pace.Median, "median", 2*time.Millisecond, "median execution time")
+	flags.Float64Var(&o.Pace.Sigma, "sigma", 0.3, "standard deviation of the logarithm of the execution time")
+	flags.Float64Var(&o.Pace.Slow, "slow", 0, "fraction of slow calls in [0,1]")
+	flags.Float64Var(&o.Pace.SlowFactor, "slowfactor", searcher.DefaultSlowFactor, "factor of the time of slow calls")
+	flags.DurationVar(&o.Pace.Cold, "cold", 0, "time after the start during which a target is cold")
+	flags.Float64Var(&o.Pace.ColdFactor, "coldfactor", 4, "factor of execution times while cold")
+	flags.DurationVar(&o.Restart, "restart", 0, "time after which a crashed target is back; 0 ends the process")
+}
+
+func runTarget(cmd *cobra.Command, f *targetFlags) error {
+	l, journal, err := prepareTargets(f)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = journal.Close() }()
+	admin, err := listen("admin", f.admin)
+	if err != nil {
+		return err
+	}
+	if err := l.Start(); err != nil {
+		_ = admin.Close()
+		return err
+	}
+	defer l.Stop()
+	if err := announce(cmd.OutOrStdout(), admin.Addr().String()); err != nil {
+		return err
+	}
+	h := &http.Server{
+		Handler:           l.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+	}
+	defer func() { _ = h.Close() }()
+	failed := make(chan error, 1)
+	go func() { failed <- eris.Wrap(h.Serve(admin), "serve admin") }()
+	select {
+	case <-cmd.Context().Done():
+		ctx, cancel := context.WithTimeout(context.Background(), f.grace)
+		defer cancel()
+		l.Drain(ctx)
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// prepareTargets reads the files that the flags name.
+func prepareTargets(f *targetFlags) (*launcher.Launcher, io.Closer, error) {
+	b, err := os.ReadFile(f.config)
+	if err != nil {
+		return nil, nil, eris.Wrap(err, "flag --config")
+	}
+	cfg, err := launcher.Parse(b)
+	if err != nil {
+		return nil, nil, eris.Wrapf(err, "flag --config: file %s", f.config)
+	}
+	journal := io.NopCloser(nil)
+	o := f.options
+	o.Exit = os.Exit
+	if f.journal != "" {
+		file, err := os.OpenFile(f.journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, journalMode)
+		if err != nil {
+			return nil, nil, eris.Wrap(err, "flag --journal")
+		}
+		o.Journal, journal = file, file
+	}
+	l, err := launcher.New(cfg, f.ids, o)
+	if err != nil {
+		_ = journal.Close()
+		return nil, nil, eris.Wrap(err, "flag --ids")
+	}
+	return l, journal, nil
+}
+
+// ready is printed once the process serves.
+type ready struct {
+	Admin string `json:"admin"`
+}
+
+// announce prints where the switches are, so that a parent process can wait
+// for the line.
+func announce(w io.Writer, admin string) error {
+	return json.NewEncoder(w).Encode(ready{Admin: admin})
+}
