--- a/standin/pkg/commander/target.go
+++ b/standin/pkg/commander/target.go
@@ -20,10 +20,11 @@
 // targetFlags are the flags of the target command.
 type targetFlags struct {
 	config  string
-	ids     []string
+	groups  []string
 	admin   string
 	journal string
 	grace   time.Duration
+	group   launcher.Group
 	options launcher.Options
 }
 
@@ -39,6 +40,7 @@
 			"counts are shown at GET /targets, runs of mutations at GET /executions, and\n" +
 			"POST /config replaces what the targets hold. SIGTERM drains.",
 		Example: "  standin target --config config.json --admin 127.0.0.1:9900\n" +
+			"  standin target --config config.json --group targets-entrants.json --group targets-feed.json\n" +
 			"  standin target --config config.json --ids s1,s2 --median 4ms --sigma 0.3 --slow 0.02\n" +
 			"  curl -d '{\"delay\":10}' 'http://127.0.0.1:9900/faults?target=s1'",
 		Args: cobra.NoArgs,
@@ -51,21 +53,22 @@
 }
 
 func addTargetFlags(cmd *cobra.Command, f *targetFlags) {
-	flags, o := cmd.Flags(), &f.options
+	flags, o, g := cmd.Flags(), &f.options, &f.group
 	flags.StringVar(&f.config, "config", "", "operators' configuration file, JSON with comments")
-	flags.StringSliceVar(&f.ids, "ids", nil, "ids of the targets to serve (default all)")
+	flags.StringArrayVar(&f.groups, "group", nil, "file with ids and behaviour of targets, in place of the flags; may be repeated")
+	flags.StringSliceVar(&g.IDs, "ids", nil, "ids of the targets to serve (default all)")
 	flags.StringVar(&f.admin, "admin", "127.0.0.1:0", "IP address and port of the switches")
 	flags.StringVar(&f.journal, "journal", "", "file to which runs of mutations are appended as JSON lines")
 	flags.DurationVar(&f.grace, "grace", 10*time.Second, "time allowed for accepted work at SIGTERM")
-	flags.IntVar(&o.Queue, "queue", 8, "requests that may wait at each target")
-	flags.DurationVar(&o.Setup, "setup", 0, "time that a new connection takes")
+	flags.IntVar(&g.Queue, "queue", 8, "requests that may wait at each target")
+	flags.DurationVar(&g.Setup, "setup", 0, "time that a new connection takes")
 	flags.Uint64Var(&o.Seed, "seed", 1, "seed of execution times and faults")
-	flags.DurationVar(&o.Pace.Median, "median", 2*time.Millisecond, "median execution time")
-	flags.Float64Var(&o.Pace.Sigma, "sigma", 0.3, "standard deviation of the logarithm of the execution time")
-	flags.Float64Var(&o.Pace.Slow, "slow", 0, "fraction of slow calls in [0,1]")
-	flags.Float64Var(&o.Pace.SlowFactor, "slowfactor", searcher.DefaultSlowFactor, "factor of the time of slow calls")
-	flags.DurationVar(&o.Pace.Cold, "cold", 0, "time after the start during which a target is cold")
-	flags.Float64Var(&o.Pace.ColdFactor, "coldfactor", 4, "factor of execution times while cold")
+	flags.DurationVar(&g.Pace.Median, "median", 2*time.Millisecond, "median execution time")
+	flags.Float64Var(&g.Pace.Sigma, "sigma", 0.3, "standard deviation of the logarithm of the execution time")
+	flags.Float64Var(&g.Pace.Slow, "slow", 0, "fraction of slow calls in [0,1]")
+	flags.Float64Var(&g.Pace.SlowFactor, "slowfactor", searcher.DefaultSlowFactor, "factor of the time of slow calls")
+	flags.DurationVar(&g.Pace.Cold, "cold", 0, "time after the start during which a target is cold")
+	flags.Float64Var(&g.Pace.ColdFactor, "coldfactor", 4, "factor of execution times while cold")
 	flags.DurationVar(&o.Restart, "restart", 0, "time after which a crashed target is back; 0 ends the process")
 }
 
@@ -115,6 +118,10 @@
 	if err != nil {
 		return nil, nil, eris.Wrapf(err, "flag --config: file %s", f.config)
 	}
+	groups, err := readGroups(f)
+	if err != nil {
+		return nil, nil, err
+	}
 	journal := io.NopCloser(nil)
 	o := f.options
 	o.Exit = os.Exit
@@ -125,14 +132,34 @@
 		}
 		o.Journal, journal = file, file
 	}
-	l, err := launcher.New(cfg, f.ids, o)
+	l, err := launcher.New(cfg, groups, o)
 	if err != nil {
-		_ = journal.Close()
-		return nil, nil, eris.Wrap(err, "flag --ids")
+		return nil, nil, err
 	}
 	return l, journal, nil
 }
 
+// readGroups reads the files of groups, or returns the group of the flags if
+// there are none.
+func readGroups(f *targetFlags) ([]launcher.Group, error) {
+	if len(f.groups) == 0 {
+		return []launcher.Group{f.group}, nil
+	}
+	groups := make([]launcher.Group, 0, len(f.groups))
+	for _, file := range f.groups {
+		b, err := os.ReadFile(file)
+		if err != nil {
+			return nil, eris.Wrap(err, "flag --group")
+		}
+		g, err := launcher.ParseGroup(b)
+		if err != nil {
+			return nil, eris.Wrapf(err, "flag --group: file %s", file)
+		}
+		groups = append(groups, g)
+	}
+	return groups, nil
+}
+
 // ready is printed once the process serves.
 type ready struct {
 	Admin string `json:"admin"`
--- /dev/null
+++ b/standin/pkg/launcher/group.go
@@ -0,0 +1,75 @@
+package launcher
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/tailscale/hujson"
+
+	"plantaincleat/standin/pkg/searcher"
+)
+
+// Group is a set of targets that behave alike.
+type Group struct {
+	// IDs are those of the targets. None means all of the configuration.
+	IDs []string
+	// Queue is the number of requests that may wait at each target.
+	Queue int
+	// Setup is the time that a new connection takes.
+	Setup time.Duration
+	Pace  searcher.Pace
+}
+
+// groupFile is a Group in a file. Durations are strings such as "6ms".
+type groupFile struct {
+	IDs        []string `json:"ids"`
+	Queue      int      `json:"queue"`
+	Setup      string   `json:"setup"`
+	Median     string   `json:"median"`
+	Sigma      float64  `json:"sigma"`
+	Slow       float64  `json:"slow"`
+	SlowFactor float64  `json:"slowfactor"`
+	Cold       string   `json:"cold"`
+	ColdFactor float64  `json:"coldfactor"`
+}
+
+// ParseGroup reads a group in JSON with comments.
+func ParseGroup(b []byte) (Group, error) {
+	standard, err := hujson.Standardize(b)
+	if err != nil {
+		return Group{}, eris.Wrap(err, "parse group")
+	}
+	var f groupFile
+	if err := json.Unmarshal(standard, &f); err != nil {
+		return Group{}, eris.Wrap(err, "parse group")
+	}
+	g := Group{
+		IDs:   f.IDs,
+		Queue: f.Queue,
+		Pace: searcher.Pace{
+			Sigma:      f.Sigma,
+			Slow:       f.Slow,
+			SlowFactor: f.SlowFactor,
+			ColdFactor: f.ColdFactor,
+		},
+	}
+	durations := []struct {
+		field string
+		text  string
+		value *time.Duration
+	}{
+		{field: "setup", text: f.Setup, value: &g.Setup},
+		{field: "median", text: f.Median, value: &g.Pace.Median},
+		{field: "cold", text: f.Cold, value: &g.Pace.Cold},
+	}
+	for _, d := range durations {
+		if d.text == "" {
+			continue
+		}
+		if *d.value, err = time.ParseDuration(d.text); err != nil {
+			return Group{}, eris.Wrapf(err, "field %s", d.field)
+		}
+	}
+	return g, nil
+}
--- a/standin/pkg/launcher/launcher.go
+++ b/standin/pkg/launcher/launcher.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -27,14 +28,9 @@
 	drainInterval = 10 * time.Millisecond
 )
 
-// Options describe the targets of a process.
+// Options describe the process.
 type Options struct {
-	// Queue is the number of requests that may wait at each target.
-	Queue int
-	// Setup is the time that a new connection takes.
-	Setup time.Duration
-	Seed  uint64
-	Pace  searcher.Pace
+	Seed uint64
 	// Restart is the time after which a crashed target comes back. Zero
 	// means that a crash ends the whole process.
 	Restart time.Duration
@@ -58,9 +54,8 @@
 	executions []searcher.Execution
 }
 
-// New prepares the targets of a configuration with the given ids, or all of
-// them if there are none.
-func New(cfg *config.Config, ids []string, o Options) (*Launcher, error) {
+// New prepares the targets of a configuration that the groups name.
+func New(cfg *config.Config, groups []Group, o Options) (*Launcher, error) {
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
@@ -73,26 +68,33 @@
 	known := make(map[string]*config.Target)
 	for _, t := range cfg.GetTargets() {
 		known[t.GetId()] = t
-		if len(ids) == 0 {
-			l.add(cfg, t)
+	}
+	for _, g := range groups {
+		if err := l.add(cfg, g, known); err != nil {
+			return nil, err
 		}
 	}
+	return l, nil
+}
+
+func (l *Launcher) add(cfg *config.Config, g Group, known map[string]*config.Target) error {
+	ids := g.IDs
+	if len(ids) == 0 {
+		ids = slices.Sorted(maps.Keys(known))
+	}
 	for _, id := range ids {
 		t, ok := known[id]
 		if !ok {
-			return nil, eris.Errorf("field targets: the configuration has no target %q", id)
+			return eris.Errorf("field ids: the configuration has no target %q", id)
 		}
-		l.add(cfg, t)
+		l.servers = append(l.servers, &server{
+			launcher: l,
+			group:    g,
+			target:   t,
+			cfg:      cfg,
+		})
 	}
-	return l, nil
-}
-
-func (l *Launcher) add(cfg *config.Config, t *config.Target) {
-	l.servers = append(l.servers, &server{
-		launcher: l,
-		target:   t,
-		cfg:      cfg,
-	})
+	return nil
 }
 
 // Start opens every listener. If one fails, those before it are closed.
--- a/standin/pkg/launcher/launcher_test.go
+++ b/standin/pkg/launcher/launcher_test.go
@@ -32,7 +32,7 @@
 	return l.Addr().String()
 }
 
-func launch(t *testing.T, o Options) (*Launcher, *config.Config) {
+func launch(t *testing.T, g Group, o Options) (*Launcher, *config.Config) {
 	t.Helper()
 	cfg, err := Parse([]byte(`{
 		// Two targets, one shard each.
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	o.Logger = slog.New(slog.NewTextHandler(io.Discard, nil))
-	l, err := New(cfg, nil, o)
+	l, err := New(cfg, []Group{g}, o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -94,7 +94,7 @@
 // before the crash stay in the log and in the journal.
 func TestCrashRestartsOneTarget(t *testing.T) {
 	var journal bytes.Buffer
-	l, cfg := launch(t, Options{
+	l, cfg := launch(t, Group{}, Options{
 		Restart: time.Nanosecond,
 		Journal: &journal,
 	})
@@ -125,7 +125,7 @@
 
 func TestCrashEndsProcess(t *testing.T) {
 	exited := make(chan int, 1)
-	l, cfg := launch(t, Options{
+	l, cfg := launch(t, Group{}, Options{
 		Exit: func(status int) { exited <- status },
 	})
 	go client(t, cfg.GetTargets()[0].GetAddress()).Mutate(t.Context(), mutation("k1", "!crash"))
@@ -136,7 +136,7 @@
 }
 
 func TestAdmin(t *testing.T) {
-	l, _ := launch(t, Options{})
+	l, _ := launch(t, Group{}, Options{})
 	h := l.Handler()
 	tests := []struct {
 		name   string
@@ -172,7 +172,7 @@
 
 // A configuration posted to the process changes what its targets hold.
 func TestHoldNewSnapshot(t *testing.T) {
-	l, cfg := launch(t, Options{})
+	l, cfg := launch(t, Group{}, Options{})
 	v := cfg.GetCollections()[0].GetVersions()[0]
 	v.Snapshots[0].Id = "s2"
 	l.Hold(cfg)
@@ -206,9 +206,9 @@
 }
 
 func TestDrainGivesUpAtDeadline(t *testing.T) {
-	l, cfg := launch(t, Options{
+	l, cfg := launch(t, Group{
 		Pace: searcher.Pace{Median: time.Hour},
-	})
+	}, Options{})
 	go client(t, cfg.GetTargets()[0].GetAddress()).Mutate(t.Context(), mutation("k1", ""))
 	s, _ := l.servers[0].current()
 	for s.Idle() {
@@ -223,7 +223,20 @@
 }
 
 func TestUnknownTarget(t *testing.T) {
-	if _, err := New(&config.Config{}, []string{"t9"}, Options{}); err == nil || !strings.Contains(err.Error(), `"t9"`) {
+	g := Group{
+		IDs: []string{"t9"},
+	}
+	if _, err := New(&config.Config{}, []Group{g}, Options{}); err == nil || !strings.Contains(err.Error(), `"t9"`) {
 		t.Errorf("New() = %v, want an error that names t9", err)
 	}
 }
+
+func TestParseGroup(t *testing.T) {
+	g, err := ParseGroup([]byte(`{"ids": ["t1"], "queue": 4, "setup": "6ms", "median": "2ms", /* slow calls */ "slow": 0.02}`))
+	if err != nil || g.Setup != 6*time.Millisecond || g.Pace.Median != 2*time.Millisecond || g.Pace.Slow != 0.02 || g.Queue != 4 {
+		t.Errorf("ParseGroup() = %+v, %v", g, err)
+	}
+	if _, err := ParseGroup([]byte(`{"cold": "long"}`)); err == nil || !strings.Contains(err.Error(), "field cold") {
+		t.Errorf("ParseGroup() = %v, want an error that names cold", err)
+	}
+}
--- a/standin/pkg/launcher/server.go
+++ b/standin/pkg/launcher/server.go
@@ -24,6 +24,7 @@
 // listener and every connection.
 type server struct {
 	launcher *Launcher
+	group    Group
 	target   *config.Target
 
 	mu       sync.Mutex
@@ -48,7 +49,7 @@
 	}
 	s.listener = acceptor.New(l, acceptor.Options{
 		Limit: int(s.target.GetConnections()),
-		Setup: s.launcher.options.Setup,
+		Setup: s.group.Setup,
 		Clock: s.launcher.options.Clock,
 	})
 	s.searcher = s.newSearcher()
@@ -75,9 +76,9 @@
 	created := searcher.New(searcher.Options{
 		ID:      s.target.GetId(),
 		Slots:   int(s.target.GetSlots()),
-		Queue:   o.Queue,
+		Queue:   s.group.Queue,
 		Seed:    o.Seed + seedOf(s.target.GetId()),
-		Pace:    o.Pace,
+		Pace:    s.group.Pace,
 		Clock:   o.Clock,
 		Crash:   s.crash,
 		Journal: s.launcher.journal,
--- a/standin/pkg/relayer/relayer_test.go
+++ b/standin/pkg/relayer/relayer_test.go
@@ -188,7 +188,7 @@
 
 func TestFirstMatchCounts(t *testing.T) {
 	set := newRuleSet([]Rule{
-		{Link: "kv", Action: Reset},
+		{Link: "kv*", Action: Reset},
 		from("127.0.1.0/24", Cut),
 		{Action: Pass, Delay: 10},
 	})
@@ -198,7 +198,7 @@
 		want   Action
 		delay  time.Duration
 	}{
-		{link: "kv", source: "127.0.1.1", want: Reset},
+		{link: "kv-1", source: "127.0.1.1", want: Reset},
 		{link: "d1", source: "127.0.1.1", want: Cut},
 		{link: "d1", source: "127.0.2.1", want: Pass, delay: 10 * time.Microsecond},
 	}
@@ -226,6 +226,7 @@
 		{method: "POST", path: "/rules", body: `{"rules":[{"from":"127.0.1.0/24","action":"cut"}]}`, code: 200, want: "127.0.1.0/24"},
 		{method: "GET", path: "/rules", code: 200, want: `"cut"`},
 		{method: "POST", path: "/rules", body: `{"rules":[{"action":"drop"}]}`, code: 400, want: "field rules[0]: field action"},
+		{method: "POST", path: "/rules", body: `{"rules":[{"action":"cut","link":"["}]}`, code: 400, want: "field link"},
 		{method: "POST", path: "/rules", body: `{"rule":[]}`, code: 400, want: "unknown field"},
 		{method: "POST", path: "/rules", body: `{"rules":[{"action":"cut","from":"x"}]}`, code: 400, want: "decode rules"},
 		{method: "GET", path: "/links", code: 200, want: `"name":"echo"`},
--- a/standin/pkg/relayer/rules.go
+++ b/standin/pkg/relayer/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"path"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -35,7 +36,8 @@
 // Rule applies an action to the connections of a link from an IP prefix. The
 // first rule that matches counts; without any, connections pass.
 type Rule struct {
-	// Link is the name of a link. Empty means every link.
+	// Link is a pattern for names of links, as of path.Match. Empty means
+	// every link.
 	Link string `json:"link"`
 	// From is the prefix of the dialling side's IP address. The zero value
 	// means every address.
@@ -54,6 +56,9 @@
 	default:
 		return eris.Errorf("field action: %q is none of pass, cut, reset", r.Action)
 	}
+	if _, err := path.Match(r.Link, ""); err != nil {
+		return eris.Wrapf(err, "field link: %q", r.Link)
+	}
 	switch r.Direction {
 	case Both, Up, Down:
 	default:
@@ -73,8 +78,11 @@
 }
 
 func (r *Rule) matches(f flow) bool {
-	if r.Link != "" && r.Link != f.link {
-		return false
+	if r.Link != "" {
+		// Validate has refused malformed patterns.
+		if ok, _ := path.Match(r.Link, f.link); !ok {
+			return false
+		}
 	}
 	if r.From.IsValid() && !r.From.Contains(f.from) {
 		return false
