--- a/standin/pkg/launcher/group.go
+++ b/standin/pkg/launcher/group.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"bytes"
 	"encoding/json"
 	"time"
 
@@ -41,7 +42,9 @@
 		return Group{}, eris.Wrap(err, "parse group")
 	}
 	var f groupFile
-	if err := json.Unmarshal(standard, &f); err != nil {
+	d := json.NewDecoder(bytes.NewReader(standard))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
 		return Group{}, eris.Wrap(err, "parse group")
 	}
 	g := Group{
--- a/standin/pkg/relayer/relayer.go
+++ b/standin/pkg/relayer/relayer.go
@@ -3,6 +3,7 @@
 package relayer
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/netip"
@@ -35,7 +36,9 @@
 		return nil, eris.Wrap(err, "parse plan")
 	}
 	p := &Plan{}
-	if err := json.Unmarshal(standard, p); err != nil {
+	d := json.NewDecoder(bytes.NewReader(standard))
+	d.DisallowUnknownFields()
+	if err := d.Decode(p); err != nil {
 		return nil, eris.Wrap(err, "parse plan")
 	}
 	for i, l := range p.Links {
