--- a/standin/pkg/commander/relay.go
+++ b/standin/pkg/commander/relay.go
@@ -18,13 +18,14 @@
 		Short: "Forward TCP links that can be cut, reset or delayed",
 		Long: "Forwards the links of a plan, a file in JSON with comments:\n" +
 			"  {\"links\": [{\"name\": \"kv\", \"listen\": \"127.0.0.1:2479\", \"to\": \"127.0.0.1:2379\"}]}\n" +
-			"POST /rules on the admin listener replaces the rules. A rule has a link, the\n" +
+			"POST /rules on the admin listener replaces the plan's rules, and POST /faults\n" +
+			"those that go before them. A rule has a pattern for the link's name, the\n" +
 			"prefix of the dialling address, a direction (up, down or empty for both), an\n" +
 			"action (pass, cut, reset) and a one-way delay in microseconds. The first match\n" +
 			"counts. The far side is dialled from the dialling side's loopback address, so\n" +
 			"that rules by source hold over several relays.",
 		Example: "  standin relay --plan relay.json --admin 127.0.0.1:9901\n" +
-			"  curl -d '{\"rules\":[{\"from\":\"127.0.1.0/24\",\"action\":\"cut\"}]}' http://127.0.0.1:9901/rules",
+			"  curl -d '{\"rules\":[{\"from\":\"127.0.1.0/24\",\"action\":\"cut\"}]}' http://127.0.0.1:9901/faults",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return runRelay(cmd, plan, admin)
--- a/standin/pkg/relayer/admin.go
+++ b/standin/pkg/relayer/admin.go
@@ -23,33 +23,37 @@
 // Handler serves the switches:
 //
 //	GET  /rules   the rules in force
-//	POST /rules   replaces them
+//	POST /rules   replaces the base rules
+//	POST /faults  replaces the rules that go before the base rules
 //	GET  /links   links with their counts
 func (r *Relayer) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rules", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, http.StatusOK, ruleList{Rules: r.Rules()})
 	})
-	mux.HandleFunc("POST /rules", r.serveRules)
+	mux.HandleFunc("POST /rules", serveRules(r.SetRules))
+	mux.HandleFunc("POST /faults", serveRules(r.SetFaults))
 	mux.HandleFunc("GET /links", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, http.StatusOK, r.Counts())
 	})
 	return mux
 }
 
-func (r *Relayer) serveRules(w http.ResponseWriter, req *http.Request) {
-	var list ruleList
-	d := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxBody))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&list); err != nil {
-		reply(w, http.StatusBadRequest, failure{Error: eris.Wrap(err, "decode rules").Error()})
-		return
+func serveRules(set func([]Rule) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		var list ruleList
+		d := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxBody))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&list); err != nil {
+			reply(w, http.StatusBadRequest, failure{Error: eris.Wrap(err, "decode rules").Error()})
+			return
+		}
+		if err := set(list.Rules); err != nil {
+			reply(w, http.StatusBadRequest, failure{Error: err.Error()})
+			return
+		}
+		reply(w, http.StatusOK, list)
 	}
-	if err := r.SetRules(list.Rules); err != nil {
-		reply(w, http.StatusBadRequest, failure{Error: err.Error()})
-		return
-	}
-	reply(w, http.StatusOK, list)
 }
 
 func reply(w http.ResponseWriter, code int, body any) {
--- a/standin/pkg/relayer/relayer.go
+++ b/standin/pkg/relayer/relayer.go
@@ -70,6 +70,9 @@
 
 	mu    sync.Mutex
 	conns []*conn
+	// faults go before the base rules.
+	faults []Rule
+	base   []Rule
 }
 
 // link is a Link in service.
@@ -131,23 +134,34 @@
 	}
 }
 
-// Rules returns the rules in force.
+// Rules returns the rules in force: the faults, then the base rules.
 func (r *Relayer) Rules() []Rule {
 	return slices.Clone(r.rules.Load().rules)
 }
 
-// SetRules replaces the rules in force, also for open connections.
+// SetRules replaces the base rules, also for open connections.
 func (r *Relayer) SetRules(rules []Rule) error {
+	return r.set(&r.base, rules)
+}
+
+// SetFaults replaces the rules that go before the base rules.
+func (r *Relayer) SetFaults(rules []Rule) error {
+	return r.set(&r.faults, rules)
+}
+
+func (r *Relayer) set(list *[]Rule, rules []Rule) error {
 	for i, rule := range rules {
 		if err := rule.Validate(); err != nil {
 			return eris.Wrapf(err, "field rules[%d]", i)
 		}
 	}
-	next := newRuleSet(slices.Clone(rules))
-	close(r.rules.Swap(next).replaced)
 	r.mu.Lock()
+	*list = slices.Clone(rules)
+	next := newRuleSet(slices.Concat(r.faults, r.base))
+	replaced := r.rules.Swap(next).replaced
 	conns := slices.Clone(r.conns)
 	r.mu.Unlock()
+	close(replaced)
 	for _, c := range conns {
 		if action, _ := next.match(c.flow(Both)); action == Reset {
 			c.close(true)
--- a/standin/pkg/relayer/relayer_test.go
+++ b/standin/pkg/relayer/relayer_test.go
@@ -224,7 +224,8 @@
 		want   string
 	}{
 		{method: "POST", path: "/rules", body: `{"rules":[{"from":"127.0.1.0/24","action":"cut"}]}`, code: 200, want: "127.0.1.0/24"},
-		{method: "GET", path: "/rules", code: 200, want: `"cut"`},
+		{method: "POST", path: "/faults", body: `{"rules":[{"link":"kv","action":"reset"}]}`, code: 200, want: "reset"},
+		{method: "GET", path: "/rules", code: 200, want: `"reset","delay":0},{"link":"","from":"127.0.1.0/24"`},
 		{method: "POST", path: "/rules", body: `{"rules":[{"action":"drop"}]}`, code: 400, want: "field rules[0]: field action"},
 		{method: "POST", path: "/rules", body: `{"rules":[{"action":"cut","link":"["}]}`, code: 400, want: "field link"},
 		{method: "POST", path: "/rules", body: `{"rule":[]}`, code: 400, want: "unknown field"},
