--- a/entryd/pkg/coordinator/coordinator.go
+++ b/entryd/pkg/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/exchanger"
 	"plantaincleat/entryd/pkg/gatherer"
+	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/router"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
@@ -23,18 +24,11 @@
 // ErrSnapshotGone reports that a cursor's snapshot is not served any more.
 var ErrSnapshotGone = errors.New("the cursor's snapshot is not served any more")
 
-// Daemon is a daemon that can gather.
-type Daemon struct {
-	ID         string
-	Address    string
-	DataCentre string
-}
-
 // Placement tells which daemons gather for which targets.
 type Placement interface {
 	// Gatherers returns the daemons that gather a shard group of a data
-	// centre, in order of preference. A group is named by its replicas.
-	Gatherers(dataCentre, group string) []Daemon
+	// centre, in order of preference. placer.Name names a group.
+	Gatherers(dataCentre, group string) []placer.Daemon
 	// Version changes whenever Gatherers may return something else.
 	Version() uint64
 }
--- a/entryd/pkg/coordinator/plan.go
+++ b/entryd/pkg/coordinator/plan.go
@@ -8,13 +8,14 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/pkg/indexer"
 )
 
 // Path leads to the targets of one data centre through one daemon.
 type Path struct {
-	Daemon     Daemon
+	Daemon     placer.Daemon
 	DataCentre string
 }
 
@@ -67,7 +68,7 @@
 		centres = append(centres, dc)
 	}
 	slices.SortFunc(centres, func(a, b string) int { return c.nearer(a, b, shard.ID()) })
-	ranked := make([][]Daemon, len(centres))
+	ranked := make([][]placer.Daemon, len(centres))
 	longest := 0
 	for i, dc := range centres {
 		ranked[i] = c.Placement.Gatherers(dc, groups[dc])
@@ -106,15 +107,13 @@
 	return strings.Compare(a, b)
 }
 
-// groupReplicas returns the name of the shard group in each data centre: the
-// ids of the replicas there.
+// groupReplicas returns the name of the shard group in each data centre.
 func groupReplicas(replicas []*config.Target) map[string]string {
 	groups := map[string]string{}
 	for _, t := range replicas {
-		if g, ok := groups[t.GetDatacentre()]; ok {
-			groups[t.GetDatacentre()] = g + "," + t.GetId()
-		} else {
-			groups[t.GetDatacentre()] = t.GetId()
+		dc := t.GetDatacentre()
+		if _, ok := groups[dc]; !ok {
+			groups[dc] = placer.Name(replicasIn(replicas, dc))
 		}
 	}
 	return groups
@@ -156,7 +155,7 @@
 	return spare, found
 }
 
-func (ch *chooser) avoid(d Daemon, now time.Time) bool {
+func (ch *chooser) avoid(d placer.Daemon, now time.Time) bool {
 	if d.ID == ch.root.ID {
 		return false
 	}
--- a/entryd/pkg/forwarder/forwarder.go
+++ b/entryd/pkg/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/coordinator"
+	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
@@ -70,7 +71,18 @@
 	if t == nil {
 		return nil, eris.Wrapf(ErrNotRun, "route: every replica of shard %s is leaving", shard.ID())
 	}
-	return f.send(ctx, t, m)
+	return f.send(ctx, t, group(shard, t.GetDatacentre()), m)
+}
+
+// group names the shard group of a shard in a data centre.
+func group(shard *indexer.Shard, dataCentre string) string {
+	var ids []string
+	for _, t := range shard.Replicas() {
+		if t.GetDatacentre() == dataCentre {
+			ids = append(ids, t.GetId())
+		}
+	}
+	return placer.Name(ids)
 }
 
 // choose returns the first replica that takes work.
@@ -83,12 +95,12 @@
 	return nil
 }
 
-func (f *Forwarder) send(ctx context.Context, t *config.Target, m *target.Mutation) (*target.Outcome, error) {
+func (f *Forwarder) send(ctx context.Context, t *config.Target, group string, m *target.Mutation) (*target.Outcome, error) {
 	in := &peer.MutateRequest{
 		Target:   t.GetId(),
 		Mutation: m,
 	}
-	gatherers := f.Placement.Gatherers(t.GetDatacentre(), t.GetId())
+	gatherers := f.Placement.Gatherers(t.GetDatacentre(), group)
 	if len(gatherers) == 0 {
 		return nil, eris.Wrapf(ErrNotRun, "route: no daemon gathers for target %s", t.GetId())
 	}
--- a/entryd/pkg/handler/handler.go
+++ b/entryd/pkg/handler/handler.go
@@ -9,10 +9,10 @@
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 
+	"plantaincleat/entryd/pkg/admitter"
 	"plantaincleat/entryd/pkg/coordinator"
 	"plantaincleat/entryd/pkg/gatherer"
 	"plantaincleat/entryd/pkg/recorder"
-	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/target"
 )
 
@@ -40,7 +40,7 @@
 // Admitter decides whether a request may start. Its errors are *Refusal. The
 // returned function ends the request.
 type Admitter interface {
-	Admit(ctx context.Context, in *config.Institution, class *config.Class, deadline time.Time) (func(ok bool), error)
+	Admit(ctx context.Context, institution, class string, deadline time.Time) (func(admitter.Result), error)
 }
 
 // Quarantine tells which requests are refused or must run with care.
--- a/entryd/pkg/handler/search.go
+++ b/entryd/pkg/handler/search.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"plantaincleat/entryd/pkg/admitter"
 	"plantaincleat/entryd/pkg/coordinator"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/peer"
@@ -71,14 +72,14 @@
 		h.refuse(w, r, err)
 		return
 	}
-	end, err := h.Admitter.Admit(ctx, q.institution, q.class, q.request.Deadline)
+	end, err := h.Admitter.Admit(ctx, q.institution.GetName(), q.class.GetName(), q.request.Deadline)
 	if err != nil {
 		h.refuse(w, r, err)
 		return
 	}
 	start := h.Clock.Now()
 	result, err := h.Searcher.Run(ctx, q.request)
-	end(err == nil && len(result.Missing) == 0)
+	end(load(result, err))
 	if err != nil {
 		h.refuse(w, r, err)
 		return
@@ -91,6 +92,23 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
+// load tells what the end of a query says about the load.
+func load(result *coordinator.Result, err error) admitter.Result {
+	if err != nil {
+		return admitter.Failed
+	}
+	for _, m := range result.Missing {
+		switch m.GetReason() {
+		case peer.Reason_REASON_SHED, peer.Reason_REASON_LATE, peer.Reason_REASON_BUDGET:
+			return admitter.Overloaded
+		}
+	}
+	if len(result.Missing) > 0 {
+		return admitter.Failed
+	}
+	return admitter.Completed
+}
+
 func (h *Handler) parseSearch(w http.ResponseWriter, r *http.Request) (*query, error) {
 	q := &query{}
 	ix := h.Configs.Index()
--- /dev/null
+++ b/entryd/pkg/router/router_test.go
@@ -0,0 +1,271 @@
+package router
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+// fixed is a Chooser over the same paths for every unit.
+type fixed struct {
+	paths  []string
+	delay  time.Duration
+	failed map[string]bool
+}
+
+func (f *fixed) Choose(_ int, tried []string, _ time.Time) (string, bool) {
+	for _, p := range f.paths {
+		if !slices.Contains(tried, p) && !f.failed[p] {
+			return p, true
+		}
+	}
+	for _, p := range f.paths {
+		if !slices.Contains(tried, p) {
+			return p, true
+		}
+	}
+	return "", false
+}
+
+func (f *fixed) HedgeDelay(string) time.Duration { return f.delay }
+
+func (f *fixed) Failed(p string, _ time.Time) bool { return f.failed[p] }
+
+// purse is a Budget with a number of tokens for each kind.
+type purse struct {
+	hedges  int
+	retries int
+}
+
+func (p *purse) Sent(int) {}
+
+func (p *purse) Hedge(n int, _ time.Time) bool { return spend(&p.hedges, n) }
+
+func (p *purse) Retry(n int, _ time.Time) bool { return spend(&p.retries, n) }
+
+func spend(tokens *int, n int) bool {
+	if *tokens < n {
+		return false
+	}
+	*tokens -= n
+	return true
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+func newQuery(n int, terms Terms, f *fixed, b Budget) *Query[string] {
+	var nonce uint64
+	return New(n, terms, f, b, func() uint64 {
+		nonce++
+		return nonce
+	})
+}
+
+func waitForAll() Terms {
+	return Terms{
+		Deadline: at(time.Second),
+		Hedging:  true,
+	}
+}
+
+func twoPaths() *fixed {
+	return &fixed{
+		paths:  []string{"a", "b"},
+		delay:  10 * time.Millisecond,
+		failed: map[string]bool{},
+	}
+}
+
+func TestHedgeCoversStraggler(t *testing.T) {
+	f := twoPaths()
+	q := newQuery(3, waitForAll(), f, &purse{
+		hedges: 1,
+	})
+	first := q.Start(epoch)
+	if len(first) != 1 || first[0].Path != "a" || len(first[0].Units) != 3 {
+		t.Fatalf("Start() = %+v, want one attempt of 3 units on a", first)
+	}
+	q.Answer(first[0].Nonce, []int{0, 1}, nil, false, at(5*time.Millisecond))
+	hedge := q.Tick(at(10 * time.Millisecond))
+	if len(hedge) != 1 || hedge[0].Path != "b" || !slices.Equal(hedge[0].Units, []int{2}) || !hedge[0].Hedge {
+		t.Fatalf("Tick() = %+v, want a hedge of unit 2 on b", hedge)
+	}
+	end := q.Answer(hedge[0].Nonce, []int{2}, nil, true, at(12*time.Millisecond))
+	if !q.Done() || len(end) != 1 || !end[0].Cancel || end[0].Nonce != first[0].Nonce {
+		t.Errorf("after the hedge: done %v, actions %+v, want the loser cancelled", q.Done(), end)
+	}
+}
+
+func TestHedgeStaysWithinBudget(t *testing.T) {
+	q := newQuery(3, waitForAll(), twoPaths(), &purse{
+		hedges: 2,
+	})
+	q.Start(epoch)
+	q.Tick(at(10 * time.Millisecond))
+	if q.Hedges() != 2 {
+		t.Errorf("Hedges() = %d, want 2", q.Hedges())
+	}
+}
+
+func TestSuspectedRequestIsNotHedged(t *testing.T) {
+	terms := waitForAll()
+	terms.Hedging = false
+	q := newQuery(1, terms, twoPaths(), &purse{
+		hedges: 9,
+	})
+	q.Start(epoch)
+	if got := q.Tick(at(time.Hour)); len(got) != 1 || !got[0].Cancel {
+		t.Errorf("Tick() = %+v, want only the cancellation at the deadline", got)
+	}
+}
+
+func TestFailedPathIsLeftWithoutBudget(t *testing.T) {
+	f := twoPaths()
+	q := newQuery(4, waitForAll(), f, &purse{})
+	q.Start(epoch)
+	f.failed["a"] = true
+	got := q.Tick(at(10 * time.Millisecond))
+	if len(got) != 1 || got[0].Path != "b" || len(got[0].Units) != 4 || got[0].Hedge {
+		t.Errorf("Tick() = %+v, want all units again on b as a retry", got)
+	}
+}
+
+func TestRetryAfterLossIsFreeAndAfterShedIsCharged(t *testing.T) {
+	tests := []struct {
+		reason peer.Reason
+		want   int
+		final  peer.Reason
+	}{
+		{
+			reason: peer.Reason_REASON_UNREACHABLE,
+			want:   1,
+			final:  peer.Reason_REASON_UNREACHABLE,
+		},
+		{
+			reason: peer.Reason_REASON_LEAVING,
+			want:   1,
+			final:  peer.Reason_REASON_LEAVING,
+		},
+		{
+			reason: peer.Reason_REASON_SHED,
+			final:  peer.Reason_REASON_BUDGET,
+		},
+	}
+	for _, tc := range tests {
+		q := newQuery(1, waitForAll(), twoPaths(), &purse{})
+		first := q.Start(epoch)
+		q.Lost(first[0].Nonce, tc.reason, at(time.Millisecond))
+		if q.Retries() != tc.want {
+			t.Errorf("%v: Retries() = %d, want %d", tc.reason, q.Retries(), tc.want)
+		}
+		if q.Reason(0) != tc.final {
+			t.Errorf("%v: Reason() = %v, want %v", tc.reason, q.Reason(0), tc.final)
+		}
+	}
+}
+
+func TestGoalEndsAtFloor(t *testing.T) {
+	terms := waitForAll()
+	terms.Goal = at(100 * time.Millisecond)
+	terms.Floor = 0.5
+	q := newQuery(4, terms, twoPaths(), &purse{})
+	first := q.Start(epoch)
+	q.Answer(first[0].Nonce, []int{0}, nil, false, at(50*time.Millisecond))
+	q.Tick(at(100 * time.Millisecond))
+	if q.Done() {
+		t.Fatal("query ended below the floor")
+	}
+	q.Answer(first[0].Nonce, []int{1}, nil, false, at(150*time.Millisecond))
+	if !q.Done() || q.Reason(2) != peer.Reason_REASON_LATE {
+		t.Errorf("Done() = %v, Reason(2) = %v, want true, REASON_LATE", q.Done(), q.Reason(2))
+	}
+}
+
+func TestLateAnswerIsCountedAndIgnored(t *testing.T) {
+	q := newQuery(1, waitForAll(), twoPaths(), &purse{})
+	first := q.Start(epoch)
+	q.Tick(at(time.Second))
+	q.Answer(first[0].Nonce, []int{0}, nil, true, at(2*time.Second))
+	if q.Covered(0) || q.Late() != 1 {
+		t.Errorf("Covered(0) = %v, Late() = %d, want false, 1", q.Covered(0), q.Late())
+	}
+}
+
+// TestQueryProperties drives a query with random events and checks that it
+// ends, that sent counts add up, and that extra sub-requests stay in budget.
+func TestQueryProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "units")
+		f := &fixed{
+			paths:  []string{"a", "b", "c"},
+			delay:  10 * time.Millisecond,
+			failed: map[string]bool{},
+		}
+		terms := waitForAll()
+		terms.Separate = rapid.Bool().Draw(t, "separate")
+		b := &purse{
+			hedges:  rapid.IntRange(0, 4).Draw(t, "hedges"),
+			retries: rapid.IntRange(0, 4).Draw(t, "retries"),
+		}
+		hedgeLimit := b.hedges
+		q := newQuery(n, terms, f, b)
+		live := map[uint64][]int{}
+		track := func(actions []Action[string]) {
+			for _, a := range actions {
+				if a.Cancel {
+					delete(live, a.Nonce)
+					continue
+				}
+				live[a.Nonce] = a.Units
+			}
+		}
+		now := epoch
+		track(q.Start(now))
+		for step := 0; !q.Done() && step < 300; step++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+			nonces := make([]uint64, 0, len(live))
+			for nonce := range live {
+				nonces = append(nonces, nonce)
+			}
+			slices.Sort(nonces)
+			event := rapid.IntRange(0, 3).Draw(t, "event")
+			if len(nonces) == 0 || event == 0 {
+				track(q.Tick(now))
+				continue
+			}
+			nonce := nonces[rapid.IntRange(0, len(nonces)-1).Draw(t, "attempt")]
+			units := live[nonce]
+			switch event {
+			case 1:
+				delete(live, nonce)
+				track(q.Answer(nonce, units, nil, true, now))
+			case 2:
+				delete(live, nonce)
+				track(q.Lost(nonce, peer.Reason_REASON_SHED, now))
+			case 3:
+				track(q.Answer(nonce, units[:1], nil, false, now))
+			}
+		}
+		track(q.Tick(at(time.Hour)))
+		if !q.Done() {
+			t.Fatal("query did not end by its deadline")
+		}
+		if q.Hedges() > hedgeLimit {
+			t.Fatalf("Hedges() = %d, budget %d", q.Hedges(), hedgeLimit)
+		}
+		if q.Sent() > n+q.Hedges()+q.Retries() {
+			t.Fatalf("Sent() = %d, want at most %d units + %d hedges + %d retries", q.Sent(), n, q.Hedges(), q.Retries())
+		}
+		for u := range n {
+			if !q.Covered(u) && q.Reason(u) == peer.Reason_REASON_UNSPECIFIED {
+				t.Fatalf("unit %d is missing without a reason", u)
+			}
+		}
+	})
+}
--- a/entryd/pkg/starter/mutator.go
+++ b/entryd/pkg/starter/mutator.go
@@ -7,7 +7,6 @@
 
 	"plantaincleat/entryd/pkg/forwarder"
 	"plantaincleat/entryd/pkg/handler"
-	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/target"
 )
 
@@ -24,9 +23,7 @@
 		forwarder: &forwarder.Forwarder{
 			ID:      d.cfg.GetId(),
 			Configs: d.configs,
-			Placement: &placement{
-				views: d.gossip,
-			},
+			Placement:  &d.placement,
 			Departures: d.departer,
 			Connector:  d.dialer,
 			Local:      d.gatherer,
@@ -69,14 +66,6 @@
 	}
 }
 
-// openAdmitter admits everything.
-type openAdmitter struct{}
-
-// Admit implements handler.Admitter.
-func (openAdmitter) Admit(context.Context, *config.Institution, *config.Class, time.Time) (func(bool), error) {
-	return func(bool) {}, nil
-}
-
 // openQuarantine quarantines nothing.
 type openQuarantine struct{}
 
--- a/entryd/pkg/starter/placement.go
+++ b/entryd/pkg/starter/placement.go
@@ -1,40 +1,49 @@
 package starter
 
 import (
-	"cmp"
-	"slices"
+	"context"
 
-	"github.com/cespare/xxhash/v2"
-
-	"plantaincleat/entryd/pkg/coordinator"
-	"plantaincleat/entryd/pkg/gossiper"
+	"plantaincleat/entryd/pkg/placer"
 )
 
-// placement ranks the live daemons of a data centre by rendezvous hashing. A
-// data centre without live daemons is gathered by the root's own.
-type placement struct {
-	views interface{ View() *gossiper.View }
+// place computes the placement anew whenever the live daemons or the
+// configuration change, until ctx ends.
+func (d *Daemon) place(ctx context.Context) {
+	changed, stop := d.gossip.Subscribe()
+	defer stop()
+	adopted, stopAdopted := d.adopter.Subscribe()
+	defer stopAdopted()
+	var live, revision uint64
+	for {
+		view, ix := d.gossip.View(), d.configs.Index()
+		if view.Live() != live || ix.Revision() != revision {
+			live, revision = view.Live(), ix.Revision()
+			d.placement.Store(placer.New(placer.Input{
+				Self:    d.cfg.GetId(),
+				Daemons: d.liveDaemons(),
+				Config:  ix.Accepted().GetConfig(),
+			}))
+		}
+		select {
+		case <-changed:
+		case <-adopted:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
-// Gatherers implements coordinator.Placement.
-func (p *placement) Gatherers(dataCentre, group string) []coordinator.Daemon {
-	view := p.views.View()
-	members := view.Within(dataCentre)
-	if len(members) == 0 {
-		members = view.Within(view.Self().DataCentre())
-	}
-	out := make([]coordinator.Daemon, 0, len(members))
-	for _, m := range members {
-		out = append(out, coordinator.Daemon{
+func (d *Daemon) liveDaemons() []placer.Daemon {
+	var out []placer.Daemon
+	for _, m := range d.gossip.View().Members() {
+		if !m.Live() {
+			continue
+		}
+		out = append(out, placer.Daemon{
 			ID:         m.ID(),
 			Address:    m.Address(),
 			DataCentre: m.DataCentre(),
 		})
 	}
-	score := func(d coordinator.Daemon) uint64 { return xxhash.Sum64String(d.ID + "/" + group) }
-	slices.SortFunc(out, func(a, b coordinator.Daemon) int { return cmp.Compare(score(b), score(a)) })
 	return out
 }
-
-// Version implements coordinator.Placement.
-func (p *placement) Version() uint64 { return p.views.View().Live() }
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -22,6 +22,7 @@
 	"plantaincleat/entryd/pkg/gatherer"
 	"plantaincleat/entryd/pkg/gossiper"
 	"plantaincleat/entryd/pkg/handler"
+	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/recorder"
 	"plantaincleat/entryd/pkg/server"
 	"plantaincleat/tier/gen/settings"
@@ -52,6 +53,8 @@
 	configs     *configs
 	adopter     Adopter
 	gossip      *gossiper.Runner
+	placement   placer.Holder
+	admission   *admission
 	departer    *departer.Departer
 	gatherer    *gatherer.Gatherer
 	coordinator *coordinator.Coordinator
@@ -123,14 +126,13 @@
 		ID:         d.cfg.GetId(),
 		DataCentre: d.cfg.GetDatacentre(),
 		Configs:    d.configs,
-		Placement: &placement{
-			views: d.gossip,
-		},
-		Gatherer: d.gatherer,
-		Dial:     d.dialer.Dial,
-		Clock:    d.clock,
-		Budget:   rooting,
+		Placement:  &d.placement,
+		Gatherer:   d.gatherer,
+		Dial:       d.dialer.Dial,
+		Clock:      d.clock,
+		Budget:     rooting,
 	})
+	d.admission = newAdmission(d.cfg.GetId(), d.gossip, d.clock)
 	record := recorder.New[*handler.Explanation](explanations)
 	d.handler = handler.New(handler.Options{
 		ID:         d.cfg.GetId(),
@@ -138,7 +140,7 @@
 		Configs:    d.configs,
 		Searcher:   d.coordinator,
 		Mutator:    d.newMutator(),
-		Admitter:   openAdmitter{},
+		Admitter:   d.admission,
 		Quarantine: openQuarantine{},
 		Clock:      d.clock,
 		Recorder:   record,
@@ -147,6 +149,7 @@
 	d.configs.onChange = append(d.configs.onChange, func(ix *indexer.Index) {
 		gathering.set(ix.Policy())
 		rooting.set(ix.Policy())
+		d.admission.configure(ix.Accepted().GetConfig().GetInstitutions())
 		d.gossip.SetRevision(ix.Revision())
 		slog.Info("configuration in force", "revision", ix.Revision(), "change", ix.Accepted().GetHead().GetChange())
 	})
@@ -190,6 +193,8 @@
 	d.wg.Go(func() { d.adopter.Run(d.ctx) })
 	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
 	d.wg.Go(func() { d.departer.Run(d.ctx) })
+	d.wg.Go(func() { d.place(d.ctx) })
+	d.wg.Go(func() { d.admission.run(d.ctx) })
 	d.wg.Go(func() { d.gatherer.Watch(d.ctx) })
 	slog.Info("started", "http", d.cfg.GetListen().GetHttp(), "peer", d.cfg.GetListen().GetPeer(), "admin", d.cfg.GetListen().GetAdmin())
 	return nil
