--- /dev/null
+++ b/entryd/pkg/quarantiner/quarantiner_test.go
@@ -0,0 +1,340 @@
+package quarantiner
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+var start = time.UnixMilli(1_700_000_000_000)
+
+// request is a caller's request to one shard in the simulation.
+type request struct {
+	fingerprint uint64
+	shard       int
+	poison      bool
+	target      int
+	run         Run
+	left        int
+	denied      bool
+	done        bool
+}
+
+// fleet simulates one daemon over targets, each shard on a target and the next
+// two ones.
+type fleet struct {
+	q        *Quarantiner
+	now      time.Time
+	down     []int
+	requests []*request
+	crashes  int
+}
+
+func (f *fleet) target(i int) *Target {
+	return f.q.Target(fmt.Sprint("target", i))
+}
+
+// tick advances by a millisecond: places waiting requests, runs the others.
+func (f *fleet) tick() {
+	f.now = f.now.Add(time.Millisecond)
+	for i := range f.down {
+		f.down[i] = max(f.down[i]-1, 0)
+	}
+	for _, r := range f.requests {
+		switch {
+		case r.done || r.denied:
+		case r.target < 0:
+			f.place(r)
+		case r.left > 0:
+			r.left--
+		case r.poison:
+			f.crash(r.target)
+		default:
+			f.target(r.target).End(r.run, true)
+			r.done = true
+		}
+	}
+}
+
+func (f *fleet) place(r *request) {
+	for k := range 3 {
+		i := (r.shard + k) % len(f.down)
+		if f.down[i] > 0 {
+			continue
+		}
+		run, verdict := f.target(i).Begin(f.now, r.fingerprint, "corrib", fmt.Sprint(r.shard))
+		switch verdict {
+		case Denied:
+			r.denied = true
+			return
+		case Go:
+			r.run, r.target = run, i
+			return
+		}
+	}
+}
+
+// crash loses a target with all that runs on it.
+func (f *fleet) crash(i int) {
+	f.crashes++
+	f.down[i] = 20
+	f.target(i).Lost(f.now)
+	for _, r := range f.requests {
+		if r.target == i && !r.done {
+			f.target(i).End(r.run, false)
+			r.target = -1
+			r.left = 3
+		}
+	}
+}
+
+func TestPoisonIsNamedAndInnocentsRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{
+			q:    New(Settings{}),
+			now:  start,
+			down: make([]int, rapid.IntRange(4, 8).Draw(t, "targets")),
+		}
+		poisons := rapid.IntRange(1, 2).Draw(t, "poisons")
+		gap := rapid.SampledFrom([]int{0, 1, 60}).Draw(t, "gap")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		next := uint64(100)
+		for tick := range 3000 {
+			for n := range poisons {
+				if tick == 10+n*gap {
+					f.requests = append(f.requests, &request{
+						fingerprint: uint64(n + 1),
+						shard:       random.IntN(len(f.down)),
+						poison:      true,
+						target:      -1,
+						left:        random.IntN(4),
+					})
+				}
+			}
+			if tick < 200 && random.IntN(3) > 0 {
+				next++
+				f.requests = append(f.requests, &request{
+					fingerprint: []uint64{next, 50, 51}[random.IntN(3)],
+					shard:       random.IntN(len(f.down)),
+					target:      -1,
+					left:        1 + random.IntN(8),
+				})
+			}
+			f.tick()
+		}
+		if f.crashes > 2*poisons {
+			t.Fatalf("%d crashes by %d poisons", f.crashes, poisons)
+		}
+		for _, r := range f.requests {
+			if r.poison && !r.denied || !r.poison && !r.done {
+				t.Fatalf("request %+v", *r)
+			}
+		}
+		if got := len(f.q.List(f.now)); got != poisons {
+			t.Fatalf("%d quarantined, %d poisons", got, poisons)
+		}
+	})
+}
+
+// TestManyLossesQuarantineNothing loses all targets within a settle time, some
+// before and some after a suspect ran alone.
+func TestManyLossesQuarantineNothing(t *testing.T) {
+	q := New(Settings{})
+	a, b := q.Target("a"), q.Target("b")
+	a.Begin(start, 7, "corrib", "s")
+	a.Lost(start)
+	if _, v := a.Begin(start, 7, "corrib", "s"); v != Avoid {
+		t.Errorf("verdict %v on the suspected target", v)
+	}
+	if _, v := b.Begin(start, 7, "corrib", "s"); v != Go {
+		t.Fatalf("verdict %v on another target", v)
+	}
+	b.Lost(start)
+	for i := range 3 {
+		q.Target(fmt.Sprint(i)).Lost(start.Add(100 * time.Millisecond))
+	}
+	if _, v := q.Target("c").Begin(start.Add(200*time.Millisecond), 7, "corrib", "s"); v != Busy {
+		t.Errorf("verdict %v amid the losses", v)
+	}
+	later := start.Add(time.Second)
+	run, v := q.Target("c").Begin(later, 7, "corrib", "s")
+	if v != Go || len(q.List(later)) > 0 {
+		t.Fatalf("verdict %v after the losses, quarantined %v", v, q.List(later))
+	}
+	q.Target("c").End(run, true)
+	if q.Suspected(later, 7) {
+		t.Error("suspected after it completed")
+	}
+}
+
+// poison returns a Quarantiner that has quarantined fingerprint 7.
+func poison(now time.Time) *Quarantiner {
+	q := New(Settings{})
+	for _, id := range []string{"a", "b"} {
+		q.Target(id).Begin(now, 7, "corrib", "s")
+		q.Target(id).Lost(now)
+	}
+	return q
+}
+
+func TestPlan(t *testing.T) {
+	now := start
+	q := New(Settings{
+		Canary: true,
+	})
+	if p := q.Plan(now, 7); p.Mode != Canary || p.Suspected {
+		t.Errorf("first request: %+v", p)
+	}
+	q.Completed(7)
+	if p := q.Plan(now, 7); p.Mode != Free {
+		t.Errorf("known request: %+v", p)
+	}
+	q.Target("a").Begin(now, 7, "corrib", "s")
+	q.Target("a").Lost(now)
+	if p := q.Plan(now, 7); p.Mode != Canary || p.Shard != "s" || !p.Suspected {
+		t.Errorf("suspect: %+v", p)
+	}
+	q.Target("b").Begin(now, 7, "corrib", "s")
+	q.Target("b").Lost(now)
+	if p := q.Plan(now, 7); p.Mode != Canary || !p.Suspected {
+		t.Errorf("charged: %+v", p)
+	}
+	now = now.Add(settle)
+	if p := q.Plan(now, 7); p.Mode != Refused || !p.Expires.Equal(start.Add(DefaultPeriod)) {
+		t.Errorf("quarantined: %+v", p)
+	}
+	if p := q.Plan(start.Add(DefaultPeriod), 7); p.Mode != Free {
+		t.Errorf("after the period: %+v", p)
+	}
+}
+
+func TestClearanceOutlivesOldNotices(t *testing.T) {
+	now := start.Add(settle)
+	q := poison(start)
+	old := q.Notices(now)
+	other := New(Settings{})
+	other.Merge(now, old[0])
+	if _, v := other.Target("c").Begin(now, 7, "corrib", "s"); v != Denied {
+		t.Fatalf("verdict %v at the other daemon", v)
+	}
+	if !q.Clear(now, 7) || q.Clear(now, 7) {
+		t.Error("want one clearance")
+	}
+	if q.Merge(now, old[0]) {
+		t.Error("an old notice came back")
+	}
+	other.Merge(now, q.Notices(now)[0])
+	if other.Suspected(now, 7) || other.effective.Load() != 0 {
+		t.Error("not cleared at the other daemon")
+	}
+	for _, id := range []string{"a", "b"} {
+		other.Target(id).Begin(now, 7, "corrib", "s")
+		other.Target(id).Lost(now)
+	}
+	now = now.Add(settle)
+	for _, n := range other.Notices(now) {
+		q.Merge(now, n)
+	}
+	if len(q.List(now)) != 1 {
+		t.Error("a quarantine after the clearance did not spread")
+	}
+}
+
+func TestMergeInAnyOrderIsTheSame(t *testing.T) {
+	notice := rapid.Custom(func(t *rapid.T) *peer.Quarantine {
+		return &peer.Quarantine{
+			Fingerprint: uint64(rapid.IntRange(1, 3).Draw(t, "fingerprint")),
+			Expires:     start.UnixMilli() + int64(rapid.IntRange(1, 3).Draw(t, "expires")),
+			Epoch:       uint64(rapid.IntRange(0, 2).Draw(t, "epoch")),
+			Cleared:     rapid.Bool().Draw(t, "cleared"),
+			Targets:     rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b"}), 1, 2).Draw(t, "targets"),
+		}
+	})
+	state := func(notices []*peer.Quarantine) string {
+		q := New(Settings{})
+		for _, n := range notices {
+			q.Merge(start, n)
+			q.Merge(start, n)
+		}
+		out := ""
+		for _, n := range q.Notices(start) {
+			b, _ := proto.MarshalOptions{Deterministic: true}.Marshal(n)
+			out += fmt.Sprintf("%x ", b)
+		}
+		return fmt.Sprint(out, q.effective.Load())
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		notices := rapid.SliceOfN(notice, 1, 8).Draw(t, "notices")
+		shuffled := rapid.Permutation(notices).Draw(t, "shuffled")
+		if x, y := state(notices), state(shuffled); x != y {
+			t.Fatalf("%s\n%s", x, y)
+		}
+	})
+}
+
+func TestCapacityKeepsQuarantines(t *testing.T) {
+	q := New(Settings{
+		Capacity: 8,
+	})
+	expires := start.Add(time.Minute).UnixMilli()
+	for f := uint64(1); f <= 100; f++ {
+		targets := []string{"a"}
+		if f <= 4 {
+			targets = []string{"a", "b"}
+		}
+		q.Merge(start, &peer.Quarantine{
+			Fingerprint: f,
+			Expires:     expires + int64(f),
+			Targets:     targets,
+		})
+	}
+	if len(q.entries) != 8 || len(q.List(start)) != 4 || q.effective.Load() != 8 {
+		t.Errorf("%d entries, %d quarantined", len(q.entries), len(q.List(start)))
+	}
+	if q.Notices(start.Add(time.Hour)); len(q.entries) != 0 || q.effective.Load() != 0 {
+		t.Errorf("%d entries after an hour", len(q.entries))
+	}
+}
+
+func TestFingerprint(t *testing.T) {
+	prints := []uint64{
+		Fingerprint("corrib", []byte("ab"), []byte("c")),
+		Fingerprint("corrib", []byte("a"), []byte("bc")),
+		Fingerprint("corri", []byte("bab"), []byte("c")),
+		Fingerprint("corrib", []byte("abc")),
+	}
+	slices.Sort(prints)
+	if len(slices.Compact(prints)) != 4 {
+		t.Errorf("equal fingerprints: %x", prints)
+	}
+}
+
+func BenchmarkBeginEnd(b *testing.B) {
+	cases := []struct {
+		name string
+		q    *Quarantiner
+	}{
+		{name: "quiet", q: New(Settings{})},
+		{name: "quarantine", q: poison(start)},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			t := c.q.Target("c")
+			now := start.Add(settle)
+			f := uint64(1000)
+			for b.Loop() {
+				f++
+				r, _ := t.Begin(now, f, "corrib", "shard")
+				t.End(r, true)
+			}
+		})
+	}
+}
