--- /dev/null
+++ b/loadgen/pkg/balancer/balancer.go
@@ -0,0 +1,123 @@
+// Package balancer stands in for the platform's balancer: it spreads requests
+// over the daemons that say that they are ready.
+package balancer
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// probeInterval is the time between checks of the daemons' readiness.
+	probeInterval = 100 * time.Millisecond
+	probeTimeout  = time.Second
+)
+
+// entry is one daemon.
+type entry struct {
+	url string
+	// ready is the URL that answers 200 while the daemon takes requests.
+	// Empty means that it always does.
+	ready string
+	down  atomic.Bool
+}
+
+// Balancer spreads requests in turn. Use New.
+type Balancer struct {
+	entries []*entry
+	clock   clockwork.Clock
+	client  *http.Client
+	turn    atomic.Uint64
+}
+
+// New returns a balancer over daemons, each given as URL or URL=READY, where
+// READY is the URL of its readiness. The clock is the real one if nil.
+func New(daemons []string, clock clockwork.Clock) (*Balancer, error) {
+	if len(daemons) == 0 {
+		return nil, eris.New("at least one daemon is needed")
+	}
+	if clock == nil {
+		clock = clockwork.NewRealClock()
+	}
+	b := &Balancer{
+		clock: clock,
+		client: &http.Client{
+			Timeout: probeTimeout,
+		},
+	}
+	for _, d := range daemons {
+		url, ready, _ := strings.Cut(d, "=")
+		if !strings.HasPrefix(url, "http://") && !strings.HasPrefix(url, "https://") {
+			return nil, eris.Errorf("daemon %q is not an http or https URL", url)
+		}
+		b.entries = append(b.entries, &entry{
+			url:   strings.TrimSuffix(url, "/"),
+			ready: ready,
+		})
+	}
+	return b, nil
+}
+
+// Next returns the next daemon that is ready, or the next one if none is.
+func (b *Balancer) Next() string {
+	n := uint64(len(b.entries))
+	first := b.turn.Add(1)
+	for i := range n {
+		if e := b.entries[(first+i)%n]; !e.down.Load() {
+			return e.url
+		}
+	}
+	return b.entries[first%n].url
+}
+
+// Unreachable takes a daemon out until it is seen to be ready, and reports
+// whether another one is left. A daemon without readiness URL stays in.
+func (b *Balancer) Unreachable(url string) bool {
+	left := false
+	for _, e := range b.entries {
+		if e.url == url && e.ready != "" {
+			e.down.Store(true)
+		}
+		left = left || e.url != url && !e.down.Load()
+	}
+	return left
+}
+
+// Run checks readiness until ctx ends.
+func (b *Balancer) Run(ctx context.Context) {
+	ticker := b.clock.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		for _, e := range b.entries {
+			if e.ready != "" {
+				go b.probe(ctx, e)
+			}
+		}
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (b *Balancer) probe(ctx context.Context, e *entry) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, e.ready, nil)
+	if err != nil {
+		e.down.Store(true)
+		return
+	}
+	resp, err := b.client.Do(r)
+	if err != nil {
+		e.down.Store(true)
+		return
+	}
+	_ = resp.Body.Close()
+	e.down.Store(resp.StatusCode != http.StatusOK)
+}
--- /dev/null
+++ b/loadgen/pkg/driver/driver.go
@@ -0,0 +1,239 @@
+// Package driver sends an open-loop load: each request goes out at its
+// intended time, however long the answers to others take, and its latency
+// counts from that time.
+package driver
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/loadgen/pkg/caller"
+	"plantaincleat/loadgen/pkg/pacer"
+	"plantaincleat/loadgen/pkg/recorder"
+	"plantaincleat/loadgen/pkg/verifier"
+	"plantaincleat/tier/gen/target"
+)
+
+// ErrBusy is the loss of a request that was not sent because too many others
+// had no answer yet.
+var ErrBusy = errors.New("load generator: too many requests in flight")
+
+// Caller sends requests to the tier.
+type Caller interface {
+	Search(context.Context, caller.Search) (*caller.Answer, error)
+	Mutate(context.Context, caller.Mutation) (*caller.Outcome, error)
+}
+
+// Options describe a run.
+type Options struct {
+	Load        pacer.Options
+	Institution string
+	Version     string
+	// Patience is the time after the deadline at which a request without an
+	// answer is given up as lost.
+	Patience time.Duration
+	// InFlight bounds the requests without an answer.
+	InFlight int64
+	// Verifier checks the answers to reads. It may be nil.
+	Verifier *verifier.Verifier
+	// Observe is called with the end of each mutation. It may be nil.
+	Observe func(caller.Mutation, recorder.Result)
+	// Clock is the real clock if nil.
+	Clock clockwork.Clock
+}
+
+// Driver runs a load. Use New.
+type Driver struct {
+	options  Options
+	caller   Caller
+	recorder *recorder.Recorder
+	start    time.Time
+	inFlight atomic.Int64
+}
+
+// New returns a driver.
+func New(c Caller, o Options) *Driver {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	return &Driver{
+		options:  o,
+		caller:   c,
+		recorder: recorder.New(o.Load.Steps),
+	}
+}
+
+// Run sends the load and waits for the last answer. It ends early, without
+// sending more, when ctx ends.
+func (d *Driver) Run(ctx context.Context) *recorder.Report {
+	d.start = d.options.Clock.Now()
+	var wg sync.WaitGroup
+	for r := range d.options.Load.Schedule() {
+		if !d.wait(ctx, r.At) {
+			break
+		}
+		if d.inFlight.Add(1) > d.options.InFlight {
+			d.inFlight.Add(-1)
+			d.drop(&r)
+			continue
+		}
+		wg.Go(func() {
+			defer d.inFlight.Add(-1)
+			d.send(context.WithoutCancel(ctx), &r)
+		})
+	}
+	wg.Wait()
+	report := d.recorder.Report()
+	report.Seed = d.options.Load.Seed
+	report.Verified = d.options.Verifier != nil
+	return report
+}
+
+// wait blocks until a time after the start. It returns false when ctx ends.
+func (d *Driver) wait(ctx context.Context, at time.Duration) bool {
+	left := at - d.options.Clock.Since(d.start)
+	if left <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-d.options.Clock.After(left):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (d *Driver) drop(r *pacer.Request) {
+	res := d.result(r, r.At)
+	res.Err = ErrBusy
+	d.recorder.Add(res)
+}
+
+func (d *Driver) send(ctx context.Context, r *pacer.Request) {
+	if r.Class.Mutation {
+		d.mutate(ctx, r)
+		return
+	}
+	d.browse(ctx, r)
+}
+
+// browse reads the pages of one query. Only the first has a place in the
+// schedule; each further one counts from the end of the one before it.
+func (d *Driver) browse(ctx context.Context, r *pacer.Request) {
+	s := caller.Search{
+		Institution: d.options.Institution,
+		Collection:  r.Class.Collection,
+		Version:     d.options.Version,
+		Class:       r.Class.Name,
+		Query:       r.Query,
+		Deadline:    r.Class.Deadline,
+	}
+	pinned := ""
+	at := r.At
+	for page := range max(1, r.Class.Pages) {
+		s.ID = fmt.Sprintf("%d-%d-%d", d.options.Load.Seed, r.Number, page)
+		res := d.search(ctx, r, &s, at, pinned)
+		d.recorder.Add(res)
+		if res.Answer == nil || res.Answer.Cursor == "" || len(res.Answer.Records) == 0 {
+			return
+		}
+		last := res.Answer.Records[len(res.Answer.Records)-1]
+		s.Query = after(r.Query, last)
+		s.Cursor = res.Answer.Cursor
+		pinned = res.Answer.Snapshot
+		at = d.options.Clock.Since(d.start)
+	}
+}
+
+// search reads one page.
+func (d *Driver) search(ctx context.Context, r *pacer.Request, s *caller.Search, at time.Duration, pinned string) recorder.Result {
+	ctx, cancel := clockwork.WithTimeout(ctx, d.options.Clock, r.Class.Deadline+d.options.Patience)
+	defer cancel()
+	answer, err := d.caller.Search(ctx, *s)
+	res := d.result(r, at)
+	res.ID = s.ID
+	res.Answer = answer
+	res.Refusal, res.Err = classify(err)
+	if answer != nil && d.options.Verifier != nil {
+		res.Violations = d.options.Verifier.Check(s, answer, pinned)
+	}
+	return res
+}
+
+func (d *Driver) mutate(ctx context.Context, r *pacer.Request) {
+	ctx, cancel := clockwork.WithTimeout(ctx, d.options.Clock, r.Class.Deadline+d.options.Patience)
+	defer cancel()
+	m := caller.Mutation{
+		ID:          fmt.Sprintf("%d-%d", d.options.Load.Seed, r.Number),
+		Institution: d.options.Institution,
+		RequestKey:  d.requestKey(r.Number),
+		Collection:  r.Class.Collection,
+		Version:     d.options.Version,
+		Record:      r.Record,
+		Text:        r.Text,
+		Deadline:    r.Class.Deadline,
+	}
+	outcome, err := d.caller.Mutate(ctx, m)
+	res := d.result(r, r.At)
+	res.ID = m.ID
+	res.Outcome = outcome
+	res.Refusal, res.Err = classify(err)
+	d.recorder.Add(res)
+	if d.options.Observe != nil {
+		d.options.Observe(m, res)
+	}
+}
+
+// result returns the end, at this time, of a request with its intended time.
+func (d *Driver) result(r *pacer.Request, at time.Duration) recorder.Result {
+	return recorder.Result{
+		Class:    r.Class.Name,
+		Step:     r.Step,
+		At:       at,
+		Latency:  d.options.Clock.Since(d.start) - at,
+		Floor:    r.Class.Floor,
+		Deadline: r.Class.Deadline,
+	}
+}
+
+// requestKey returns a UUIDv7 of the present time whose random part follows
+// from the seed.
+func (d *Driver) requestKey(number int) string {
+	var seed [32]byte
+	binary.LittleEndian.PutUint64(seed[:], d.options.Load.Seed)
+	binary.LittleEndian.PutUint64(seed[8:], uint64(number))
+	// A ChaCha8 reader does not fail.
+	id, _ := uuid.NewV7FromReader(rand.NewChaCha8(seed))
+	return id.String()
+}
+
+// classify tells a refusal from the loss of an answer.
+func classify(err error) (*caller.Refusal, error) {
+	var refusal *caller.Refusal
+	if errors.As(err, &refusal) {
+		return refusal, nil
+	}
+	return nil, err
+}
+
+// after returns the query for the page that follows a record.
+func after(q *target.Query, last caller.Record) *target.Query {
+	return &target.Query{
+		Prefix: q.GetPrefix(),
+		Terms:  q.GetTerms(),
+		Limit:  q.GetLimit(),
+		After: &target.Place{
+			Score: last.Score,
+			Key:   last.Key,
+		},
+	}
+}
--- /dev/null
+++ b/loadgen/pkg/pacer/pacer.go
@@ -0,0 +1,165 @@
+// Package pacer decides when each request of an open-loop load is sent and
+// what it asks. Everything follows from a seed: the time that answers take has
+// no influence.
+package pacer
+
+import (
+	"fmt"
+	"iter"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"plantaincleat/loadgen/pkg/profiler"
+	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/synthesizer"
+)
+
+// Step is a part of a run with a constant rate.
+type Step struct {
+	// Factor is the multiple of the run's rate.
+	Factor float64
+	// Rate is in requests per second.
+	Rate     float64
+	Duration time.Duration
+}
+
+// Options describe the load.
+type Options struct {
+	Classes []profiler.Class
+	Steps   []Step
+	Seed    uint64
+	// Uniform spaces requests evenly. Otherwise the gaps are exponential, as
+	// those of many independent callers.
+	Uniform bool
+	// Terms are added to each query.
+	Terms []string
+}
+
+// Request is one request of the load.
+type Request struct {
+	// Number counts from 0.
+	Number int
+	// At is the intended send time, after the start of the run.
+	At   time.Duration
+	Step int
+	// Class points into the options' classes.
+	Class *profiler.Class
+	// Query is the first page of a read.
+	Query *target.Query
+	// Record is the key of the record of a mutation.
+	Record string
+	Text   string
+}
+
+// Validate returns an error that names the first field at fault.
+func (o *Options) Validate() error {
+	if len(o.Classes) == 0 {
+		return eris.New("field classes: at least one is needed")
+	}
+	for _, c := range o.Classes {
+		if c.Weight <= 0 {
+			return eris.Errorf("field classes: class %s has no weight", c.Name)
+		}
+	}
+	if len(o.Steps) == 0 {
+		return eris.New("field steps: at least one is needed")
+	}
+	for i, s := range o.Steps {
+		if s.Rate <= 0 {
+			return eris.Errorf("field steps[%d]: rate %v is not positive", i, s.Rate)
+		}
+		if s.Duration <= 0 {
+			return eris.Errorf("field steps[%d]: duration %v is not positive", i, s.Duration)
+		}
+	}
+	return nil
+}
+
+// Schedule yields the requests of a run in the order of their send times.
+func (o *Options) Schedule() iter.Seq[Request] {
+	return func(yield func(Request) bool) {
+		p := &pacer{
+			options: o,
+			rng:     rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		}
+		var start time.Duration
+		for i, s := range o.Steps {
+			for at := start + p.gap(s); at < start+s.Duration; at += p.gap(s) {
+				if !yield(p.next(i, at)) {
+					return
+				}
+			}
+			start += s.Duration
+		}
+	}
+}
+
+type pacer struct {
+	options *Options
+	rng     *rand.Rand
+	number  int
+}
+
+// gap returns the time to the next request.
+func (p *pacer) gap(s Step) time.Duration {
+	mean := float64(time.Second) / s.Rate
+	if p.options.Uniform {
+		return time.Duration(mean)
+	}
+	return time.Duration(mean * p.rng.ExpFloat64())
+}
+
+func (p *pacer) next(step int, at time.Duration) Request {
+	c := p.pick()
+	r := Request{
+		Number: p.number,
+		At:     at,
+		Step:   step,
+		Class:  c,
+	}
+	p.number++
+	if c.Mutation {
+		r.Record = fmt.Sprintf("%04x.%08d", p.rng.UintN(1<<16), r.Number)
+		r.Text = p.word()
+		return r
+	}
+	r.Query = &target.Query{
+		Limit: uint32(c.Limit),
+		Terms: p.terms(c.Terms),
+	}
+	return r
+}
+
+// pick draws a class by weight.
+func (p *pacer) pick() *profiler.Class {
+	classes := p.options.Classes
+	var total float64
+	for i := range classes {
+		total += classes[i].Weight
+	}
+	x := p.rng.Float64() * total
+	for i := range classes {
+		if x -= classes[i].Weight; x < 0 {
+			return &classes[i]
+		}
+	}
+	return &classes[len(classes)-1]
+}
+
+// terms draws words, and one control term that makes the query unlike others.
+func (p *pacer) terms(n int) []string {
+	terms := make([]string, 0, n+1+len(p.options.Terms))
+	for range n {
+		terms = append(terms, p.word())
+	}
+	terms = append(terms, fmt.Sprintf("%s%08x", synthesizer.Control, p.rng.Uint32()))
+	return append(terms, p.options.Terms...)
+}
+
+var vocabulary = synthesizer.Vocabulary()
+
+func (p *pacer) word() string {
+	return vocabulary[p.rng.IntN(len(vocabulary))]
+}
--- /dev/null
+++ b/loadgen/pkg/recorder/recorder.go
@@ -0,0 +1,200 @@
+package recorder
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"plantaincleat/loadgen/pkg/caller"
+	"plantaincleat/loadgen/pkg/pacer"
+	"plantaincleat/loadgen/pkg/verifier"
+)
+
+const (
+	// Range and precision of the histograms, in microseconds.
+	minLatency = 1
+	maxLatency = int64(10 * time.Minute / time.Microsecond)
+	digits     = 3
+
+	// maxExamples bounds the examples of each kind in a report.
+	maxExamples = 5
+)
+
+// bounds are the lower bounds of the coverage buckets, highest first.
+var bounds = []float64{1, 0.99, 0.95, 0.9, 0.75, 0.5, 0}
+
+// Result is the end of one request.
+type Result struct {
+	ID    string
+	Class string
+	Step  int
+	// At is the intended send time, after the start of the run.
+	At time.Duration
+	// Latency counts from the intended send time.
+	Latency time.Duration
+	// Floor and Deadline are those of the class.
+	Floor    float64
+	Deadline time.Duration
+	// Answer is that of a read, Outcome that of a mutation. Both are nil if
+	// Err is set.
+	Answer     *caller.Answer
+	Outcome    *caller.Outcome
+	Refusal    *caller.Refusal
+	Err        error
+	Violations []verifier.Violation
+}
+
+// Recorder collects results. Use New.
+type Recorder struct {
+	steps []pacer.Step
+
+	mu       sync.Mutex
+	totals   []*tally
+	classes  []map[string]*tally
+	seconds  map[int]*second
+	examples []Example
+	kinds    map[string]int
+}
+
+// second collects the results of one second.
+type second struct {
+	Second
+	latencies []int64
+	covered   float64
+	answers   int64
+}
+
+// New returns a recorder for a run of these steps.
+func New(steps []pacer.Step) *Recorder {
+	r := &Recorder{
+		steps:   steps,
+		seconds: make(map[int]*second),
+		kinds:   make(map[string]int),
+	}
+	for range steps {
+		r.totals = append(r.totals, newTally())
+		r.classes = append(r.classes, make(map[string]*tally))
+	}
+	return r
+}
+
+// Add records the end of one request.
+func (r *Recorder) Add(res Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	class := r.classes[res.Step][res.Class]
+	if class == nil {
+		class = newTally()
+		r.classes[res.Step][res.Class] = class
+	}
+	class.add(&res)
+	r.totals[res.Step].add(&res)
+	r.addSecond(&res)
+	r.addExamples(&res)
+}
+
+func (r *Recorder) addSecond(res *Result) {
+	n := int(res.At / time.Second)
+	s := r.seconds[n]
+	if s == nil {
+		s = &second{}
+		s.Second.Second = n
+		r.seconds[n] = s
+	}
+	s.Sent++
+	if res.Refusal != nil {
+		s.Refused++
+		return
+	}
+	s.latencies = append(s.latencies, res.Latency.Microseconds())
+	if res.Err != nil {
+		s.Lost++
+	}
+	if res.good() {
+		s.Good++
+	}
+	if res.Answer != nil {
+		s.answers++
+		s.covered += res.Answer.Coverage.Fraction
+	}
+}
+
+func (r *Recorder) addExamples(res *Result) {
+	e := Example{
+		Request: res.ID,
+		Class:   res.Class,
+	}
+	if res.Answer != nil {
+		e.Trace = res.Answer.Trace
+	}
+	for _, v := range res.Violations {
+		e.Kind, e.Detail = string(v.Kind), v.Detail
+		r.addExample(e)
+	}
+	switch {
+	case res.Refusal != nil:
+		e.Kind, e.Detail = "refusal "+res.Refusal.Kind, res.Refusal.Error()
+		r.addExample(e)
+	case res.Err != nil:
+		e.Kind, e.Detail = "lost", res.Err.Error()
+		r.addExample(e)
+	}
+}
+
+func (r *Recorder) addExample(e Example) {
+	if r.kinds[e.Kind]++; r.kinds[e.Kind] <= maxExamples {
+		r.examples = append(r.examples, e)
+	}
+}
+
+// Report sums up the results so far.
+func (r *Recorder) Report() *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report := &Report{
+		Examples: slices.Clone(r.examples),
+	}
+	for i, s := range r.steps {
+		step := Step{
+			Factor:   s.Factor,
+			Rate:     s.Rate,
+			Duration: s.Duration.Seconds(),
+			Total:    r.totals[i].class("total", s.Duration),
+		}
+		for _, name := range slices.Sorted(maps.Keys(r.classes[i])) {
+			step.Classes = append(step.Classes, r.classes[i][name].class(name, s.Duration))
+		}
+		report.Steps = append(report.Steps, step)
+	}
+	for _, n := range slices.Sorted(maps.Keys(r.seconds)) {
+		report.Timeline = append(report.Timeline, r.seconds[n].sum())
+	}
+	return report
+}
+
+func (s *second) sum() Second {
+	sum := s.Second
+	slices.Sort(s.latencies)
+	if n := len(s.latencies); n > 0 {
+		sum.P99 = s.latencies[(n*99-1)/100]
+	}
+	if s.answers > 0 {
+		sum.Coverage = s.covered / float64(s.answers)
+	}
+	return sum
+}
+
+// good tells whether the answer came within the deadline at or above the floor.
+func (res *Result) good() bool {
+	if res.Refusal != nil || res.Err != nil || res.Latency > res.Deadline {
+		return false
+	}
+	return res.Answer == nil || res.Answer.Coverage.Fraction >= res.Floor
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minLatency, maxLatency, digits)
+}
--- /dev/null
+++ b/loadgen/pkg/reporter/compare.go
@@ -0,0 +1,111 @@
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+
+	"plantaincleat/loadgen/pkg/recorder"
+)
+
+// Pair is one measure of two reports, for one class of one step.
+type Pair struct {
+	Factor  float64
+	Class   string
+	Measure string
+	A       float64
+	B       float64
+	format  func(float64) string
+}
+
+// Ratio returns B/A, or 0 if A is 0.
+func (p Pair) Ratio() float64 {
+	if p.A == 0 {
+		return 0
+	}
+	return p.B / p.A
+}
+
+// measure takes one figure from a class.
+type measure struct {
+	name   string
+	value  func(*recorder.Class) float64
+	format func(float64) string
+}
+
+var measures = []measure{
+	{name: "p50", value: func(c *recorder.Class) float64 { return float64(c.Latency.P50) }, format: microsFloat},
+	{name: "p99", value: func(c *recorder.Class) float64 { return float64(c.Latency.P99) }, format: microsFloat},
+	{name: "p99.9", value: func(c *recorder.Class) float64 { return float64(c.Latency.P999) }, format: microsFloat},
+	{name: "goodput", value: func(c *recorder.Class) float64 { return c.Goodput }, format: plain},
+	{name: "coverage", value: func(c *recorder.Class) float64 { return c.Coverage.Mean }, format: fraction},
+	{name: "full", value: func(c *recorder.Class) float64 { return c.Coverage.Full }, format: fraction},
+	{name: "extra", value: func(c *recorder.Class) float64 { return c.Load.Extra }, format: percent},
+	{name: "refused", value: func(c *recorder.Class) float64 { return float64(sum(c.Refused)) }, format: plain},
+	{name: "lost", value: func(c *recorder.Class) float64 { return float64(c.Lost) }, format: plain},
+	{name: "faults", value: func(c *recorder.Class) float64 { return float64(sum(c.Violations)) }, format: plain},
+}
+
+// Compare returns the measures of the classes and steps that both reports
+// have. Steps are matched by their place.
+func Compare(a, b *recorder.Report) []Pair {
+	var pairs []Pair
+	for i := range min(len(a.Steps), len(b.Steps)) {
+		sa, sb := &a.Steps[i], &b.Steps[i]
+		for _, ca := range append(slices.Clone(sa.Classes), sa.Total) {
+			cb := find(sb, ca.Name)
+			if cb == nil {
+				continue
+			}
+			for _, m := range measures {
+				pairs = append(pairs, Pair{
+					Factor:  sa.Factor,
+					Class:   ca.Name,
+					Measure: m.name,
+					A:       m.value(&ca),
+					B:       m.value(cb),
+					format:  m.format,
+				})
+			}
+		}
+	}
+	return pairs
+}
+
+func find(s *recorder.Step, class string) *recorder.Class {
+	if class == total {
+		return &s.Total
+	}
+	i := slices.IndexFunc(s.Classes, func(c recorder.Class) bool { return c.Name == class })
+	if i < 0 {
+		return nil
+	}
+	return &s.Classes[i]
+}
+
+// CompareTable writes two reports side by side under their names.
+func CompareTable(w io.Writer, nameA, nameB string, a, b *recorder.Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, padding, ' ', tabwriter.AlignRight)
+	if _, err := fmt.Fprintf(t, "step\tclass\tmeasure\t%s\t%s\tratio\t\n", nameA, nameB); err != nil {
+		return eris.Wrap(err, "write comparison")
+	}
+	for _, p := range Compare(a, b) {
+		ratio := "-"
+		if p.A != 0 {
+			ratio = fmt.Sprintf("%.2f", p.Ratio())
+		}
+		if _, err := fmt.Fprintf(t, "%.2f\t%s\t%s\t%s\t%s\t%s\t\n", p.Factor, p.Class, p.Measure, p.format(p.A), p.format(p.B), ratio); err != nil {
+			return eris.Wrap(err, "write comparison")
+		}
+	}
+	return eris.Wrap(t.Flush(), "write comparison")
+}
+
+func microsFloat(f float64) string { return micros(int64(f)) }
+
+func plain(f float64) string { return fmt.Sprintf("%.1f", f) }
+
+func fraction(f float64) string { return fmt.Sprintf("%.4f", f) }
--- /dev/null
+++ b/loadgen/pkg/reporter/plot.go
@@ -0,0 +1,203 @@
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"plantaincleat/loadgen/pkg/recorder"
+)
+
+const (
+	// Size of one panel.
+	panelWidth  = 16 * vg.Centimeter
+	panelHeight = 9 * vg.Centimeter
+	panelPad    = 5 * vg.Millimeter
+
+	// maxNines is the right end of the axis of quantiles: 99.99 %.
+	maxNines = 4
+	// minMillis keeps latencies on a logarithmic axis.
+	minMillis = 0.001
+)
+
+// Named is a report with its name in a plot.
+type Named struct {
+	Name   string
+	Report *recorder.Report
+}
+
+// series is one line of a panel.
+type series struct {
+	name   string
+	points plotter.XYs
+}
+
+// Plot writes the latency distributions and the time courses of the reports
+// as SVG or PNG.
+func Plot(w io.Writer, format string, reports ...Named) error {
+	panels, err := newPanels(reports)
+	if err != nil {
+		return err
+	}
+	height := panelHeight * vg.Length(len(panels))
+	canvas, err := draw.NewFormattedCanvas(panelWidth, height, format)
+	if err != nil {
+		return eris.Wrap(err, "make plot")
+	}
+	tiles := draw.Tiles{
+		Rows:      len(panels),
+		Cols:      1,
+		PadX:      panelPad,
+		PadY:      panelPad,
+		PadTop:    panelPad,
+		PadBottom: panelPad,
+		PadLeft:   panelPad,
+		PadRight:  panelPad,
+	}
+	dc := draw.New(canvas)
+	for i, p := range panels {
+		p.Draw(tiles.At(dc, 0, i))
+	}
+	_, err = canvas.WriteTo(w)
+	return eris.Wrap(err, "write plot")
+}
+
+// Format returns the plot format of a file's name, svg or png.
+func Format(file string) (string, error) {
+	switch f := strings.TrimPrefix(filepath.Ext(file), "."); f {
+	case "svg", "png":
+		return f, nil
+	default:
+		return "", eris.Errorf("file %s: the extension is neither svg nor png", file)
+	}
+}
+
+func newPanels(reports []Named) ([]*plot.Plot, error) {
+	var latency, goodput, p99, covered []series
+	for _, r := range reports {
+		latency = append(latency, curves(r)...)
+		goodput = append(goodput, course(r, func(s *recorder.Second) float64 { return float64(s.Good) }))
+		p99 = append(p99, course(r, func(s *recorder.Second) float64 { return millis(s.P99) }))
+		covered = append(covered, course(r, func(s *recorder.Second) float64 { return s.Coverage }))
+	}
+	distribution, err := newPanel("Latency from the intended send time", "quantile", "ms", latency)
+	if err != nil {
+		return nil, err
+	}
+	distribution.X.Tick.Marker = plot.ConstantTicks(ticks())
+	distribution.X.Min, distribution.X.Max = 0, maxNines
+	logarithmic(distribution)
+	tail, err := newPanel("p99 of each second", "s", "ms", p99)
+	if err != nil {
+		return nil, err
+	}
+	logarithmic(tail)
+	good, err := newPanel("Good answers in each second", "s", "1/s", goodput)
+	if err != nil {
+		return nil, err
+	}
+	coverages, err := newPanel("Mean coverage of each second", "s", "fraction", covered)
+	if err != nil {
+		return nil, err
+	}
+	coverages.Y.Min, coverages.Y.Max = 0, 1
+	return []*plot.Plot{distribution, tail, good, coverages}, nil
+}
+
+func newPanel(title, x, y string, lines []series) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = y
+	p.Legend.Top = true
+	p.Legend.Left = true
+	p.Add(plotter.NewGrid())
+	for i, s := range lines {
+		if len(s.points) == 0 {
+			continue
+		}
+		l, err := plotter.NewLine(s.points)
+		if err != nil {
+			return nil, eris.Wrapf(err, "plot %s", s.name)
+		}
+		l.Color = plotutil.Color(i)
+		l.Dashes = plotutil.Dashes(i)
+		p.Add(l)
+		p.Legend.Add(s.name, l)
+	}
+	return p, nil
+}
+
+// logarithmic sets a logarithmic vertical axis if there is anything to show.
+func logarithmic(p *plot.Plot) {
+	if p.Y.Min <= 0 || p.Y.Max <= p.Y.Min {
+		return
+	}
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{
+		Prec: -1,
+	}
+}
+
+// curves returns the latency distribution of each step. The horizontal axis
+// is -log10(1-quantile).
+func curves(r Named) []series {
+	var lines []series
+	for _, s := range r.Report.Steps {
+		line := series{
+			name: r.Name,
+		}
+		if len(r.Report.Steps) > 1 {
+			line.name = strings.TrimSpace(fmt.Sprintf("%s %.2f", r.Name, s.Factor))
+		}
+		for _, p := range s.Total.Latency.Curve {
+			if x := -math.Log10(1 - p.Quantile); x <= maxNines {
+				line.points = append(line.points, plotter.XY{
+					X: x,
+					Y: millis(p.Latency),
+				})
+			}
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// course returns one figure over time.
+func course(r Named, value func(*recorder.Second) float64) series {
+	line := series{
+		name: r.Name,
+	}
+	for i := range r.Report.Timeline {
+		s := &r.Report.Timeline[i]
+		line.points = append(line.points, plotter.XY{
+			X: float64(s.Second),
+			Y: value(s),
+		})
+	}
+	return line
+}
+
+func ticks() []plot.Tick {
+	var list []plot.Tick
+	for _, q := range []float64{0, 0.5, 0.9, 0.99, 0.999, 0.9999} {
+		list = append(list, plot.Tick{
+			Value: -math.Log10(1 - q),
+			Label: fmt.Sprintf("%v", q),
+		})
+	}
+	return list
+}
+
+func millis(micros int64) float64 {
+	return max(float64(micros)/1000, minMillis)
+}
--- /dev/null
+++ b/loadgen/pkg/reporter/table.go
@@ -0,0 +1,131 @@
+// Package reporter shows reports of load runs as tables and plots, and
+// compares two of them.
+package reporter
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"plantaincleat/loadgen/pkg/recorder"
+)
+
+const (
+	// Layout of the tables.
+	padding = 2
+
+	total = "total"
+)
+
+// Table writes a report as text.
+func Table(w io.Writer, r *recorder.Report) error {
+	b := &strings.Builder{}
+	fmt.Fprintf(b, "profile %s, seed %d, verified %v\n\n", r.Profile, r.Seed, r.Verified)
+	t := tabwriter.NewWriter(b, 0, 0, padding, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "step\trate\tclass\tsent\tgoodput\tgood\tp50\tp90\tp99\tp99.9\tmax\tcoverage\tfull\textra\trefused\tlost\tfaults\t")
+	for _, s := range r.Steps {
+		for _, c := range append(slices.Clone(s.Classes), s.Total) {
+			writeClass(t, &s, &c)
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return eris.Wrap(err, "write table")
+	}
+	writeDetails(b, r)
+	_, err := io.WriteString(w, b.String())
+	return eris.Wrap(err, "write table")
+}
+
+func writeClass(w io.Writer, s *recorder.Step, c *recorder.Class) {
+	fmt.Fprintf(w, "%.2f\t%.0f\t%s\t%d\t%.1f\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t\n",
+		s.Factor, s.Rate, c.Name, c.Sent, c.Goodput, share(c.Good, c.Sent),
+		micros(c.Latency.P50), micros(c.Latency.P90), micros(c.Latency.P99), micros(c.Latency.P999), micros(c.Latency.Max),
+		coverage(c, c.Coverage.Mean), coverage(c, c.Coverage.Full), percent(c.Load.Extra),
+		sum(c.Refused), c.Lost, sum(c.Violations))
+}
+
+// writeDetails writes what the table has no room for.
+func writeDetails(w io.Writer, r *recorder.Report) {
+	for _, s := range r.Steps {
+		c := s.Total
+		for _, d := range []struct {
+			title  string
+			counts map[string]int64
+		}{
+			{title: "refused", counts: c.Refused},
+			{title: "missing shards", counts: c.Coverage.Missing},
+			{title: "faults of answers", counts: c.Violations},
+		} {
+			if len(d.counts) > 0 {
+				fmt.Fprintf(w, "\nstep %.2f %s: %s", s.Factor, d.title, list(d.counts))
+			}
+		}
+		fmt.Fprintf(w, "\nstep %.2f coverage: %s", s.Factor, buckets(c.Coverage.Buckets))
+		fmt.Fprintf(w, "\nstep %.2f sub-requests: sent %d, needed %d, hedges %d, retries %d\n",
+			s.Factor, c.Load.Sent, c.Load.Needed, c.Load.Hedges, c.Load.Retries)
+	}
+	for _, e := range r.Examples {
+		fmt.Fprintf(w, "\n%s: request %s class %s trace %s: %s", e.Kind, e.Request, e.Class, e.Trace, e.Detail)
+	}
+	fmt.Fprintln(w)
+}
+
+// micros formats microseconds.
+func micros(n int64) string {
+	return (time.Duration(n) * time.Microsecond).Round(10 * time.Microsecond).String()
+}
+
+func percent(f float64) string {
+	return fmt.Sprintf("%.2f%%", 100*f)
+}
+
+func share(n, of int64) string {
+	if of == 0 {
+		return "-"
+	}
+	return percent(float64(n) / float64(of))
+}
+
+// coverage formats a fraction, or a dash for a class whose answers have none.
+func coverage(c *recorder.Class, f float64) string {
+	var answers int64
+	for _, b := range c.Coverage.Buckets {
+		answers += b.Count
+	}
+	if answers == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.4f", f)
+}
+
+func buckets(list []recorder.Bucket) string {
+	parts := make([]string, 0, len(list))
+	for _, b := range list {
+		if b.Count > 0 {
+			parts = append(parts, fmt.Sprintf("%d from %v", b.Count, b.From))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+func list(counts map[string]int64) string {
+	parts := make([]string, 0, len(counts))
+	for _, k := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s %d", k, counts[k]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func sum(counts map[string]int64) int64 {
+	var n int64
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
--- /dev/null
+++ b/loadgen/pkg/verifier/verifier.go
@@ -0,0 +1,228 @@
+// Package verifier compares answers with the reference merge of the shards
+// that they claim to cover.
+package verifier
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"plantaincleat/loadgen/pkg/caller"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/synthesizer"
+)
+
+// Kind is what is wrong with an answer.
+type Kind string
+
+const (
+	// Snapshot says that the answer names a snapshot that does not exist, or
+	// that the pages of one query come from different snapshots.
+	Snapshot Kind = "snapshot"
+	// Mixed says that a record comes from another snapshot than the answer's.
+	Mixed Kind = "mixed"
+	// Doubled says that a key stands twice in the answer.
+	Doubled Kind = "doubled"
+	// Coverage says that the covered and the missing shards, or the fraction,
+	// do not match the shards of the snapshot, or that a record comes from a
+	// shard that is not covered.
+	Coverage Kind = "coverage"
+	// Crossed says that the answer, or a record, belongs to another request.
+	Crossed Kind = "crossed"
+	// Incomplete says that a record of a covered shard is left out.
+	Incomplete Kind = "incomplete"
+	// Order says that the records are not in the result order.
+	Order Kind = "order"
+)
+
+// tolerance is the largest error of a fraction that counts as equal.
+const tolerance = 1e-9
+
+// Violation is one fault of an answer.
+type Violation struct {
+	Kind   Kind   `json:"kind"`
+	Detail string `json:"detail"`
+}
+
+// edition is one snapshot of one schema version of a collection.
+type edition struct {
+	collection string
+	version    string
+	snapshot   string
+}
+
+// Verifier knows the shards of all snapshots. Use New.
+type Verifier struct {
+	editions map[edition][]synthesizer.Shard
+}
+
+// New returns a verifier for the snapshots of all the configurations.
+func New(cfgs ...*config.Config) *Verifier {
+	v := &Verifier{
+		editions: make(map[edition][]synthesizer.Shard),
+	}
+	for _, cfg := range cfgs {
+		for _, c := range cfg.GetCollections() {
+			for _, version := range c.GetVersions() {
+				for _, s := range version.GetSnapshots() {
+					v.add(edition{
+						collection: c.GetName(),
+						version:    version.GetName(),
+						snapshot:   s.GetId(),
+					}, s)
+				}
+			}
+		}
+	}
+	return v
+}
+
+func (v *Verifier) add(e edition, s *config.Snapshot) {
+	shards := make([]synthesizer.Shard, 0, len(s.GetShards()))
+	for _, shard := range s.GetShards() {
+		shards = append(shards, synthesizer.Shard{
+			Collection: e.collection,
+			Version:    e.version,
+			Snapshot:   e.snapshot,
+			ID:         shard.GetId(),
+			From:       shard.GetFrom(),
+			To:         shard.GetTo(),
+		})
+	}
+	v.editions[e] = shards
+}
+
+// check is the state of one verification.
+type check struct {
+	search     *caller.Search
+	answer     *caller.Answer
+	covered    []synthesizer.Shard
+	violations []Violation
+}
+
+// Check returns the violations of one page. Pinned is the snapshot of the
+// pages before it, empty for the first one; the query's place is where they
+// ended.
+func (v *Verifier) Check(s *caller.Search, a *caller.Answer, pinned string) []Violation {
+	c := &check{
+		search: s,
+		answer: a,
+	}
+	if a.Request != s.ID {
+		c.fail(Crossed, "request id %q, want %q", a.Request, s.ID)
+	}
+	if pinned != "" && a.Snapshot != pinned {
+		c.fail(Snapshot, "page of snapshot %q after a page of %q", a.Snapshot, pinned)
+	}
+	shards, ok := v.editions[edition{
+		collection: s.Collection,
+		version:    s.Version,
+		snapshot:   a.Snapshot,
+	}]
+	if !ok {
+		c.fail(Snapshot, "collection %s %s has no snapshot %q", s.Collection, s.Version, a.Snapshot)
+		return c.violations
+	}
+	c.coverage(shards)
+	c.records()
+	return c.violations
+}
+
+func (c *check) fail(k Kind, format string, args ...any) {
+	c.violations = append(c.violations, Violation{
+		Kind:   k,
+		Detail: fmt.Sprintf(format, args...),
+	})
+}
+
+// coverage compares the covered and missing shards with those of the snapshot.
+func (c *check) coverage(shards []synthesizer.Shard) {
+	covered := count(c.answer.Coverage.Covered)
+	missing := make(map[string]int)
+	for _, m := range c.answer.Coverage.Missing {
+		missing[m.Shard]++
+	}
+	for _, s := range shards {
+		if n := covered[s.ID] + missing[s.ID]; n != 1 {
+			c.fail(Coverage, "shard %s stands %d times among covered and missing", s.ID, n)
+		}
+		if covered[s.ID] > 0 {
+			c.covered = append(c.covered, s)
+		}
+		delete(covered, s.ID)
+		delete(missing, s.ID)
+	}
+	if n := len(covered) + len(missing); n > 0 {
+		c.fail(Coverage, "%d unknown shards among covered and missing", n)
+	}
+	want := float64(len(c.covered)) / float64(max(1, len(shards)))
+	if math.Abs(c.answer.Coverage.Fraction-want) > tolerance {
+		c.fail(Coverage, "fraction %v, want %v", c.answer.Coverage.Fraction, want)
+	}
+}
+
+// records compares the records with the reference merge of the covered shards.
+func (c *check) records() {
+	want := synthesizer.Merge(c.covered, c.search.Query)
+	wanted := make(map[string]*target.Record, len(want))
+	for _, r := range want {
+		wanted[r.GetKey()] = r
+	}
+	seen := make(map[string]bool, len(c.answer.Records))
+	for _, r := range c.answer.Records {
+		if seen[r.Key] {
+			c.fail(Doubled, "record %s", r.Key)
+			continue
+		}
+		seen[r.Key] = true
+		c.record(r, wanted[r.Key])
+	}
+	for _, r := range want {
+		if !seen[r.GetKey()] {
+			c.fail(Incomplete, "record %s is left out", r.GetKey())
+		}
+	}
+	if !slices.IsSortedFunc(c.answer.Records, compare) {
+		c.fail(Order, "the records are not sorted")
+	}
+}
+
+// record checks one record against the wanted one, nil if there is none.
+func (c *check) record(r caller.Record, want *target.Record) {
+	if want != nil && want.GetText() == r.Text && want.GetScore() == r.Score {
+		return
+	}
+	snapshot, _, _ := strings.Cut(r.Text, " ")
+	switch {
+	case snapshot != c.answer.Snapshot:
+		c.fail(Mixed, "record %s of snapshot %q in an answer of %q", r.Key, snapshot, c.answer.Snapshot)
+	case !slices.ContainsFunc(c.covered, func(s synthesizer.Shard) bool { return holds(s, r.Key) }):
+		c.fail(Coverage, "record %s lies in no covered shard", r.Key)
+	default:
+		c.fail(Crossed, "record %s does not answer the query", r.Key)
+	}
+}
+
+func holds(s synthesizer.Shard, key string) bool {
+	return key >= s.From && (s.To == "" || key < s.To)
+}
+
+func compare(a, b caller.Record) int {
+	return synthesizer.Compare(&target.Record{
+		Key:   a.Key,
+		Score: a.Score,
+	}, &target.Record{
+		Key:   b.Key,
+		Score: b.Score,
+	})
+}
+
+func count(ids []string) map[string]int {
+	n := make(map[string]int, len(ids))
+	for _, id := range ids {
+		n[id]++
+	}
+	return n
+}
