--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -137,7 +137,7 @@
 		if a.Cancel {
 			if f := j.flights[a.Nonce]; f != nil {
 				delete(j.flights, a.Nonce)
-				f.lane.withdraw(a.Nonce)
+				f.lane.withdraw(a.Nonce, j.late())
 				j.conclude(f, target.Status_STATUS_CANCELLED, nil)
 			}
 			continue
@@ -319,9 +319,12 @@
 	}
 }
 
+// late reports whether the deadline has passed.
+func (j *job) late() bool { return !j.gatherer.clock.Now().Before(j.deadline) }
+
 // abandon withdraws what is in flight after the root lost interest.
 func (j *job) abandon() {
 	for nonce, f := range j.flights {
-		f.lane.withdraw(nonce)
+		f.lane.withdraw(nonce, j.late())
 	}
 }
--- a/entryd/pkg/handler/mutate.go
+++ b/entryd/pkg/handler/mutate.go
@@ -3,9 +3,8 @@
 import (
 	"net/http"
 
-	"github.com/cespare/xxhash/v2"
-
 	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/hasher"
 	"plantaincleat/tier/pkg/tracer"
 )
 
@@ -90,6 +89,6 @@
 			Text: b.Text,
 		},
 		Deadline:    h.Clock.Now().Add(left),
-		Fingerprint: xxhash.Sum64String(in.GetName() + "\x00" + b.Collection + "\x00" + b.Version + "\x00" + b.Key + "\x00" + b.Text),
+		Fingerprint: hasher.Strings(in.GetName(), b.Collection, b.Version, b.Key, b.Text),
 	}, nil
 }
