--- a/entryd/pkg/coordinator/coordinator.go
+++ b/entryd/pkg/coordinator/coordinator.go
@@ -21,8 +21,13 @@
 	"plantaincleat/tier/pkg/indexer"
 )
 
-// ErrSnapshotGone reports that a cursor's snapshot is not served any more.
-var ErrSnapshotGone = errors.New("the cursor's snapshot is not served any more")
+// Errors of Run.
+var (
+	// ErrSnapshotGone reports that a cursor's snapshot is not served any more.
+	ErrSnapshotGone = errors.New("the cursor's snapshot is not served any more")
+	// ErrQuarantined reports that the request was quarantined while it ran.
+	ErrQuarantined = errors.New("the request was quarantined while it ran")
+)
 
 // Placement tells which daemons gather for which targets.
 type Placement interface {
@@ -45,9 +50,14 @@
 	// waits for every shard.
 	Goal        time.Time
 	Floor       float64
+	Institution string
 	Fingerprint uint64
 	// Suspected requests are not hedged.
 	Suspected bool
+	// Canary requests ask one shard first: the one named by First if the
+	// snapshot has it.
+	Canary bool
+	First  string
 }
 
 // Result is the answer to a query.
@@ -158,6 +168,9 @@
 	for {
 		s := newSearch(c, r, ix, snapshot)
 		s.run(ctx)
+		if s.quarantined() {
+			return nil, ErrQuarantined
+		}
 		if !s.dropped || !c.Clock.Now().Before(r.Deadline) {
 			return c.result(s, restarts), nil
 		}
--- a/entryd/pkg/coordinator/search.go
+++ b/entryd/pkg/coordinator/search.go
@@ -72,6 +72,7 @@
 		Goal:     r.Goal,
 		Floor:    r.Floor,
 		Hedging:  !r.Suspected,
+		First:    first(r, snapshot),
 	}
 	ch := &chooser{
 		root:    c,
@@ -82,6 +83,27 @@
 	return s
 }
 
+// first returns one more than the shard to ask first, 0 for all at once.
+func first(r *Request, snapshot *indexer.Snapshot) int {
+	if !r.Canary || snapshot.Len() == 0 {
+		return 0
+	}
+	if i := snapshot.Find(r.First); i >= 0 {
+		return i + 1
+	}
+	return int(r.Fingerprint%uint64(snapshot.Len())) + 1
+}
+
+// quarantined reports whether targets were kept from the request.
+func (s *search) quarantined() bool {
+	for i := range s.snapshot.Len() {
+		if s.query.Reason(i) == peer.Reason_REASON_QUARANTINED {
+			return true
+		}
+	}
+	return false
+}
+
 // run drives the query to its end. All of its state belongs to the calling
 // goroutine.
 func (s *search) run(ctx context.Context) {
@@ -182,6 +204,7 @@
 		Remaining:   s.request.Deadline.Sub(s.root.Clock.Now()).Microseconds(),
 		Trace:       tracer.Inject(ctx),
 		Fingerprint: s.request.Fingerprint,
+		Institution: s.request.Institution,
 		Suspected:   s.request.Suspected,
 	}
 	for _, u := range a.Units {
--- a/entryd/pkg/gatherer/gatherer.go
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -15,6 +15,7 @@
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/exchanger"
 	"plantaincleat/entryd/pkg/limiter"
+	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/entryd/pkg/router"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/pkg/indexer"
@@ -43,6 +44,8 @@
 	connector  Connector
 	clock      clockwork.Clock
 	budget     router.Budget
+	quarantine *quarantiner.Quarantiner
+	onLoss     func()
 
 	nonce  atomic.Uint64
 	counts Counts
@@ -69,6 +72,10 @@
 	Connector  Connector
 	Clock      clockwork.Clock
 	Budget     router.Budget
+	Quarantine *quarantiner.Quarantiner
+	// OnLoss is called after a target was lost, when suspicions may have
+	// changed.
+	OnLoss func()
 }
 
 // New returns a gatherer.
@@ -81,6 +88,8 @@
 		connector:  o.Connector,
 		clock:      o.Clock,
 		budget:     o.Budget,
+		quarantine: o.Quarantine,
+		onLoss:     o.OnLoss,
 		lanes:      map[string]*lane{},
 		drained:    make(chan struct{}),
 	}
@@ -123,7 +132,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if l = g.lanes[key]; l == nil {
-		l = newLane(t, exchanger.NewTargetLink(t.GetAddress(), g.dial, g.clock), &g.gauges, &g.limits, g.clock)
+		l = newLane(g, t)
 		g.lanes[key] = l
 	}
 	return l
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -69,6 +69,7 @@
 		Deadline: j.deadline,
 		Hedging:  !task.GetSuspected(),
 		Separate: true,
+		First:    j.snapshot.Find(task.GetFirst()) + 1,
 	}
 	j.query = router.New(j.snapshot.Len(), terms, &selector{job: j}, g.budget, func() uint64 { return g.nonce.Add(1) })
 	return j
@@ -183,8 +184,10 @@
 			Query:      j.task.GetQuery(),
 			Trace:      j.trace,
 		},
-		expiry: j.deadline,
-		sink:   func(r reply) { j.events.Put(r) },
+		expiry:      j.deadline,
+		fingerprint: j.task.GetFingerprint(),
+		institution: j.task.GetInstitution(),
+		sink:        func(r reply) { j.events.Put(r) },
 	})
 }
 
@@ -214,9 +217,12 @@
 	counts := &j.gatherer.counts
 	if r.err != nil {
 		j.conclude(f, target.Status_STATUS_UNSPECIFIED, r.err)
-		if errors.Is(r.err, errWaiting) {
+		switch {
+		case errors.Is(r.err, errWaiting):
 			counts.Sheds.Add(1)
 			return peer.Reason_REASON_SHED
+		case errors.Is(r.err, errQuarantined):
+			return peer.Reason_REASON_QUARANTINED
 		}
 		if errors.Is(r.err, exchanger.ErrLost) {
 			counts.Lost.Add(1)
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/exchanger"
 	"plantaincleat/entryd/pkg/limiter"
+	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/target"
 )
@@ -25,18 +27,29 @@
 	err    error
 }
 
-// errWaiting reports that the lane's queue was full.
-var errWaiting = errors.New("too many requests wait for the target")
+// Errors of requests that were not sent.
+var (
+	errWaiting     = errors.New("too many requests wait for the target")
+	errAvoided     = errors.New("the request may have crashed this target")
+	errQuarantined = errors.New("the request is quarantined")
+)
+
+// busyPause is the time after which requests that had to wait for a suspect
+// are tried again.
+const busyPause = 2 * time.Millisecond
 
 // request is one search on its way to a target.
 type request struct {
-	nonce  uint64
-	search *target.Search
-	expiry time.Time
-	sink   func(reply)
+	nonce       uint64
+	search      *target.Search
+	expiry      time.Time
+	fingerprint uint64
+	institution string
+	sink        func(reply)
 
 	ticket estimator.Ticket
 	permit limiter.Permit
+	run    quarantiner.Run
 }
 
 // lane is the one queue of this gatherer for one target.
@@ -47,27 +60,33 @@
 	link  *exchanger.TargetLink
 	gauge *estimator.Estimator
 	limit *limiter.Limiter
+	watch *quarantiner.Target
+	// onLoss is called after the target was lost.
+	onLoss func()
 
 	mu      sync.Mutex
 	waiting []*request
 	flying  map[uint64]*request
+	retry   bool
 	// leaving is the incarnation that has said that it is leaving, or zero.
 	leaving uint64
 }
 
-func newLane(t *config.Target, link *exchanger.TargetLink, gauges *estimator.Group, limits *limiter.Group, clock clockwork.Clock) *lane {
+func newLane(g *Gatherer, t *config.Target) *lane {
 	slots := max(int(t.GetSlots()), 1)
 	return &lane{
 		id:    t.GetId(),
 		slots: slots,
-		clock: clock,
-		link:  link,
-		gauge: gauges.New(estimator.Settings{
+		clock: g.clock,
+		link:  exchanger.NewTargetLink(t.GetAddress(), g.dial, g.clock),
+		gauge: g.gauges.New(estimator.Settings{
 			Slots: slots,
 		}),
-		limit: limits.New(limiter.Settings{
+		limit: g.limits.New(limiter.Settings{
 			Slots: slots,
 		}),
+		watch:  g.quarantine.Target(t.GetId()),
+		onLoss: g.onLoss,
 		flying: map[uint64]*request{},
 	}
 }
@@ -95,6 +114,7 @@
 	r, flying := l.flying[nonce]
 	if flying {
 		delete(l.flying, nonce)
+		l.watch.End(r.run, false)
 		l.gauge.Drop()
 		l.limit.Release(r.permit, withdrawal(late), 0)
 	} else {
@@ -132,10 +152,17 @@
 // pump sends waiting requests while the target has room.
 func (l *lane) pump() {
 	for {
-		r := l.next()
+		r, err := l.next()
 		if r == nil {
 			return
 		}
+		if err != nil {
+			r.sink(reply{
+				nonce: r.nonce,
+				err:   err,
+			})
+			continue
+		}
 		l.link.Send(r.nonce, &target.Call{
 			Nonce: r.nonce,
 			Body: &target.Call_Search{
@@ -145,26 +172,59 @@
 	}
 }
 
-// next takes the oldest waiting request if the target has room for it.
-func (l *lane) next() *request {
+// next takes the oldest waiting request that may run, if the target has room
+// for it. An error refuses the request.
+func (l *lane) next() (*request, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.waiting) == 0 {
-		return nil
+		return nil, nil
 	}
 	permit, ok := l.limit.Acquire(l.gauge.Allowed())
 	if !ok {
-		return nil
+		return nil, nil
 	}
-	r := l.waiting[0]
-	l.waiting[0] = nil
-	l.waiting = l.waiting[1:]
 	now := l.clock.Now()
-	r.search.Remaining = max(r.expiry.Sub(now), 0).Microseconds()
-	r.ticket = l.gauge.Send(now)
-	r.permit = permit
-	l.flying[r.nonce] = r
-	return r
+	for i, r := range l.waiting {
+		run, verdict := l.watch.Begin(now, r.fingerprint, r.institution, r.search.GetShard())
+		if verdict == quarantiner.Busy {
+			continue
+		}
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+		if err := refusals[verdict]; err != nil {
+			l.limit.Release(permit, limiter.Neutral, 0)
+			return r, err
+		}
+		r.search.Remaining = max(r.expiry.Sub(now), 0).Microseconds()
+		r.ticket = l.gauge.Send(now)
+		r.permit = permit
+		r.run = run
+		l.flying[r.nonce] = r
+		return r, nil
+	}
+	l.limit.Release(permit, limiter.Neutral, 0)
+	l.pumpLater()
+	return nil, nil
+}
+
+// refusals maps the verdicts that keep a request from a target to errors.
+var refusals = map[quarantiner.Verdict]error{
+	quarantiner.Avoid:  errAvoided,
+	quarantiner.Denied: errQuarantined,
+}
+
+// pumpLater pumps again after a pause. l.mu is held.
+func (l *lane) pumpLater() {
+	if l.retry {
+		return
+	}
+	l.retry = true
+	l.clock.AfterFunc(busyPause, func() {
+		l.mu.Lock()
+		l.retry = false
+		l.mu.Unlock()
+		l.pump()
+	})
 }
 
 func (l *lane) receive(r *request, a *target.Answer, err error) {
@@ -191,8 +251,14 @@
 	if err != nil {
 		l.gauge.Fail()
 		l.limit.Release(r.permit, limiter.Neutral, 0)
+		if errors.Is(err, exchanger.ErrLost) {
+			l.watch.Lost(l.clock.Now())
+			go l.onLoss()
+		}
+		l.watch.End(r.run, false)
 		return
 	}
+	l.watch.End(r.run, a.GetStatus() == target.Status_STATUS_DONE)
 	l.limit.Release(r.permit, results[a.GetStatus()], int(a.GetLoad().GetQueue()))
 	l.leaving = 0
 	if a.GetLoad().GetLeaving() {
--- a/entryd/pkg/handler/handler.go
+++ b/entryd/pkg/handler/handler.go
@@ -12,6 +12,7 @@
 	"plantaincleat/entryd/pkg/admitter"
 	"plantaincleat/entryd/pkg/coordinator"
 	"plantaincleat/entryd/pkg/gatherer"
+	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/entryd/pkg/recorder"
 	"plantaincleat/tier/gen/target"
 )
@@ -45,11 +46,10 @@
 
 // Quarantine tells which requests are refused or must run with care.
 type Quarantine interface {
-	// Check returns how long requests with the fingerprint are still
-	// quarantined, zero if they are not, and whether they are suspected.
-	Check(fingerprint uint64) (left time.Duration, suspected bool)
-	// Done reports the targets that crashed while they ran the request.
-	Done(fingerprint uint64, institution string, crashed []string)
+	// Plan tells how to run requests with a fingerprint.
+	Plan(now time.Time, fingerprint uint64) quarantiner.Plan
+	// Completed remembers that a request was answered by all of its shards.
+	Completed(fingerprint uint64)
 }
 
 // Options are the collaborators of a Handler.
--- a/entryd/pkg/handler/refusal.go
+++ b/entryd/pkg/handler/refusal.go
@@ -140,6 +140,7 @@
 	{indexer.ErrClass, KindUnknown, "class"},
 	{indexer.ErrSnapshot, KindGone, "cursor"},
 	{coordinator.ErrSnapshotGone, KindGone, "cursor"},
+	{coordinator.ErrQuarantined, KindQuarantined, ""},
 	{pager.ErrMalformed, KindMalformed, "cursor"},
 	{pager.ErrQuery, KindMalformed, "cursor"},
 }
--- a/entryd/pkg/handler/search.go
+++ b/entryd/pkg/handler/search.go
@@ -6,6 +6,7 @@
 
 	"plantaincleat/entryd/pkg/admitter"
 	"plantaincleat/entryd/pkg/coordinator"
+	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
@@ -84,7 +85,9 @@
 		h.refuse(w, r, err)
 		return
 	}
-	h.Quarantine.Done(q.request.Fingerprint, q.institution.GetName(), result.Crashed)
+	if len(result.Missing) == 0 {
+		h.Quarantine.Completed(q.request.Fingerprint)
+	}
 	answer := buildAnswer(q, result)
 	answer.Request = requestID(r)
 	answer.Trace = tracer.ID(ctx)
@@ -166,7 +169,8 @@
 		Query:       tq,
 		Deadline:    now.Add(left),
 		Floor:       q.class.GetFloor(),
-		Fingerprint: q.hash,
+		Institution: q.institution.GetName(),
+		Fingerprint: fingerprint(q),
 	}
 	if goal := q.class.GetGoal().AsDuration(); goal > 0 {
 		q.request.Goal = now.Add(goal)
@@ -183,17 +187,31 @@
 	return nil
 }
 
+// fingerprint identifies what a query makes targets do.
+func fingerprint(q *query) uint64 {
+	parts := [][]byte{[]byte(q.body.Collection), []byte(q.body.Version), []byte(q.body.Prefix)}
+	for _, t := range q.body.Terms {
+		parts = append(parts, []byte(t))
+	}
+	return quarantiner.Fingerprint(q.institution.GetName(), parts...)
+}
+
+// checkQuarantine refuses quarantined requests and plans how suspected ones, and
+// those of a class with canaries, are spread.
 func (h *Handler) checkQuarantine(q *query) error {
-	left, suspected := h.Quarantine.Check(q.request.Fingerprint)
-	if left > 0 {
+	now := h.Clock.Now()
+	plan := h.Quarantine.Plan(now, q.request.Fingerprint)
+	if plan.Mode == quarantiner.Refused {
 		return &Refusal{
 			Kind:       KindQuarantined,
 			Message:    "this request is quarantined because targets crashed while they ran it",
 			Run:        RunNo,
-			RetryAfter: left,
+			RetryAfter: plan.Expires.Sub(now),
 		}
 	}
-	q.request.Suspected = suspected
+	q.request.Suspected = plan.Suspected
+	q.request.Canary = plan.Mode == quarantiner.Canary && (plan.Suspected || q.class.GetCanary())
+	q.request.First = plan.Shard
 	return nil
 }
 
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -55,6 +55,9 @@
 	Hedging bool
 	// Separate sends each unit in an attempt of its own.
 	Separate bool
+	// First is one more than the unit to send alone and unhedged until it is
+	// covered or closed. Zero sends all units at once.
+	First int
 }
 
 // Action is something for the caller to do.
@@ -107,6 +110,7 @@
 	retries  int
 	done     bool
 	late     int
+	held     []int
 	out      []Action[P]
 }
 
@@ -127,11 +131,17 @@
 // Start sends every unit on its first path.
 func (q *Query[P]) Start(now time.Time) []Action[P] {
 	q.out = nil
-	all := make([]int, len(q.units))
-	for i := range all {
-		all[i] = i
+	all := make([]int, 0, len(q.units))
+	for i := range q.units {
+		if i != q.terms.First-1 {
+			all = append(all, i)
+		}
+	}
+	q.budget.Sent(len(q.units))
+	if q.terms.First > 0 {
+		q.held = all
+		all = []int{q.terms.First - 1}
 	}
-	q.budget.Sent(len(all))
 	q.send(all, now, false)
 	q.settle(now)
 	return q.out
@@ -374,7 +384,7 @@
 	}
 	var granted []int
 	for _, u := range units {
-		if !q.spare(u, now) {
+		if !q.spare(u, now) || q.units[u].reason == peer.Reason_REASON_QUARANTINED {
 			q.closeIfIdle(u, q.units[u].reason)
 			continue
 		}
@@ -414,7 +424,7 @@
 	var hedges, retries []int
 	for _, a := range q.overdue(now) {
 		failed := q.chooser.Failed(a.path, now)
-		if !failed && !q.terms.Hedging {
+		if !failed && (!q.terms.Hedging || len(q.held) > 0) {
 			continue
 		}
 		for _, u := range a.units {
@@ -463,6 +473,7 @@
 	if q.done {
 		return
 	}
+	q.unhold(now)
 	n := len(q.units)
 	early := !q.terms.Goal.IsZero() && !now.Before(q.terms.Goal) && float64(q.covered) >= q.terms.Floor*float64(n)
 	if q.covered+q.closed < n && !early && now.Before(q.terms.Deadline) {
@@ -485,6 +496,27 @@
 	clear(q.attempts)
 }
 
+// unhold sends the other units once the first has been answered, or cannot be.
+// A quarantined request goes no further.
+func (q *Query[P]) unhold(now time.Time) {
+	if len(q.held) == 0 {
+		return
+	}
+	first := q.units[q.terms.First-1]
+	if !first.covered && !first.closed {
+		return
+	}
+	held := q.held
+	q.held = nil
+	if first.reason != peer.Reason_REASON_QUARANTINED {
+		q.send(held, now, false)
+		return
+	}
+	for _, u := range held {
+		q.closeIfIdle(u, first.reason)
+	}
+}
+
 // rank orders reasons by how much they explain: the highest one is reported.
 var rank = map[peer.Reason]int{
 	peer.Reason_REASON_UNSPECIFIED: 0,
@@ -494,6 +526,7 @@
 	peer.Reason_REASON_SHED:        4,
 	peer.Reason_REASON_BUDGET:      5,
 	peer.Reason_REASON_DROPPED:     6,
+	peer.Reason_REASON_QUARANTINED: 7,
 }
 
 func worse(a, b peer.Reason) peer.Reason {
--- a/entryd/pkg/starter/mutator.go
+++ b/entryd/pkg/starter/mutator.go
@@ -21,8 +21,8 @@
 func (d *Daemon) newMutator() handler.Mutator {
 	return &mutator{
 		forwarder: &forwarder.Forwarder{
-			ID:      d.cfg.GetId(),
-			Configs: d.configs,
+			ID:         d.cfg.GetId(),
+			Configs:    d.configs,
 			Placement:  &d.placement,
 			Departures: d.departer,
 			Connector:  d.dialer,
@@ -65,12 +65,3 @@
 		RetryAfter: retryPause,
 	}
 }
-
-// openQuarantine quarantines nothing.
-type openQuarantine struct{}
-
-// Check implements handler.Quarantine.
-func (openQuarantine) Check(uint64) (time.Duration, bool) { return 0, false }
-
-// Done implements handler.Quarantine.
-func (openQuarantine) Done(uint64, string, []string) {}
--- /dev/null
+++ b/entryd/pkg/starter/quarantine.go
@@ -0,0 +1,81 @@
+package starter
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"plantaincleat/entryd/pkg/administrator"
+	"plantaincleat/tier/gen/peer"
+)
+
+// quarantineInterval is the time between two looks at the suspicions, beside
+// those after a loss.
+const quarantineInterval = time.Second
+
+// publishQuarantine tells the other daemons what this one knows.
+func (d *Daemon) publishQuarantine() {
+	for _, q := range d.quarantine.Notices(d.clock.Now()) {
+		d.gossip.Publish(&peer.Notice{
+			Body: &peer.Notice_Quarantine{
+				Quarantine: q,
+			},
+		})
+	}
+}
+
+// followQuarantine exchanges suspicions and quarantines until ctx ends.
+func (d *Daemon) followQuarantine(ctx context.Context) {
+	changed, stop := d.gossip.Subscribe()
+	defer stop()
+	for {
+		for _, n := range d.gossip.Notices() {
+			if q := n.GetQuarantine(); q != nil {
+				d.quarantine.Merge(d.clock.Now(), q)
+			}
+		}
+		select {
+		case <-changed:
+		case <-d.clock.After(quarantineInterval):
+			d.publishQuarantine()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// quarantineView is one quarantine as operators see it.
+type quarantineView struct {
+	Fingerprint string   `json:"fingerprint"`
+	Institution string   `json:"institution"`
+	Expires     string   `json:"expires"`
+	Targets     []string `json:"targets"`
+}
+
+func (d *Daemon) listQuarantine(w http.ResponseWriter, _ *http.Request) {
+	out := []quarantineView{}
+	for _, q := range d.quarantine.List(d.clock.Now()) {
+		out = append(out, quarantineView{
+			Fingerprint: strconv.FormatUint(q.GetFingerprint(), 16),
+			Institution: q.GetInstitution(),
+			Expires:     time.UnixMilli(q.GetExpires()).UTC().Format(time.RFC3339),
+			Targets:     q.GetTargets(),
+		})
+	}
+	administrator.WriteJSON(w, http.StatusOK, out)
+}
+
+func (d *Daemon) clearQuarantine(w http.ResponseWriter, r *http.Request) {
+	fingerprint, err := strconv.ParseUint(r.PathValue("fingerprint"), 16, 64)
+	if err != nil {
+		administrator.WriteJSON(w, http.StatusBadRequest, map[string]string{"error": "fingerprint: not a number in hex"})
+		return
+	}
+	if !d.quarantine.Clear(d.clock.Now(), fingerprint) {
+		administrator.WriteJSON(w, http.StatusNotFound, map[string]string{"error": "fingerprint: not quarantined"})
+		return
+	}
+	d.publishQuarantine()
+	administrator.WriteJSON(w, http.StatusOK, map[string]string{"cleared": r.PathValue("fingerprint")})
+}
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -23,6 +23,7 @@
 	"plantaincleat/entryd/pkg/gossiper"
 	"plantaincleat/entryd/pkg/handler"
 	"plantaincleat/entryd/pkg/placer"
+	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/entryd/pkg/recorder"
 	"plantaincleat/entryd/pkg/server"
 	"plantaincleat/tier/gen/settings"
@@ -55,6 +56,7 @@
 	gossip      *gossiper.Runner
 	placement   placer.Holder
 	admission   *admission
+	quarantine  *quarantiner.Quarantiner
 	departer    *departer.Departer
 	gatherer    *gatherer.Gatherer
 	coordinator *coordinator.Coordinator
@@ -112,6 +114,9 @@
 // buildQueries makes the path of a query.
 func (d *Daemon) buildQueries() {
 	gathering, rooting := newBudget(), newBudget()
+	d.quarantine = quarantiner.New(quarantiner.Settings{
+		Canary: true,
+	})
 	d.gatherer = gatherer.New(gatherer.Options{
 		ID:         d.cfg.GetId(),
 		Configs:    d.configs,
@@ -120,6 +125,8 @@
 		Connector:  d.dialer,
 		Clock:      d.clock,
 		Budget:     gathering,
+		Quarantine: d.quarantine,
+		OnLoss:     d.publishQuarantine,
 	})
 	gathering.saturated = d.gatherer.Saturated
 	d.coordinator = coordinator.New(coordinator.Options{
@@ -141,14 +148,19 @@
 		Searcher:   d.coordinator,
 		Mutator:    d.newMutator(),
 		Admitter:   d.admission,
-		Quarantine: openQuarantine{},
+		Quarantine: d.quarantine,
 		Clock:      d.clock,
 		Recorder:   record,
 	})
 	d.admin = administrator.New(d, record)
+	d.admin.Handle("GET /quarantine", d.listQuarantine)
+	d.admin.Handle("DELETE /quarantine/{fingerprint}", d.clearQuarantine)
 	d.configs.onChange = append(d.configs.onChange, func(ix *indexer.Index) {
 		gathering.set(ix.Policy())
 		rooting.set(ix.Policy())
+		if p := ix.Policy().GetQuarantine().AsDuration(); p > 0 {
+			d.quarantine.SetPeriod(p)
+		}
 		d.admission.configure(ix.Accepted().GetConfig().GetInstitutions())
 		d.gossip.SetRevision(ix.Revision())
 		slog.Info("configuration in force", "revision", ix.Revision(), "change", ix.Accepted().GetHead().GetChange())
@@ -194,6 +206,7 @@
 	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
 	d.wg.Go(func() { d.departer.Run(d.ctx) })
 	d.wg.Go(func() { d.place(d.ctx) })
+	d.wg.Go(func() { d.followQuarantine(d.ctx) })
 	d.wg.Go(func() { d.admission.run(d.ctx) })
 	d.wg.Go(func() { d.gatherer.Watch(d.ctx) })
 	slog.Info("started", "http", d.cfg.GetListen().GetHttp(), "peer", d.cfg.GetListen().GetPeer(), "admin", d.cfg.GetListen().GetAdmin())
