--- /dev/null
+++ b/loadgen/cmd/loadgen/main.go
@@ -0,0 +1,20 @@
+// Command loadgen puts an open-loop load on a query tier, checks its answers
+// and reports latency, coverage and extra load.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"plantaincleat/loadgen/pkg/commander"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := commander.New().ExecuteContext(ctx); err != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/loadgen/pkg/commander/audit.go
@@ -0,0 +1,141 @@
+package commander
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+)
+
+// maxLine bounds a line of the files in bytes.
+const maxLine = 1 << 20
+
+// errAudit ends an audit that found a fault.
+var errAudit = eris.New("runs of mutations do not match what callers were told")
+
+// mutationLine is the outcome of one mutation as its caller knows it.
+type mutationLine struct {
+	// Key is the request key.
+	Key    string `json:"key"`
+	Record string `json:"record"`
+	// Run is "yes", "no" or "unknown".
+	Run    string `json:"run"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// executionLine is one run of a mutation, as the target stand-in logs it.
+type executionLine struct {
+	Key string `json:"key"`
+}
+
+// audit counts the mutations and their faults.
+type audit struct {
+	mutations int
+	runs      int
+	// doubled ran more than once.
+	doubled []string
+	// refused ran although their caller was told that they had not.
+	refused []string
+	// absent did not run although their caller was told that they had.
+	absent []string
+	// foreign ran without any caller's request.
+	foreign []string
+}
+
+func newAudit() *cobra.Command {
+	var mutations string
+	var journals []string
+	cmd := &cobra.Command{
+		Use:   "audit",
+		Short: "Compare the runs of mutations with what callers were told",
+		Long: "Reads the outcomes that loadgen run wrote and the journals of the target\n" +
+			"stand-ins, and fails if a mutation ran twice, ran although its refusal said that\n" +
+			"it had not, or did not run although its answer said so.",
+		Example: "  loadgen run --profile kahikatea --classes entry --entry http://127.0.1.1:20000 --mutations told.jsonl\n" +
+			"  loadgen audit --mutations told.jsonl --journal runs.jsonl",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runAudit(cmd.OutOrStdout(), mutations, journals)
+		},
+	}
+	cmd.Flags().StringVar(&mutations, "mutations", "", "outcomes, from loadgen run --mutations")
+	cmd.Flags().StringArrayVar(&journals, "journal", nil, "runs, from standin target --journal; may be repeated")
+	return cmd
+}
+
+func runAudit(w io.Writer, mutations string, journals []string) error {
+	told, err := readLines[mutationLine](mutations)
+	if err != nil {
+		return eris.Wrap(err, "flag --mutations")
+	}
+	var runs []executionLine
+	for _, file := range journals {
+		lines, err := readLines[executionLine](file)
+		if err != nil {
+			return eris.Wrap(err, "flag --journal")
+		}
+		runs = append(runs, lines...)
+	}
+	a := newAuditOf(told, runs)
+	if _, err := fmt.Fprintf(w, "mutations %d, runs %d\ndoubled %d %v\nrun though refused %d %v\nnot run though answered %d %v\nwithout a caller %d %v\n",
+		a.mutations, a.runs, len(a.doubled), a.doubled, len(a.refused), a.refused, len(a.absent), a.absent, len(a.foreign), a.foreign); err != nil {
+		return eris.Wrap(err, "write audit")
+	}
+	if len(a.doubled)+len(a.refused)+len(a.absent)+len(a.foreign) > 0 {
+		return errAudit
+	}
+	return nil
+}
+
+func newAuditOf(told []mutationLine, runs []executionLine) *audit {
+	a := &audit{
+		mutations: len(told),
+		runs:      len(runs),
+	}
+	counts := make(map[string]int)
+	for _, r := range runs {
+		if counts[r.Key]++; counts[r.Key] == 2 {
+			a.doubled = append(a.doubled, r.Key)
+		}
+	}
+	known := make(map[string]bool)
+	for _, m := range told {
+		known[m.Key] = true
+		switch n := counts[m.Key]; {
+		case m.Run == "no" && n > 0:
+			a.refused = append(a.refused, m.Key)
+		case m.Run == "yes" && n == 0:
+			a.absent = append(a.absent, m.Key)
+		}
+	}
+	for _, r := range runs {
+		if !known[r.Key] {
+			a.foreign = append(a.foreign, r.Key)
+		}
+	}
+	return a
+}
+
+// readLines reads a file of JSON lines.
+func readLines[T any](file string) ([]T, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var list []T
+	s := bufio.NewScanner(bytes.NewReader(b))
+	s.Buffer(nil, maxLine)
+	for n := 1; s.Scan(); n++ {
+		var line T
+		if err := json.Unmarshal(s.Bytes(), &line); err != nil {
+			return nil, eris.Wrapf(err, "file %s: line %d", file, n)
+		}
+		list = append(list, line)
+	}
+	return list, s.Err()
+}
--- /dev/null
+++ b/loadgen/pkg/commander/root.go
@@ -0,0 +1,56 @@
+// Package commander holds the command line of the load generator.
+package commander
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"plantaincleat/loadgen/pkg/profiler"
+	"plantaincleat/loadgen/pkg/recorder"
+)
+
+const fileMode = 0o644
+
+// New returns the root command.
+func New() *cobra.Command {
+	root := &cobra.Command{
+		Use:          "loadgen",
+		Short:        "Open-loop load on a query tier, with checks of its answers",
+		SilenceUsage: true,
+		Args:         cobra.NoArgs,
+	}
+	root.AddCommand(newProfile(), newRun(), newCompare(), newAudit())
+	return root
+}
+
+// profileArg refuses all but the name of one profile.
+func profileArg(cmd *cobra.Command, args []string) error {
+	if len(args) != 1 {
+		return eris.Errorf("%s: give one of the profiles %s", cmd.CommandPath(), strings.Join(profiler.Names(), ", "))
+	}
+	return nil
+}
+
+func readReport(file string) (*recorder.Report, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrap(err, "read report")
+	}
+	r := &recorder.Report{}
+	if err := json.Unmarshal(b, r); err != nil {
+		return nil, eris.Wrapf(err, "decode report: file %s", file)
+	}
+	return r, nil
+}
+
+func writeReport(file string, r *recorder.Report) error {
+	b, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return eris.Wrap(err, "encode report")
+	}
+	return eris.Wrap(os.WriteFile(file, append(b, '\n'), fileMode), "write report")
+}
--- /dev/null
+++ b/loadgen/pkg/commander/run.go
@@ -0,0 +1,261 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"plantaincleat/loadgen/pkg/balancer"
+	"plantaincleat/loadgen/pkg/caller"
+	"plantaincleat/loadgen/pkg/driver"
+	"plantaincleat/loadgen/pkg/pacer"
+	"plantaincleat/loadgen/pkg/profiler"
+	"plantaincleat/loadgen/pkg/recorder"
+	"plantaincleat/loadgen/pkg/reporter"
+	"plantaincleat/loadgen/pkg/verifier"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/pkg/loader"
+)
+
+// errViolations ends a run whose answers were at fault.
+var errViolations = eris.New("answers differ from the reference")
+
+// runFlags are the flags of the run command.
+type runFlags struct {
+	entries   []string
+	profile   string
+	classes   []string
+	configs   []string
+	rate      float64
+	steps     []string
+	duration  time.Duration
+	seed      uint64
+	uniform   bool
+	terms     []string
+	verify    bool
+	patience  time.Duration
+	inFlight  int64
+	report    string
+	plot      string
+	mutations string
+}
+
+func newRun() *cobra.Command {
+	f := &runFlags{}
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Put a load on the tier and report",
+		Long: "Sends requests of a profile's classes at their intended times, whatever the\n" +
+			"answers take, and counts latency from those times. With --steps the rate is\n" +
+			"multiplied by each factor in turn. A daemon given as URL=READY is left out while\n" +
+			"its readiness URL does not answer 200.\n" +
+			"With --verify each answer is compared with the reference merge of the shards that\n" +
+			"it claims to cover; the command fails if any differs. Give --config once for each\n" +
+			"configuration in force during the run.",
+		Example: "  loadgen run --profile kahikatea --entry http://127.0.1.1:20000 --rate 200 --duration 30s\n" +
+			"  loadgen run --profile corrib --classes spoken,browse --entry http://127.0.1.1:20000=http://127.0.1.1:20002/ready \\\n" +
+			"    --rate 500 --steps 0.5,0.9,1.2,2 --duration 20s --config out/config.json --verify \\\n" +
+			"    --report cells.json --plot cells.svg",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runLoad(cmd, f)
+		},
+	}
+	addRunFlags(cmd, f)
+	return cmd
+}
+
+func addRunFlags(cmd *cobra.Command, f *runFlags) {
+	flags := cmd.Flags()
+	flags.StringSliceVar(&f.entries, "entry", nil, "daemons as URL or URL=READY")
+	flags.StringVar(&f.profile, "profile", "kahikatea", "profile of the load")
+	flags.StringSliceVar(&f.classes, "classes", nil, "classes of the profile (default all)")
+	flags.StringArrayVar(&f.configs, "config", nil, "operators' configuration, needed by --verify; may be repeated")
+	flags.Float64Var(&f.rate, "rate", 100, "requests per second")
+	flags.StringSliceVar(&f.steps, "steps", []string{"1"}, "factors of the rate")
+	flags.DurationVar(&f.duration, "duration", 10*time.Second, "duration of each step")
+	flags.Uint64Var(&f.seed, "seed", 1, "seed of send times and queries")
+	flags.BoolVar(&f.uniform, "uniform", false, "even gaps in place of exponential ones")
+	flags.StringSliceVar(&f.terms, "terms", nil, "terms added to each query, for example !crash")
+	flags.BoolVar(&f.verify, "verify", false, "compare answers with the reference")
+	flags.DurationVar(&f.patience, "patience", 2*time.Second, "time after the deadline at which a request counts as lost")
+	flags.Int64Var(&f.inFlight, "inflight", 20000, "requests without an answer beyond which new ones count as lost")
+	flags.StringVar(&f.report, "report", "", "file for the report in JSON")
+	flags.StringVar(&f.plot, "plot", "", "file for the plots, .svg or .png")
+	flags.StringVar(&f.mutations, "mutations", "", "file for the outcome of each mutation, as JSON lines")
+}
+
+func runLoad(cmd *cobra.Command, f *runFlags) error {
+	o, err := f.options()
+	if err != nil {
+		return err
+	}
+	b, err := balancer.New(f.entries, nil)
+	if err != nil {
+		return eris.Wrap(err, "flag --entry")
+	}
+	if f.plot != "" {
+		if _, err := reporter.Format(f.plot); err != nil {
+			return eris.Wrap(err, "flag --plot")
+		}
+	}
+	if f.mutations != "" {
+		file, err := os.OpenFile(f.mutations, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+		if err != nil {
+			return eris.Wrap(err, "flag --mutations")
+		}
+		defer func() { _ = file.Close() }()
+		o.Observe = newObserver(file).observe
+	}
+	ctx, cancel := context.WithCancel(cmd.Context())
+	defer cancel()
+	go b.Run(ctx)
+	c := caller.New(b)
+	defer c.Close()
+	r := driver.New(c, o).Run(ctx)
+	r.Profile = f.profile
+	r.Entries = f.entries
+	return f.finish(cmd.OutOrStdout(), r)
+}
+
+// options checks the flags and reads the files that they name.
+func (f *runFlags) options() (driver.Options, error) {
+	profile, err := profiler.Find(f.profile)
+	if err != nil {
+		return driver.Options{}, eris.Wrap(err, "flag --profile")
+	}
+	if profile, err = profile.Select(f.classes); err != nil {
+		return driver.Options{}, eris.Wrap(err, "flag --classes")
+	}
+	steps, err := f.parseSteps()
+	if err != nil {
+		return driver.Options{}, err
+	}
+	o := driver.Options{
+		Load: pacer.Options{
+			Classes: profile.Classes,
+			Steps:   steps,
+			Seed:    f.seed,
+			Uniform: f.uniform,
+			Terms:   f.terms,
+		},
+		Institution: profile.Name,
+		Version:     profiler.Version,
+		Patience:    f.patience,
+		InFlight:    f.inFlight,
+	}
+	if err := o.Load.Validate(); err != nil {
+		return driver.Options{}, err
+	}
+	if f.verify {
+		o.Verifier, err = f.newVerifier()
+	}
+	return o, err
+}
+
+func (f *runFlags) parseSteps() ([]pacer.Step, error) {
+	var steps []pacer.Step
+	for _, s := range f.steps {
+		factor, err := strconv.ParseFloat(s, 64)
+		if err != nil {
+			return nil, eris.Errorf("flag --steps: %q is not a number", s)
+		}
+		steps = append(steps, pacer.Step{
+			Factor:   factor,
+			Rate:     factor * f.rate,
+			Duration: f.duration,
+		})
+	}
+	return steps, nil
+}
+
+func (f *runFlags) newVerifier() (*verifier.Verifier, error) {
+	if len(f.configs) == 0 {
+		return nil, eris.New("flag --verify: --config is needed")
+	}
+	var cfgs []*config.Config
+	for _, file := range f.configs {
+		cfg, err := loader.LoadConfig(file)
+		if err != nil {
+			return nil, eris.Wrap(err, "flag --config")
+		}
+		cfgs = append(cfgs, cfg)
+	}
+	return verifier.New(cfgs...), nil
+}
+
+// finish writes the report in all its forms.
+func (f *runFlags) finish(w io.Writer, r *recorder.Report) error {
+	if err := reporter.Table(w, r); err != nil {
+		return err
+	}
+	if f.report != "" {
+		if err := writeReport(f.report, r); err != nil {
+			return err
+		}
+	}
+	if f.plot != "" {
+		if err := writePlot(f.plot, reporter.Named{Report: r}); err != nil {
+			return err
+		}
+	}
+	if len(r.Violations()) > 0 {
+		return errViolations
+	}
+	return nil
+}
+
+func writePlot(file string, reports ...reporter.Named) error {
+	format, err := reporter.Format(file)
+	if err != nil {
+		return err
+	}
+	out, err := os.Create(file)
+	if err != nil {
+		return eris.Wrap(err, "write plot")
+	}
+	if err := reporter.Plot(out, format, reports...); err != nil {
+		_ = out.Close()
+		return err
+	}
+	return eris.Wrap(out.Close(), "write plot")
+}
+
+// observer writes the outcomes of mutations.
+type observer struct {
+	mu      sync.Mutex
+	encoder *json.Encoder
+}
+
+func newObserver(w io.Writer) *observer {
+	return &observer{
+		encoder: json.NewEncoder(w),
+	}
+}
+
+func (o *observer) observe(m caller.Mutation, res recorder.Result) {
+	line := mutationLine{
+		Key:    m.RequestKey,
+		Record: m.Record,
+		Run:    "yes",
+	}
+	switch {
+	case res.Refusal != nil:
+		line.Run = res.Refusal.Run
+		line.Detail = res.Refusal.Error()
+	case res.Err != nil:
+		line.Run = "unknown"
+		line.Detail = res.Err.Error()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// A line that is lost shows in the audit as a run without a caller.
+	_ = o.encoder.Encode(line)
+}
--- a/loadgen/pkg/reporter/compare.go
+++ b/loadgen/pkg/reporter/compare.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
-	"text/tabwriter"
-
-	"github.com/rotisserie/eris"
+	"strings"
 
 	"plantaincleat/loadgen/pkg/recorder"
 )
@@ -88,20 +86,16 @@
 
 // CompareTable writes two reports side by side under their names.
 func CompareTable(w io.Writer, nameA, nameB string, a, b *recorder.Report) error {
-	t := tabwriter.NewWriter(w, 0, 0, padding, ' ', tabwriter.AlignRight)
-	if _, err := fmt.Fprintf(t, "step\tclass\tmeasure\t%s\t%s\tratio\t\n", nameA, nameB); err != nil {
-		return eris.Wrap(err, "write comparison")
-	}
+	rows := &strings.Builder{}
+	fmt.Fprintf(rows, "step\tclass\tmeasure\t%s\t%s\tratio\t\n", nameA, nameB)
 	for _, p := range Compare(a, b) {
 		ratio := "-"
 		if p.A != 0 {
 			ratio = fmt.Sprintf("%.2f", p.Ratio())
 		}
-		if _, err := fmt.Fprintf(t, "%.2f\t%s\t%s\t%s\t%s\t%s\t\n", p.Factor, p.Class, p.Measure, p.format(p.A), p.format(p.B), ratio); err != nil {
-			return eris.Wrap(err, "write comparison")
-		}
+		fmt.Fprintf(rows, "%.2f\t%s\t%s\t%s\t%s\t%s\t\n", p.Factor, p.Class, p.Measure, p.format(p.A), p.format(p.B), ratio)
 	}
-	return eris.Wrap(t.Flush(), "write comparison")
+	return align(w, rows.String())
 }
 
 func microsFloat(f float64) string { return micros(int64(f)) }
--- a/loadgen/pkg/reporter/table.go
+++ b/loadgen/pkg/reporter/table.go
@@ -27,22 +27,22 @@
 func Table(w io.Writer, r *recorder.Report) error {
 	b := &strings.Builder{}
 	fmt.Fprintf(b, "profile %s, seed %d, verified %v\n\n", r.Profile, r.Seed, r.Verified)
-	t := tabwriter.NewWriter(b, 0, 0, padding, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "step\trate\tclass\tsent\tgoodput\tgood\tp50\tp90\tp99\tp99.9\tmax\tcoverage\tfull\textra\trefused\tlost\tfaults\t")
+	rows := &strings.Builder{}
+	fmt.Fprintln(rows, "step\trate\tclass\tsent\tgoodput\tgood\tp50\tp90\tp99\tp99.9\tmax\tcoverage\tfull\textra\trefused\tlost\tfaults\t")
 	for _, s := range r.Steps {
 		for _, c := range append(slices.Clone(s.Classes), s.Total) {
-			writeClass(t, &s, &c)
+			writeClass(rows, &s, &c)
 		}
 	}
-	if err := t.Flush(); err != nil {
-		return eris.Wrap(err, "write table")
+	if err := align(b, rows.String()); err != nil {
+		return err
 	}
 	writeDetails(b, r)
 	_, err := io.WriteString(w, b.String())
 	return eris.Wrap(err, "write table")
 }
 
-func writeClass(w io.Writer, s *recorder.Step, c *recorder.Class) {
+func writeClass(w *strings.Builder, s *recorder.Step, c *recorder.Class) {
 	fmt.Fprintf(w, "%.2f\t%.0f\t%s\t%d\t%.1f\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t\n",
 		s.Factor, s.Rate, c.Name, c.Sent, c.Goodput, share(c.Good, c.Sent),
 		micros(c.Latency.P50), micros(c.Latency.P90), micros(c.Latency.P99), micros(c.Latency.P999), micros(c.Latency.Max),
@@ -51,7 +51,7 @@
 }
 
 // writeDetails writes what the table has no room for.
-func writeDetails(w io.Writer, r *recorder.Report) {
+func writeDetails(w *strings.Builder, r *recorder.Report) {
 	for _, s := range r.Steps {
 		c := s.Total
 		for _, d := range []struct {
@@ -76,6 +76,15 @@
 	fmt.Fprintln(w)
 }
 
+// align writes rows of cells that end in tabs as columns.
+func align(w io.Writer, rows string) error {
+	t := tabwriter.NewWriter(w, 0, 0, padding, ' ', tabwriter.AlignRight)
+	if _, err := io.WriteString(t, rows); err != nil {
+		return eris.Wrap(err, "write table")
+	}
+	return eris.Wrap(t.Flush(), "write table")
+}
+
 // micros formats microseconds.
 func micros(n int64) string {
 	return (time.Duration(n) * time.Microsecond).Round(10 * time.Microsecond).String()
--- a/standin/pkg/commander/target.go
+++ b/standin/pkg/commander/target.go
@@ -13,6 +13,7 @@
 
 	"plantaincleat/standin/pkg/launcher"
 	"plantaincleat/standin/pkg/searcher"
+	"plantaincleat/tier/pkg/loader"
 )
 
 const journalMode = 0o644
@@ -110,14 +111,10 @@
 
 // prepareTargets reads the files that the flags name.
 func prepareTargets(f *targetFlags) (*launcher.Launcher, io.Closer, error) {
-	b, err := os.ReadFile(f.config)
+	cfg, err := loader.LoadConfig(f.config)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "flag --config")
 	}
-	cfg, err := launcher.Parse(b)
-	if err != nil {
-		return nil, nil, eris.Wrapf(err, "flag --config: file %s", f.config)
-	}
 	groups, err := readGroups(f)
 	if err != nil {
 		return nil, nil, err
--- a/standin/pkg/launcher/admin.go
+++ b/standin/pkg/launcher/admin.go
@@ -6,11 +6,10 @@
 	"net/http"
 
 	"github.com/rotisserie/eris"
-	"github.com/tailscale/hujson"
-	"google.golang.org/protobuf/encoding/protojson"
 
 	"plantaincleat/standin/pkg/searcher"
 	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/pkg/loader"
 )
 
 // maxBody bounds the size of an operator's request in bytes.
@@ -142,23 +141,10 @@
 	reply(w, code, failure{Error: err.Error()})
 }
 
-// Parse reads an operators' configuration in JSON with comments.
-func Parse(b []byte) (*config.Config, error) {
-	standard, err := hujson.Standardize(b)
-	if err != nil {
-		return nil, eris.Wrap(err, "parse configuration")
-	}
-	cfg := &config.Config{}
-	if err := protojson.Unmarshal(standard, cfg); err != nil {
-		return nil, eris.Wrap(err, "parse configuration")
-	}
-	return cfg, nil
-}
-
 func readConfig(r io.Reader) (*config.Config, error) {
 	b, err := io.ReadAll(r)
 	if err != nil {
 		return nil, eris.Wrap(err, "read configuration")
 	}
-	return Parse(b)
+	return loader.ParseConfig("body", b)
 }
--- a/standin/pkg/launcher/launcher_test.go
+++ b/standin/pkg/launcher/launcher_test.go
@@ -19,6 +19,7 @@
 	"plantaincleat/standin/pkg/searcher"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/loader"
 )
 
 // freeAddress returns a loopback address that was free a moment ago.
@@ -34,11 +35,11 @@
 
 func launch(t *testing.T, g Group, o Options) (*Launcher, *config.Config) {
 	t.Helper()
-	cfg, err := Parse([]byte(`{
+	cfg, err := loader.ParseConfig("test", []byte(`{
 		// Two targets, one shard each.
 		"targets": [
-			{"id": "t1", "address": "` + freeAddress(t) + `", "slots": 1, "connections": 4},
-			{"id": "t2", "address": "` + freeAddress(t) + `", "slots": 1, "connections": 4},
+			{"id": "t1", "address": "` + freeAddress(t) + `", "datacentre": "dc1", "slots": 1, "connections": 4},
+			{"id": "t2", "address": "` + freeAddress(t) + `", "datacentre": "dc1", "slots": 1, "connections": 4},
 		],
 		"collections": [{"name": "c", "versions": [{"name": "v", "snapshots": [
 			{"id": "s1", "shards": [{"id": "a", "to": "m", "replicas": ["t1"]}, {"id": "b", "from": "m", "replicas": ["t2"]}]},
