Adopt configurations: few readers, gossip, pull, never downward

Two daemons per data centre, chosen by rendezvous hashing, watch the head and check it once a second; the others learn of a revision by gossip, pull it from a daemon that has it, and ask the readers once a second how fresh it is. If nobody confirms the revision for 5 s, the next two in rank read as well. A revision lower than the one in force is refused from any source.

Ruled out: relaying the time of confirmation by gossip, as clocks differ; the age is asked for instead, which also finds a revision that gossip has not brought. Ruled out: to let every daemon read when confirmation fails, as the calls would grow with the fleet exactly when the service is ill.

With checks, pulls, questions, takeover, the guard against lower revisions, the disregard of old reads or the order of pulls removed, tests fail (one mutant each).

--- /dev/null
+++ b/entryd/pkg/adopter/fleet.go
@@ -0,0 +1,33 @@
+package adopter
+
+import (
+	"plantaincleat/entryd/pkg/gossiper"
+)
+
+// gossipFleet is the Fleet that a gossiper sees.
+type gossipFleet struct {
+	*gossiper.Runner
+}
+
+// NewFleet returns the Fleet that a gossiper sees.
+func NewFleet(r *gossiper.Runner) Fleet {
+	return gossipFleet{Runner: r}
+}
+
+// Live implements Fleet.
+func (f gossipFleet) Live() []Member {
+	all := f.View().Members()
+	live := make([]Member, 0, len(all))
+	for _, m := range all {
+		if !m.Live() {
+			continue
+		}
+		live = append(live, Member{
+			ID:         m.ID(),
+			Address:    m.Address(),
+			DataCentre: m.DataCentre(),
+			Revision:   m.Revision(),
+		})
+	}
+	return live
+}
--- /dev/null
+++ b/entryd/pkg/adopter/members.go
@@ -0,0 +1,115 @@
+package adopter
+
+import (
+	"cmp"
+	"slices"
+
+	"plantaincleat/tier/pkg/hasher"
+)
+
+// fleet is what is derived from the live members.
+type fleet struct {
+	// highest is the highest revision of a live member.
+	highest uint64
+	// rank is the place of the daemon itself in the order of the readers of
+	// its data centre.
+	rank int
+	// near are the readers of the daemon's data centre without itself, far
+	// those of the others.
+	near, far []Member
+
+	// peers are the live members without the daemon itself.
+	peers []Member
+	// ordered is true once peers are in the order in which they are pulled from.
+	ordered bool
+}
+
+// candidate is a member with the hash that decides on its place.
+type candidate struct {
+	Member
+	hash uint64
+}
+
+// before orders the candidates of a data centre by rendezvous hashing.
+func (c candidate) before(other candidate) bool {
+	return cmp.Or(cmp.Compare(other.hash, c.hash), cmp.Compare(c.ID, other.ID)) < 0
+}
+
+func newCandidate(m Member) candidate {
+	return candidate{
+		Member: m,
+		hash:   hasher.Strings("reader", m.ID),
+	}
+}
+
+// newFleet chooses the readers among the live members.
+func newFleet(cfg Config, live []Member) fleet {
+	f := fleet{peers: make([]Member, 0, len(live))}
+	self := newCandidate(Member{ID: cfg.ID})
+	first := map[string][]candidate{}
+	for _, m := range live {
+		if m.ID == cfg.ID {
+			continue
+		}
+		f.peers = append(f.peers, m)
+		f.highest = max(f.highest, m.Revision)
+		c := newCandidate(m)
+		if m.DataCentre == cfg.DataCentre && c.before(self) {
+			f.rank++
+		}
+		first[m.DataCentre] = insert(first[m.DataCentre], c, cfg.Readers)
+	}
+	for datacentre, readers := range first {
+		for _, r := range readers {
+			if datacentre == cfg.DataCentre {
+				f.near = append(f.near, r.Member)
+			} else {
+				f.far = append(f.far, r.Member)
+			}
+		}
+	}
+	slices.SortFunc(f.far, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return f
+}
+
+// insert adds a candidate to a sorted list that keeps the first n.
+func insert(list []candidate, c candidate, n int) []candidate {
+	at := 0
+	for at < len(list) && list[at].before(c) {
+		at++
+	}
+	if at >= n {
+		return list
+	}
+	list = slices.Insert(list, at, c)
+	return list[:min(n, len(list))]
+}
+
+// pullOrder returns the peers in the order in which the daemon pulls from
+// them: the highest revision first, then those of the same data centre, then
+// by a hash of both ends, so that the daemons spread their pulls.
+func (f *fleet) pullOrder(cfg Config) []Member {
+	if f.ordered {
+		return f.peers
+	}
+	f.ordered = true
+	distance := func(m Member) int {
+		if m.DataCentre == cfg.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	hashes := make(map[string]uint64, len(f.peers))
+	for _, m := range f.peers {
+		hashes[m.ID] = hasher.Strings(cfg.ID, m.ID)
+	}
+	slices.SortFunc(f.peers, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(b.Revision, a.Revision),
+			cmp.Compare(distance(a), distance(b)),
+			cmp.Compare(hashes[a.ID], hashes[b.ID]),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return f.peers
+}
--- /dev/null
+++ b/entryd/pkg/adopter/network_test.go
@@ -0,0 +1,249 @@
+package adopter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/proposer"
+	"plantaincleat/tier/pkg/storer"
+)
+
+var errCut = errors.New("no route")
+
+// network connects the daemons of a test with each other and with the store.
+type network struct {
+	t     *testing.T
+	store *storer.Memory
+
+	mu      sync.Mutex
+	daemons map[string]*daemon
+	// cut holds the data centres that reach only themselves.
+	cut map[string]bool
+	// noStore holds the data centres that do not reach the store.
+	noStore map[string]bool
+	// old replaces the store for reads if it is set.
+	old *storer.Memory
+}
+
+// daemon is a Runner with its view of the network. It implements Fleet,
+// Puller and storer.Store.
+type daemon struct {
+	storer.Store
+	*Runner
+	net    *network
+	member Member
+	stop   context.CancelFunc
+	// breakWatch ends the watch that the daemon has started.
+	breakWatch context.CancelFunc
+}
+
+func newNetwork(t *testing.T) *network {
+	return &network{
+		t:       t,
+		store:   &storer.Memory{},
+		daemons: map[string]*daemon{},
+		cut:     map[string]bool{},
+		noStore: map[string]bool{},
+	}
+}
+
+// start runs a daemon, replacing one of the same id that was stopped.
+func (n *network) start(datacentre string, i int) *daemon {
+	id := fmt.Sprintf("%s%d", datacentre, i)
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemon{
+		Store: n.store,
+		net:   n,
+		member: Member{
+			ID:         id,
+			Address:    id,
+			DataCentre: datacentre,
+		},
+		stop: cancel,
+	}
+	d.Runner = NewRunner(Options{
+		Config: Config{
+			ID:         id,
+			DataCentre: datacentre,
+		},
+		Store:  d,
+		Fleet:  d,
+		Puller: d,
+		Clock:  clockwork.NewRealClock(),
+	})
+	n.mu.Lock()
+	n.daemons[id] = d
+	n.mu.Unlock()
+	go d.Run(ctx)
+	return d
+}
+
+// fleet starts daemons in three data centres.
+func (n *network) fleet(each int) {
+	for _, datacentre := range []string{"wlg", "akl", "chc"} {
+		for i := range each {
+			n.start(datacentre, i)
+		}
+	}
+}
+
+func (n *network) stopAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, d := range n.daemons {
+		d.stop()
+	}
+}
+
+// reaches tells whether two data centres are connected.
+func (n *network) reaches(a, b string) bool { return a == b || (!n.cut[a] && !n.cut[b]) }
+
+// isolate cuts a data centre from the store, and from the others if whole.
+func (n *network) isolate(datacentre string, whole bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.noStore[datacentre], n.cut[datacentre] = true, whole
+	for _, d := range n.daemons {
+		if d.member.DataCentre == datacentre && d.breakWatch != nil {
+			d.breakWatch()
+		}
+	}
+}
+
+// heal connects everything.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.noStore)
+	clear(n.cut)
+}
+
+// setOld makes reads come from another store, or from the real one again.
+func (n *network) setOld(old *storer.Memory) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.old = old
+}
+
+func (d *daemon) Read(ctx context.Context, prefix string) (storer.Page, error) {
+	d.net.mu.Lock()
+	cut, old := d.net.noStore[d.member.DataCentre], d.net.old
+	d.net.mu.Unlock()
+	switch {
+	case cut:
+		return storer.Page{}, storer.ErrUnavailable
+	case old != nil:
+		return old.Read(ctx, prefix)
+	}
+	return d.Store.Read(ctx, prefix)
+}
+
+func (d *daemon) Watch(ctx context.Context, prefix string, after int64) <-chan storer.Event {
+	ctx, cancel := context.WithCancel(ctx)
+	d.net.mu.Lock()
+	defer d.net.mu.Unlock()
+	d.breakWatch = cancel
+	if d.net.noStore[d.member.DataCentre] {
+		cancel()
+	}
+	return d.Store.Watch(ctx, prefix, after)
+}
+
+func (d *daemon) Live() []Member {
+	d.net.mu.Lock()
+	defer d.net.mu.Unlock()
+	var live []Member
+	for _, other := range d.net.daemons {
+		if d.net.reaches(d.member.DataCentre, other.member.DataCentre) {
+			m := other.member
+			m.Revision = other.Current().GetHead().GetRevision()
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+// Subscribe reports a change each 100 ms, as gossip would.
+func (d *daemon) Subscribe() (<-chan struct{}, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	changes := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-ctx.Done():
+				return
+			}
+			select {
+			case changes <- struct{}{}:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return changes, cancel
+}
+
+func (d *daemon) SetRevision(uint64) {}
+
+func (d *daemon) Pull(ctx context.Context, address string, r *peer.FetchRequest) (*config.Accepted, error) {
+	d.net.mu.Lock()
+	other := d.net.daemons[address]
+	ok := d.net.reaches(d.member.DataCentre, other.member.DataCentre)
+	d.net.mu.Unlock()
+	if !ok {
+		return nil, errCut
+	}
+	return other.Fetch(ctx, r)
+}
+
+// propose has a change accepted.
+func (n *network) propose(id string) uint64 {
+	n.t.Helper()
+	p := proposer.Proposer{
+		Store: n.store,
+		Clock: clockwork.NewRealClock(),
+	}
+	head, err := p.Propose(context.Background(), proposer.Change{
+		ID:     id,
+		Author: "test",
+		Config: &config.Config{Policy: &config.Policy{Cell: uint32(id[0])}},
+	})
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return head.Revision
+}
+
+// expect checks the revision in force in the data centres.
+func (n *network) expect(revision uint64, datacentres ...string) {
+	n.t.Helper()
+	for id, d := range n.daemons {
+		for _, datacentre := range datacentres {
+			if got := d.Current().GetHead().GetRevision(); d.member.DataCentre == datacentre && got != revision {
+				n.t.Errorf("%s is at revision %d, want %d", id, got, revision)
+			}
+		}
+	}
+}
+
+// expectStale checks the staleness that the daemons of a data centre state.
+func (n *network) expectStale(datacentre string, low, high time.Duration) {
+	n.t.Helper()
+	for id, d := range n.daemons {
+		if d.member.DataCentre != datacentre {
+			continue
+		}
+		if stale, ok := d.Stale(); !ok || stale < low || stale > high {
+			n.t.Errorf("%s states a staleness of %s, %v; want %s to %s", id, stale, ok, low, high)
+		}
+	}
+}
--- /dev/null
+++ b/entryd/pkg/adopter/runner.go
@@ -0,0 +1,288 @@
+package adopter
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/fetcher"
+	"plantaincleat/tier/pkg/storer"
+)
+
+const (
+	// tickInterval is the longest time between two steps of the machine.
+	tickInterval = 250 * time.Millisecond
+	// storeTimeout bounds one read of the store.
+	storeTimeout = 3 * time.Second
+	// pullTimeout bounds one call to a peer.
+	pullTimeout = 3 * time.Second
+)
+
+// Fleet tells which daemons are alive.
+type Fleet interface {
+	// Live returns the live daemons.
+	Live() []Member
+	// Subscribe returns a channel that gets a value after changes of Live, and
+	// a function that ends the subscription.
+	Subscribe() (<-chan struct{}, func())
+	// SetRevision tells the fleet the revision in force at this daemon.
+	SetRevision(revision uint64)
+}
+
+// Puller asks a peer for its configuration, as peer.PeerClient.Fetch does.
+type Puller interface {
+	Pull(ctx context.Context, address string, r *peer.FetchRequest) (*config.Accepted, error)
+}
+
+// Options set up a Runner. All fields but Config's are needed.
+type Options struct {
+	Config Config
+	Store  storer.Store
+	Fleet  Fleet
+	Puller Puller
+	Clock  clockwork.Clock
+}
+
+// Status is the state of a Runner at one moment.
+type Status struct {
+	// Head is that of the configuration in force, nil before the first.
+	Head *config.Head
+	// Known is the highest revision of which the daemon has heard.
+	Known uint64
+	// Reader tells whether the daemon reads the store.
+	Reader bool
+	// Confirmed is the last time at which the configuration in force is known
+	// to have been the newest in the store, zero if there is none.
+	Confirmed time.Time
+	Counters  Counters
+}
+
+// Runner runs a Machine. Its read methods take no lock.
+type Runner struct {
+	Options
+	machine *Machine
+	events  chan Event
+	calls   sync.WaitGroup
+	// stopWatch ends the running watch.
+	stopWatch context.CancelFunc
+
+	current atomic.Pointer[config.Accepted]
+	status  atomic.Pointer[Status]
+
+	subscribers struct {
+		mu  sync.Mutex
+		all map[chan struct{}]struct{}
+	}
+}
+
+// NewRunner returns a Runner that has not started yet.
+func NewRunner(o Options) *Runner {
+	r := &Runner{
+		Options:   o,
+		machine:   New(o.Config, o.Clock.Now()),
+		events:    make(chan Event),
+		stopWatch: func() {},
+	}
+	r.status.Store(&Status{})
+	r.subscribers.all = make(map[chan struct{}]struct{})
+	return r
+}
+
+// Current returns the configuration in force, nil before the first. It must
+// not be changed.
+func (r *Runner) Current() *config.Accepted { return r.current.Load() }
+
+// Status returns the state after the last step.
+func (r *Runner) Status() Status { return *r.status.Load() }
+
+// Stale returns the time since the configuration in force was last confirmed
+// to be the newest. ok is false if it never was.
+func (r *Runner) Stale() (d time.Duration, ok bool) {
+	confirmed := r.status.Load().Confirmed
+	if confirmed.IsZero() {
+		return 0, false
+	}
+	return max(0, r.Clock.Now().Sub(confirmed)), true
+}
+
+// Subscribe returns a channel that gets a value after a configuration came
+// into force, several in one, and a function that ends the subscription.
+func (r *Runner) Subscribe() (<-chan struct{}, func()) {
+	ch := make(chan struct{}, 1)
+	r.subscribers.mu.Lock()
+	defer r.subscribers.mu.Unlock()
+	r.subscribers.all[ch] = struct{}{}
+	return ch, func() {
+		r.subscribers.mu.Lock()
+		defer r.subscribers.mu.Unlock()
+		delete(r.subscribers.all, ch)
+	}
+}
+
+// Fetch serves a Pull of another daemon.
+func (r *Runner) Fetch(_ context.Context, in *peer.FetchRequest) (*config.Accepted, error) {
+	out := &config.Accepted{}
+	current := r.Current()
+	if current == nil {
+		return out, nil
+	}
+	out.Head = current.Head
+	if current.Head.Revision > in.GetRevision() {
+		out.Config = current.Config
+	}
+	status := r.status.Load()
+	if !status.Confirmed.IsZero() && status.Head.GetRevision() == current.Head.Revision {
+		age := max(0, r.Clock.Now().Sub(status.Confirmed)).Milliseconds()
+		out.Age = &age
+	}
+	return out, nil
+}
+
+// Run keeps the configuration up to date until ctx ends, and returns once no
+// call is running.
+func (r *Runner) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer r.calls.Wait()
+	defer cancel()
+	changed, unsubscribe := r.Fleet.Subscribe()
+	defer unsubscribe()
+	ticker := r.Clock.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var event Event = MembersChanged{Live: r.Fleet.Live()}
+	for {
+		r.step(ctx, event)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			event = Tick{}
+		case <-changed:
+			event = MembersChanged{Live: r.Fleet.Live()}
+		case event = <-r.events:
+		}
+	}
+}
+
+// step hands one event to the machine and starts what it wants done.
+func (r *Runner) step(ctx context.Context, event Event) {
+	now := r.Clock.Now()
+	actions := r.machine.Step(now, event)
+	r.status.Store(&Status{
+		Head:      r.machine.Current().GetHead(),
+		Known:     r.machine.Known(),
+		Reader:    r.machine.Reader(now),
+		Confirmed: r.machine.Confirmed(),
+		Counters:  r.machine.Counters(),
+	})
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Adopt:
+			r.adopt(a.Accepted)
+		case CheckHead:
+			r.call(ctx, storeTimeout, r.checkHead)
+		case ReadStore:
+			r.call(ctx, storeTimeout, r.readStore)
+		case Pull:
+			r.call(ctx, pullTimeout, func(ctx context.Context) Event { return r.pull(ctx, a) })
+		case StartWatch:
+			r.startWatch(ctx, a.After)
+		case StopWatch:
+			r.stopWatch()
+		}
+	}
+}
+
+// adopt publishes a configuration.
+func (r *Runner) adopt(a *config.Accepted) {
+	r.current.Store(a)
+	r.Fleet.SetRevision(a.Head.Revision)
+	klog.InfoS("adopted configuration", "revision", a.Head.Revision, "change", a.Head.Change, "author", a.Head.Author)
+	r.subscribers.mu.Lock()
+	defer r.subscribers.mu.Unlock()
+	for ch := range r.subscribers.all {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// call runs f in a goroutine and hands its event to the machine.
+func (r *Runner) call(ctx context.Context, timeout time.Duration, f func(ctx context.Context) Event) {
+	r.calls.Go(func() {
+		bounded, cancel := clockwork.WithTimeout(ctx, r.Clock, timeout)
+		defer cancel()
+		r.send(ctx, f(bounded))
+	})
+}
+
+// send hands an event to the machine unless ctx ends.
+func (r *Runner) send(ctx context.Context, event Event) {
+	select {
+	case r.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) checkHead(ctx context.Context) Event {
+	head, revision, err := fetcher.ReadHead(ctx, r.Store)
+	if err != nil {
+		klog.V(1).InfoS("configuration check failed", "err", err.Error())
+		return CheckFailed{}
+	}
+	return HeadRead{
+		Head:  head,
+		Store: revision,
+	}
+}
+
+func (r *Runner) readStore(ctx context.Context) Event {
+	state, err := fetcher.ReadState(ctx, r.Store)
+	if err != nil {
+		klog.ErrorS(nil, "configuration not read", "err", err.Error())
+		return ReadFailed{}
+	}
+	return StoreRead{Accepted: state.Accepted}
+}
+
+func (r *Runner) pull(ctx context.Context, a Pull) Event {
+	accepted, err := r.Puller.Pull(ctx, a.Peer.Address, &peer.FetchRequest{Revision: a.Have})
+	if err != nil {
+		err = eris.Wrapf(err, "pull configuration: peer %s", a.Peer.ID)
+		klog.V(1).InfoS("configuration not pulled", "err", err.Error())
+		return PullFailed{Peer: a.Peer.ID}
+	}
+	return PeerAnswered{
+		Peer:     a.Peer.ID,
+		Accepted: accepted,
+	}
+}
+
+// startWatch reports changes of the head until the watch ends.
+func (r *Runner) startWatch(ctx context.Context, after int64) {
+	r.stopWatch()
+	watching, cancel := context.WithCancel(ctx)
+	r.stopWatch = cancel
+	changes := r.Store.Watch(watching, fetcher.HeadKey, after)
+	r.calls.Go(func() {
+		for change := range changes {
+			if change.Err != nil || change.Deleted || change.Item.Key != fetcher.HeadKey {
+				continue
+			}
+			head, err := fetcher.DecodeHead(change.Item.Value)
+			if err != nil {
+				klog.ErrorS(nil, "configuration head not decoded", "err", err.Error())
+				continue
+			}
+			r.send(watching, HeadChanged{Head: head})
+		}
+		r.send(watching, WatchEnded{})
+	})
+}
--- a/tier/pkg/fetcher/fetcher.go
+++ b/tier/pkg/fetcher/fetcher.go
@@ -82,19 +82,30 @@
 	return state, nil
 }
 
-// ReadHead returns the head of the configuration in force, or ErrNone. It is
-// a small read that tells whether a full one is needed.
-func ReadHead(ctx context.Context, store storer.Store) (*config.Head, error) {
-	item, found, err := store.Get(ctx, HeadKey)
+// ReadHead returns the head of the configuration in force, nil if there is
+// none, and the store revision of the read. It is a small read that tells
+// whether a full one is needed.
+func ReadHead(ctx context.Context, store storer.Store) (head *config.Head, revision int64, err error) {
+	page, err := store.Read(ctx, HeadKey)
 	if err != nil {
-		return nil, eris.Wrap(err, "read head of configuration")
+		return nil, 0, eris.Wrap(err, "read head of configuration")
 	}
-	if !found {
-		return nil, eris.Wrap(ErrNone, "read head of configuration")
+	for _, item := range page.Items {
+		if item.Key != HeadKey {
+			continue
+		}
+		if head, err = DecodeHead(item.Value); err != nil {
+			return nil, 0, eris.Wrap(err, "read head of configuration")
+		}
 	}
-	manifest, err := decodeManifest(item.Value)
+	return head, page.Revision, nil
+}
+
+// DecodeHead returns the head in a value of HeadKey.
+func DecodeHead(value []byte) (*config.Head, error) {
+	manifest, err := decodeManifest(value)
 	if err != nil {
-		return nil, eris.Wrap(err, "read head of configuration")
+		return nil, err
 	}
 	return manifest.Head, nil
 }
