Operators' tool: check, apply, get, history and wait

Exit codes tell scripts a refusal, a lost race, an unavailable service and a revision that is not in force everywhere apart. config wait asks the given daemons and, of those they name, the ones that have not confirmed; daemons known to be dead in their own data centre do not count, unreachable ones do and are named.

--- /dev/null
+++ b/plantainctl/cmd/plantainctl/main.go
@@ -0,0 +1,18 @@
+// Command plantainctl is the operators' tool of the query tier.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"plantaincleat/plantainctl/pkg/commander"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := commander.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/plantainctl/pkg/commander/commander_test.go
@@ -0,0 +1,100 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/plantainctl/pkg/waiter"
+	"plantaincleat/tier/pkg/storer"
+)
+
+// bench runs command lines against a store in memory and one daemon.
+type bench struct {
+	t      *testing.T
+	store  *storer.Memory
+	ids    int
+	status string
+}
+
+// lastRoundClock lets the time of a command run out at the first wait.
+type lastRoundClock struct {
+	*clockwork.FakeClock
+}
+
+func (c lastRoundClock) After(time.Duration) <-chan time.Time {
+	c.Advance(time.Hour)
+	return nil
+}
+
+// TestCommands runs the scripts in testdata. Commands:
+//
+//	file NAME     writes a file
+//	run           runs the tool; $DIR and $DAEMON are replaced
+//	daemon        sets what the daemon answers to GET /status
+//	outage        switches the store off or on
+func TestCommands(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		b := &bench{
+			t:     t,
+			store: &storer.Memory{},
+		}
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(b.status))
+		}))
+		defer server.Close()
+		dir := t.TempDir()
+		expand := strings.NewReplacer("$DIR", dir, "$DAEMON", strings.TrimPrefix(server.URL, "http://"))
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "file":
+				name := filepath.Join(dir, d.CmdArgs[0].Key)
+				if err := os.WriteFile(name, []byte(d.Input), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			case "daemon":
+				b.status = d.Input
+			case "outage":
+				b.store.SetUnavailable(d.CmdArgs[0].Key == "on")
+			case "run":
+				out := b.run(strings.Fields(expand.Replace(d.Input)))
+				return strings.NewReplacer(dir, "$DIR", strings.TrimPrefix(server.URL, "http://"), "$DAEMON").Replace(out)
+			default:
+				d.Fatalf(t, "unknown command %q", d.Cmd)
+			}
+			return ""
+		})
+	})
+}
+
+// run executes one command line and returns its output and exit code.
+func (b *bench) run(args []string) string {
+	clock := clockwork.NewFakeClockAt(time.Date(2030, 1, 2, 3, 4, 5, 0, time.UTC))
+	tool := &tool{
+		clock: clock,
+		newID: func() (string, error) {
+			b.ids++
+			return fmt.Sprintf("id%d", b.ids), nil
+		},
+		open: func(*tool) (storer.Store, error) { return b.store, nil },
+		wait: func(*tool) (*waiter.Waiter, error) {
+			return &waiter.Waiter{
+				Client: &http.Client{},
+				Scheme: "http",
+				Clock:  lastRoundClock{FakeClock: clock},
+			}, nil
+		},
+	}
+	stdout, stderr := &strings.Builder{}, &strings.Builder{}
+	code := tool.run(context.Background(), args, stdout, stderr)
+	return fmt.Sprintf("%s%sexit %d\n", stdout, stderr, code)
+}
--- /dev/null
+++ b/plantainctl/pkg/commander/config.go
@@ -0,0 +1,228 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/user"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"plantaincleat/plantainctl/pkg/waiter"
+	"plantaincleat/tier/pkg/fetcher"
+	"plantaincleat/tier/pkg/loader"
+	"plantaincleat/tier/pkg/proposer"
+)
+
+func (t *tool) config() *cobra.Command {
+	return group("config", "Check, change and follow the configuration",
+		t.configCheck(), t.configApply(), t.configGet(), t.configHistory(), t.configWait())
+}
+
+func (t *tool) configCheck() *cobra.Command {
+	return t.command("check FILE", "Check a configuration without changing anything",
+		"  plantainctl config check fleet.json",
+		cobra.ExactArgs(1),
+		func(_ context.Context, c *cobra.Command, args []string) error {
+			cfg, err := loader.LoadConfig(args[0])
+			if err != nil {
+				return &failure{err: err}
+			}
+			return t.print(c, newSummary(args[0], cfg))
+		})
+}
+
+// applyFlags are those of config apply.
+type applyFlags struct {
+	id, author, reason string
+	base, above        uint64
+	wait               bool
+}
+
+func (t *tool) configApply() *cobra.Command {
+	flags := &applyFlags{}
+	c := t.command("apply FILE", "Check a configuration and have it accepted",
+		"  plantainctl config apply fleet.json --kv 10.0.0.9:2379 --reason 'add t7' --base 41\n"+
+			"  plantainctl config apply fleet.json --kv 10.0.0.9:2379 --wait --entry 10.0.0.1:8082",
+		cobra.ExactArgs(1),
+		func(ctx context.Context, c *cobra.Command, args []string) error {
+			return t.apply(ctx, c, flags, args[0])
+		})
+	f := c.Flags()
+	f.StringVar(&flags.author, "author", "", "who makes the change (default: the user's name)")
+	f.StringVar(&flags.reason, "reason", "", "why the change is made")
+	f.Uint64Var(&flags.base, "base", 0, "revision that the change replaces; refused if another is in force")
+	f.Uint64Var(&flags.above, "above", 0, "give the change a higher revision than this one; only after the service has lost its content")
+	f.StringVar(&flags.id, "id", "", "id of a change that may have been accepted already, to settle it")
+	f.BoolVar(&flags.wait, "wait", false, "wait until the change is in force on every host; needs --entry")
+	return c
+}
+
+// apply proposes the change and waits if that is wanted.
+func (t *tool) apply(ctx context.Context, c *cobra.Command, flags *applyFlags, file string) error {
+	if err := need("kv", t.kv); err != nil {
+		return err
+	}
+	if flags.wait {
+		if err := need("entry", t.entries); err != nil {
+			return err
+		}
+	}
+	change, err := t.change(c, flags, file)
+	if err != nil {
+		return &failure{err: err}
+	}
+	store, err := t.open(t)
+	if err != nil {
+		return &failure{err: err}
+	}
+	p := &proposer.Proposer{
+		Store: store,
+		Clock: t.clock,
+	}
+	head, err := p.Propose(ctx, change)
+	var undecided *proposer.UndecidedError
+	if errors.As(err, &undecided) {
+		err = fmt.Errorf("%w; run the same command with --id %s to settle it", err, change.ID)
+	}
+	if err != nil {
+		return &failure{err: err}
+	}
+	out := applied{headRow: newHeadRow(head)}
+	if !flags.wait {
+		return t.print(c, out)
+	}
+	w, err := t.wait(t)
+	if err != nil {
+		return &failure{err: err}
+	}
+	report := w.Wait(ctx, t.entries, head.Revision)
+	out.Hosts = report.Hosts
+	if err := t.print(c, out); err != nil {
+		return err
+	}
+	return missing(report)
+}
+
+// change reads the file and completes the flags.
+func (t *tool) change(c *cobra.Command, flags *applyFlags, file string) (proposer.Change, error) {
+	cfg, err := loader.LoadConfig(file)
+	if err != nil {
+		return proposer.Change{}, err
+	}
+	change := proposer.Change{
+		ID:     flags.id,
+		Author: flags.author,
+		Reason: flags.reason,
+		Above:  flags.above,
+		Config: cfg,
+	}
+	if c.Flags().Changed("base") {
+		change.Base = &flags.base
+	}
+	if change.ID == "" {
+		if change.ID, err = t.newID(); err != nil {
+			return proposer.Change{}, err
+		}
+	}
+	if change.Author == "" {
+		u, err := user.Current()
+		if err != nil {
+			return proposer.Change{}, eris.Wrap(err, "flag --author is needed")
+		}
+		change.Author = u.Username
+	}
+	return change, nil
+}
+
+func (t *tool) configGet() *cobra.Command {
+	return t.command("get", "Print the configuration in force, in a form that can be edited and applied",
+		"  plantainctl config get --kv 10.0.0.9:2379 >fleet.json",
+		cobra.NoArgs,
+		func(ctx context.Context, c *cobra.Command, _ []string) error {
+			if err := need("kv", t.kv); err != nil {
+				return err
+			}
+			store, err := t.open(t)
+			if err != nil {
+				return &failure{err: err}
+			}
+			accepted, err := fetcher.Read(ctx, store)
+			if err != nil {
+				return &failure{err: err}
+			}
+			return t.printConfig(c, accepted)
+		})
+}
+
+func (t *tool) configHistory() *cobra.Command {
+	limit := 20
+	c := t.command("history", "List the accepted changes, the newest first",
+		"  plantainctl config history --kv 10.0.0.9:2379 --limit 5",
+		cobra.NoArgs,
+		func(ctx context.Context, c *cobra.Command, _ []string) error {
+			if limit < 1 {
+				return fmt.Errorf("flag --limit: %d is not positive", limit)
+			}
+			if err := need("kv", t.kv); err != nil {
+				return err
+			}
+			store, err := t.open(t)
+			if err != nil {
+				return &failure{err: err}
+			}
+			heads, _, err := fetcher.History(ctx, store)
+			if err != nil {
+				return &failure{err: err}
+			}
+			out := history{}
+			for _, head := range heads[:min(limit, len(heads))] {
+				out.Changes = append(out.Changes, newHeadRow(head))
+			}
+			return t.print(c, out)
+		})
+	c.Flags().IntVar(&limit, "limit", limit, "number of changes")
+	return c
+}
+
+func (t *tool) configWait() *cobra.Command {
+	return t.command("wait REVISION", "Wait until a revision is in force on every host",
+		"  plantainctl config wait 42 --entry 10.0.0.1:8082,10.0.1.1:8082 --timeout 30s",
+		cobra.ExactArgs(1),
+		func(ctx context.Context, c *cobra.Command, args []string) error {
+			revision, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil || revision == 0 {
+				return fmt.Errorf("%q is not a revision", args[0])
+			}
+			if err := need("entry", t.entries); err != nil {
+				return err
+			}
+			w, err := t.wait(t)
+			if err != nil {
+				return &failure{err: err}
+			}
+			report := w.Wait(ctx, t.entries, revision)
+			if err := t.print(c, hosts{Report: report}); err != nil {
+				return err
+			}
+			return missing(report)
+		})
+}
+
+// missing is the error for a revision that is not in force everywhere.
+func missing(report *waiter.Report) error {
+	if report.Complete() {
+		return nil
+	}
+	names := []string{}
+	for _, h := range report.Missing() {
+		names = append(names, hostName(h))
+	}
+	return &failure{
+		err: eris.Wrapf(errMissing, "revision %d: %d of %d hosts can not confirm it: %s",
+			report.Revision, len(names), len(report.Hosts), strings.Join(names, ", ")),
+	}
+}
--- /dev/null
+++ b/plantainctl/pkg/commander/connect.go
@@ -0,0 +1,105 @@
+package commander
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+	"google.golang.org/grpc"
+
+	"plantaincleat/plantainctl/pkg/waiter"
+	"plantaincleat/tier/gen/settings"
+	"plantaincleat/tier/pkg/securer"
+	"plantaincleat/tier/pkg/storer"
+)
+
+// checkFlags refuses shared flags that make no sense.
+func (t *tool) checkFlags(*cobra.Command) error {
+	if t.output != outputTable && t.output != outputJSON {
+		return fmt.Errorf("flag --output: %q is not one of table, json", t.output)
+	}
+	if t.timeout <= 0 {
+		return fmt.Errorf("flag --timeout: %s is not positive", t.timeout)
+	}
+	if (t.certificate == "") != (t.key == "") || (t.certificate == "") != (t.ca == "") {
+		return fmt.Errorf("flags --ca, --certificate and --key go together")
+	}
+	for _, list := range []struct {
+		flag      string
+		addresses []string
+	}{
+		{
+			flag:      "kv",
+			addresses: t.kv,
+		},
+		{
+			flag:      "entry",
+			addresses: t.entries,
+		},
+	} {
+		if err := t.checkAddresses(list.flag, list.addresses); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *tool) checkAddresses(flag string, addresses []string) error {
+	for _, address := range addresses {
+		a, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return fmt.Errorf("flag --%s: %q is not an IP address with a port", flag, address)
+		}
+		if t.certificate == "" && !t.insecure && !a.Addr().IsLoopback() {
+			return fmt.Errorf("flag --%s: %q is not a loopback address: give --ca, --certificate and --key, or --insecure", flag, address)
+		}
+	}
+	return nil
+}
+
+// need refuses a command without a list of addresses that it depends on.
+func need(flag string, addresses []string) error {
+	if len(addresses) == 0 {
+		return fmt.Errorf("flag --%s is needed", flag)
+	}
+	return nil
+}
+
+func (t *tool) security() (*securer.Securer, error) {
+	s, err := securer.New(&settings.Security{
+		Certificate: t.certificate,
+		Key:         t.key,
+		Ca:          t.ca,
+		Insecure:    t.insecure,
+	}, t.clock)
+	return s, eris.Wrap(err, "read certificates")
+}
+
+// openStore connects to the key-value service.
+func openStore(t *tool) (storer.Store, error) {
+	s, err := t.security()
+	if err != nil {
+		return nil, err
+	}
+	return storer.DialEtcd(t.kv, grpc.WithTransportCredentials(s.ClientCredentials()))
+}
+
+// openWaiter returns a Waiter for the daemons' admin listeners.
+func openWaiter(t *tool) (*waiter.Waiter, error) {
+	s, err := t.security()
+	if err != nil {
+		return nil, err
+	}
+	w := &waiter.Waiter{
+		Client: &http.Client{},
+		Scheme: "http",
+		Clock:  t.clock,
+	}
+	if s != nil {
+		w.Scheme = "https"
+		w.Client.Transport = &http.Transport{TLSClientConfig: s.Client()}
+	}
+	return w, nil
+}
--- /dev/null
+++ b/plantainctl/pkg/waiter/waiter_test.go
@@ -0,0 +1,194 @@
+package waiter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// fakeDaemon serves the statuses of successive rounds, the last one for ever.
+type fakeDaemon struct {
+	rounds []status
+	calls  int
+}
+
+func (f *fakeDaemon) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	at := min(f.calls, len(f.rounds)-1)
+	f.calls++
+	_ = json.NewEncoder(w).Encode(f.rounds[at])
+}
+
+func serve(t *testing.T, rounds ...status) string {
+	t.Helper()
+	s := httptest.NewServer(&fakeDaemon{rounds: rounds})
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// deadAddress returns a loopback address at which nothing listens.
+func deadAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// steppedClock lets waits end at once and ends the context after some.
+type steppedClock struct {
+	clockwork.Clock
+	waits  int
+	cancel context.CancelFunc
+}
+
+func (c *steppedClock) After(time.Duration) <-chan time.Time {
+	if c.waits--; c.waits < 0 {
+		c.cancel()
+		return nil
+	}
+	done := make(chan time.Time, 1)
+	done <- time.Time{}
+	return done
+}
+
+// wait asks for revision 5 for a number of rounds.
+func wait(t *testing.T, rounds int, addresses ...string) *Report {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := &Waiter{
+		Client: &http.Client{},
+		Scheme: "http",
+		Clock: &steppedClock{
+			Clock:  clockwork.NewRealClock(),
+			waits:  rounds - 1,
+			cancel: cancel,
+		},
+	}
+	return w.Wait(ctx, addresses, 5)
+}
+
+// names lists the missing hosts.
+func names(r *Report) string {
+	var all []string
+	for _, h := range r.Missing() {
+		all = append(all, fmt.Sprintf("%s/%s/%d", h.ID, h.State, h.Revision))
+	}
+	return strings.Join(all, " ")
+}
+
+func daemonAt(id string, revision uint64, members ...member) status {
+	return status{
+		ID:         id,
+		DataCentre: "wlg",
+		Revision:   revision,
+		Members:    members,
+	}
+}
+
+func memberAt(id, state string, revision uint64, admin string) member {
+	return member{
+		ID:         id,
+		DataCentre: "wlg",
+		State:      state,
+		Revision:   revision,
+		Admin:      admin,
+	}
+}
+
+func TestWait(t *testing.T) {
+	silent := deadAddress(t)
+	tests := []struct {
+		name      string
+		addresses func(t *testing.T) []string
+		rounds    int
+		missing   string
+	}{
+		{
+			name: "everywhere at once",
+			addresses: func(t *testing.T) []string {
+				return []string{serve(t, daemonAt("e1", 5, memberAt("e2", "alive", 6, "")))}
+			},
+			rounds: 1,
+		},
+		{
+			name: "after two rounds",
+			addresses: func(t *testing.T) []string {
+				return []string{serve(t, daemonAt("e1", 4), daemonAt("e1", 5))}
+			},
+			rounds: 2,
+		},
+		{
+			name: "one is behind",
+			addresses: func(t *testing.T) []string {
+				return []string{serve(t, daemonAt("e1", 5, memberAt("e2", "alive", 4, silent)))}
+			},
+			rounds:  3,
+			missing: "e2/alive/4",
+		},
+		{
+			name: "one confirms itself though its peers do not hear of it",
+			addresses: func(t *testing.T) []string {
+				other := serve(t, daemonAt("e2", 5))
+				return []string{serve(t, daemonAt("e1", 5, memberAt("e2", "unreachable", 4, other)))}
+			},
+			rounds: 2,
+		},
+		{
+			name: "dead and left ones do not count",
+			addresses: func(t *testing.T) []string {
+				return []string{serve(t, daemonAt("e1", 5,
+					memberAt("e2", "dead", 4, silent), memberAt("e3", "left", 4, silent)))}
+			},
+			rounds: 1,
+		},
+		{
+			name: "dead in one view, alive in another",
+			addresses: func(t *testing.T) []string {
+				return []string{
+					serve(t, daemonAt("e1", 5, memberAt("e3", "dead", 4, silent))),
+					serve(t, daemonAt("e2", 5, memberAt("e3", "suspect", 4, silent))),
+				}
+			},
+			rounds:  2,
+			missing: "e3/suspect/4",
+		},
+		{
+			name: "unreachable",
+			addresses: func(t *testing.T) []string {
+				return []string{serve(t, daemonAt("e1", 5, memberAt("e2", "unreachable", 4, silent)))}
+			},
+			rounds:  2,
+			missing: "e2/unreachable/4",
+		},
+		{
+			name: "nobody answers",
+			addresses: func(*testing.T) []string {
+				return []string{silent}
+			},
+			rounds:  2,
+			missing: "/silent/0",
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			report := wait(t, test.rounds, test.addresses(t)...)
+			if got := names(report); got != test.missing {
+				t.Errorf("missing = %q, want %q", got, test.missing)
+			}
+			if report.Complete() != (test.missing == "") {
+				t.Errorf("complete = %v", report.Complete())
+			}
+		})
+	}
+}
--- a/tier/pkg/proposer/proposer.go
+++ b/tier/pkg/proposer/proposer.go
@@ -6,7 +6,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
@@ -141,6 +144,12 @@
 				Reason: fmt.Sprintf("is longer than %d bytes", textLimit),
 			})
 		}
+		if !utf8.ValidString(t.text) || strings.ContainsFunc(t.text, unicode.IsControl) {
+			problems = append(problems, checker.Problem{
+				Field:  t.field,
+				Reason: "contains a control character or is not UTF-8",
+			})
+		}
 	}
 	if len(problems) > 0 {
 		return &InvalidError{Problems: problems}
--- a/tier/pkg/proposer/proposer_test.go
+++ b/tier/pkg/proposer/proposer_test.go
@@ -162,10 +162,11 @@
 	store := &storer.Memory{}
 	c := change("a", 1)
 	c.Author = ""
+	c.Reason = "two\nlines"
 	c.Config.Policy.Hedge = 2
 	_, err := newProposer(store).Propose(context.Background(), c)
 	var invalid *InvalidError
-	if !errors.As(err, &invalid) || len(invalid.Problems) != 2 {
+	if !errors.As(err, &invalid) || len(invalid.Problems) != 3 {
 		t.Fatalf("err = %v", err)
 	}
 	if n := store.Counts().Writes; n != 0 {
