--- a/loadgen/pkg/balancer/balancer.go
+++ b/loadgen/pkg/balancer/balancer.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -91,14 +92,21 @@
 
 // Run checks readiness until ctx ends.
 func (b *Balancer) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, e := range b.entries {
+		if e.ready != "" {
+			wg.Go(func() { b.watch(ctx, e) })
+		}
+	}
+	wg.Wait()
+}
+
+// watch checks one daemon, one probe after the other.
+func (b *Balancer) watch(ctx context.Context, e *entry) {
 	ticker := b.clock.NewTicker(probeInterval)
 	defer ticker.Stop()
 	for {
-		for _, e := range b.entries {
-			if e.ready != "" {
-				go b.probe(ctx, e)
-			}
-		}
+		b.probe(ctx, e)
 		select {
 		case <-ticker.Chan():
 		case <-ctx.Done():
--- /dev/null
+++ b/loadgen/pkg/commander/commander_test.go
@@ -0,0 +1,256 @@
+package commander
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"plantaincleat/loadgen/pkg/caller"
+	"plantaincleat/loadgen/pkg/profiler"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/loader"
+	"plantaincleat/tier/pkg/synthesizer"
+)
+
+// tier answers searches from the reference, over all shards of a collection.
+type tier struct {
+	cfg *config.Config
+	// spoil changes an answer. It may be nil.
+	spoil    func(*caller.Answer)
+	requests atomic.Int64
+}
+
+// request is the body of a search.
+type request struct {
+	Collection string   `json:"collection"`
+	Class      string   `json:"class"`
+	Prefix     string   `json:"prefix"`
+	Terms      []string `json:"terms"`
+	Limit      uint32   `json:"limit"`
+	Cursor     string   `json:"cursor"`
+}
+
+func (s *tier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.requests.Add(1)
+	var body request
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil || r.Header.Get("Institution") == "" || r.Header.Get("Deadline") == "" {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	if r.URL.Path == "/v1/mutate" {
+		w.Header().Set("Retry-After", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		w.Write([]byte(`{"error":{"kind":"unavailable","message":"claim: store is down","run":"no"}}`))
+		return
+	}
+	a := s.answer(r.Header.Get("Request-Id"), &body)
+	if s.spoil != nil {
+		s.spoil(a)
+	}
+	json.NewEncoder(w).Encode(a)
+}
+
+func (s *tier) answer(id string, body *request) *caller.Answer {
+	q := &target.Query{
+		Prefix: body.Prefix,
+		Terms:  body.Terms,
+		Limit:  body.Limit,
+	}
+	if body.Cursor != "" {
+		q.After = &target.Place{}
+		json.Unmarshal([]byte(body.Cursor), q.After)
+	}
+	a := &caller.Answer{
+		Request:  id,
+		Snapshot: "s1",
+	}
+	a.Coverage.Fraction = 1
+	var shards []synthesizer.Shard
+	for _, c := range s.cfg.GetCollections() {
+		if c.GetName() != body.Collection {
+			continue
+		}
+		for _, sh := range c.GetVersions()[0].GetSnapshots()[0].GetShards() {
+			a.Coverage.Covered = append(a.Coverage.Covered, sh.GetId())
+			shards = append(shards, synthesizer.Shard{
+				Collection: c.GetName(),
+				Version:    profiler.Version,
+				Snapshot:   "s1",
+				ID:         sh.GetId(),
+				From:       sh.GetFrom(),
+				To:         sh.GetTo(),
+			})
+		}
+	}
+	for _, r := range synthesizer.Merge(shards, q) {
+		a.Records = append(a.Records, caller.Record{
+			Key:   r.GetKey(),
+			Score: r.GetScore(),
+			Text:  r.GetText(),
+		})
+	}
+	if n := len(a.Records); n > 0 {
+		last := a.Records[n-1]
+		cursor, _ := json.Marshal(struct {
+			Score float64 `json:"score"`
+			Key   string  `json:"key"`
+		}{
+			Score: last.Score,
+			Key:   last.Key,
+		})
+		a.Cursor = string(cursor)
+	}
+	return a
+}
+
+func execute(args ...string) (string, error) {
+	var out bytes.Buffer
+	cmd := New()
+	cmd.SetOut(&out)
+	cmd.SetErr(&out)
+	cmd.SetArgs(args)
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+// A profile's files, a run against a tier and a comparison fit together.
+func TestProfileRunCompare(t *testing.T) {
+	dir := t.TempDir()
+	if out, err := execute("profile", "kahikatea", "--output-dir", dir, "--scale", "0.1"); err != nil || !strings.Contains(out, "standin target --admin") {
+		t.Fatalf("profile: %v\n%s", err, out)
+	}
+	file := filepath.Join(dir, profiler.ConfigFile)
+	cfg, err := loader.LoadConfig(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name  string
+		spoil func(*caller.Answer)
+		want  error
+	}{
+		{name: "honest"},
+		{name: "doubled", want: errViolations, spoil: func(a *caller.Answer) { a.Records = append(a.Records, a.Records...) }},
+	}
+	for _, tt := range tests {
+		h := &tier{
+			cfg:   cfg,
+			spoil: tt.spoil,
+		}
+		s := httptest.NewServer(h)
+		report := filepath.Join(dir, tt.name+".json")
+		out, err := execute("run", "--entry", s.URL, "--config", file, "--verify", "--rate", "200", "--duration", "250ms",
+			"--steps", "1,2", "--report", report, "--plot", filepath.Join(dir, tt.name+".svg"), "--mutations", filepath.Join(dir, "told"))
+		s.Close()
+		if !errors.Is(err, tt.want) {
+			t.Errorf("%s: run: %v\n%s", tt.name, err, out)
+		}
+		r, err := readReport(report)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := r.Steps[0].Total.Sent + r.Steps[1].Total.Sent; n != h.requests.Load() || n == 0 {
+			t.Errorf("%s: report of %d requests, want %d", tt.name, n, h.requests.Load())
+		}
+	}
+	out, err := execute("compare", filepath.Join(dir, "honest.json"), filepath.Join(dir, "doubled.json"), "--plot", filepath.Join(dir, "both.png"))
+	if err != nil || !strings.Contains(out, "honest") {
+		t.Errorf("compare: %v\n%s", err, out)
+	}
+	if out, err := execute("audit", "--mutations", filepath.Join(dir, "told")); err != nil {
+		t.Errorf("audit: %v\n%s", err, out)
+	}
+}
+
+func TestErrorsNameTheFlag(t *testing.T) {
+	tests := []struct {
+		args []string
+		want string
+	}{
+		{args: []string{"profile"}, want: "corrib, kahikatea"},
+		{args: []string{"profile", "other", "--output-dir", "x"}, want: `profile "other"`},
+		{args: []string{"profile", "corrib"}, want: "--output-dir"},
+		{args: []string{"profile", "corrib", "--output-dir", "x", "--scale", "-1"}, want: "--scale"},
+		{args: []string{"profile", "corrib", "--output-dir", "x", "--snapshots", "s1"}, want: "--snapshots"},
+		{args: []string{"run"}, want: "--entry"},
+		{args: []string{"run", "--profile", "x"}, want: "--profile"},
+		{args: []string{"run", "--classes", "x"}, want: "--classes"},
+		{args: []string{"run", "--steps", "x"}, want: "--steps"},
+		{args: []string{"run", "--steps", "0"}, want: "field steps[0]"},
+		{args: []string{"run", "--verify"}, want: "--config"},
+		{args: []string{"run", "--entry", "http://127.0.0.1:1", "--plot", "x.pdf"}, want: "--plot"},
+		{args: []string{"compare", "no.json", "no.json"}, want: "no.json"},
+		{args: []string{"audit", "--mutations", "no"}, want: "--mutations"},
+	}
+	for _, tt := range tests {
+		if out, err := execute(tt.args...); err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%v: %v, want an error with %q\n%s", tt.args, err, tt.want, out)
+		}
+	}
+}
+
+func TestAudit(t *testing.T) {
+	told := []mutationLine{
+		{Key: "once", Run: "yes"},
+		{Key: "twice", Run: "yes"},
+		{Key: "refused", Run: "no"},
+		{Key: "refused-run", Run: "no"},
+		{Key: "absent", Run: "yes"},
+		{Key: "unknown", Run: "unknown"},
+	}
+	runs := []executionLine{{Key: "once"}, {Key: "twice"}, {Key: "twice"}, {Key: "refused-run"}, {Key: "foreign"}}
+	a := newAuditOf(told, runs)
+	tests := []struct {
+		name string
+		got  []string
+		want string
+	}{
+		{name: "doubled", got: a.doubled, want: "twice"},
+		{name: "refused", got: a.refused, want: "refused-run"},
+		{name: "absent", got: a.absent, want: "absent"},
+		{name: "foreign", got: a.foreign, want: "foreign"},
+	}
+	for _, tt := range tests {
+		if len(tt.got) != 1 || tt.got[0] != tt.want {
+			t.Errorf("%s: %v, want %s", tt.name, tt.got, tt.want)
+		}
+	}
+}
+
+// A refusal carries its kind, whether the request was run and Retry-After.
+func TestRefusal(t *testing.T) {
+	s := httptest.NewServer(&tier{})
+	defer s.Close()
+	c := caller.New(entry(s.URL))
+	defer c.Close()
+	_, err := c.Mutate(t.Context(), caller.Mutation{Institution: "kahikatea"})
+	var r *caller.Refusal
+	if !errors.As(err, &r) || r.Code != 503 || r.Kind != "unavailable" || r.Run != "no" || r.After != time.Second {
+		t.Errorf("Mutate() = %v, %+v", err, r)
+	}
+}
+
+// entry is the URL of the only daemon.
+type entry string
+
+func (e entry) Next() string            { return string(e) }
+func (e entry) Unreachable(string) bool { return false }
+
+func TestReportOfAnotherFormat(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "r.json")
+	if err := os.WriteFile(file, []byte("{"), fileMode); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readReport(file); err == nil || !strings.Contains(err.Error(), file) {
+		t.Errorf("readReport() = %v, want an error that names the file", err)
+	}
+}
--- /dev/null
+++ b/loadgen/pkg/pacer/pacer_test.go
@@ -0,0 +1,98 @@
+package pacer
+
+import (
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"plantaincleat/loadgen/pkg/profiler"
+)
+
+func newOptions(t *testing.T, seed uint64) *Options {
+	t.Helper()
+	p, err := profiler.Find("kahikatea")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &Options{
+		Classes: p.Classes,
+		Steps: []Step{
+			{
+				Factor:   0.5,
+				Rate:     500,
+				Duration: 10 * time.Second,
+			},
+			{
+				Factor:   2,
+				Rate:     2000,
+				Duration: 10 * time.Second,
+			},
+		},
+		Seed: seed,
+	}
+}
+
+func TestScheduleFollowsFromTheSeed(t *testing.T) {
+	first := slices.Collect(newOptions(t, 1).Schedule())
+	again := slices.Collect(newOptions(t, 1).Schedule())
+	other := slices.Collect(newOptions(t, 2).Schedule())
+	if len(first) != len(again) {
+		t.Fatalf("%d requests, then %d with the same seed", len(first), len(again))
+	}
+	for i := range first {
+		if first[i].At != again[i].At || first[i].Class.Name != again[i].Class.Name || !reflect.DeepEqual(first[i].Query, again[i].Query) {
+			t.Fatalf("request %d differs with the same seed", i)
+		}
+	}
+	if first[0].At == other[0].At {
+		t.Error("another seed gives the same send times")
+	}
+}
+
+func TestScheduleHoldsRatesAndWeights(t *testing.T) {
+	o := newOptions(t, 1)
+	requests := slices.Collect(o.Schedule())
+	steps, classes := make([]int, len(o.Steps)), make(map[string]int)
+	for i, r := range requests {
+		steps[r.Step]++
+		classes[r.Class.Name]++
+		if i > 0 && r.At < requests[i-1].At {
+			t.Fatalf("request %d is out of order", i)
+		}
+	}
+	for i, want := range []float64{5000, 20000} {
+		// Four standard deviations of a Poisson process.
+		if d := math.Abs(float64(steps[i]) - want); d > 4*math.Sqrt(want) {
+			t.Errorf("step %d has %d requests, want about %v", i, steps[i], want)
+		}
+	}
+	for _, c := range o.Classes {
+		want := c.Weight * float64(len(requests))
+		if d := math.Abs(float64(classes[c.Name]) - want); d > 4*math.Sqrt(want) {
+			t.Errorf("class %s has %d requests, want about %v", c.Name, classes[c.Name], want)
+		}
+	}
+}
+
+func TestValidate(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Options)
+		want   string
+	}{
+		{name: "no class", change: func(o *Options) { o.Classes = nil }, want: "field classes"},
+		{name: "no step", change: func(o *Options) { o.Steps = nil }, want: "field steps"},
+		{name: "rate", change: func(o *Options) { o.Steps[1].Rate = -1 }, want: "field steps[1]: rate"},
+		{name: "duration", change: func(o *Options) { o.Steps[0].Duration = 0 }, want: "field steps[0]: duration"},
+	}
+	for _, tt := range tests {
+		o := newOptions(t, 1)
+		tt.change(o)
+		if err := o.Validate(); err == nil || !strings.Contains(err.Error(), tt.want) {
+			t.Errorf("%s: %v, want an error with %q", tt.name, err, tt.want)
+		}
+	}
+}
--- a/loadgen/pkg/profiler/plan.go
+++ b/loadgen/pkg/profiler/plan.go
@@ -234,12 +234,15 @@
 		Concurrency: unlimited,
 	}
 	for _, c := range p.Profile.Classes {
-		institution.Classes = append(institution.Classes, &config.Class{
+		class := &config.Class{
 			Name:     c.Name,
 			Floor:    c.Floor,
-			Goal:     durationpb.New(c.Goal),
 			Deadline: durationpb.New(c.Deadline),
-		})
+		}
+		if c.Goal > 0 {
+			class.Goal = durationpb.New(c.Goal)
+		}
+		institution.Classes = append(institution.Classes, class)
 	}
 	return institution
 }
--- /dev/null
+++ b/loadgen/pkg/reporter/reporter_test.go
@@ -0,0 +1,115 @@
+package reporter
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"plantaincleat/loadgen/pkg/caller"
+	"plantaincleat/loadgen/pkg/pacer"
+	"plantaincleat/loadgen/pkg/recorder"
+)
+
+// newReport returns the report of a hundred answers, each later than the last.
+func newReport(slowest time.Duration) *recorder.Report {
+	r := recorder.New([]pacer.Step{{
+		Factor:   1.2,
+		Rate:     100,
+		Duration: time.Second,
+	}})
+	for i := range 100 {
+		r.Add(recorder.Result{
+			Class:    "lookup",
+			At:       time.Duration(i) * 10 * time.Millisecond,
+			Latency:  slowest * time.Duration(i+1) / 100,
+			Deadline: time.Second,
+			Answer: &caller.Answer{
+				Coverage: caller.Coverage{
+					Fraction: 1,
+				},
+				Stats: caller.Stats{
+					Sent:   22,
+					Needed: 20,
+				},
+			},
+		})
+	}
+	r.Add(recorder.Result{
+		Class:   "lookup",
+		Refusal: &caller.Refusal{Kind: "limit", Run: "no"},
+	})
+	return r.Report()
+}
+
+func TestTable(t *testing.T) {
+	var b bytes.Buffer
+	if err := Table(&b, newReport(100*time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"lookup", "total", "99.01ms", "10.00%", "limit 1", "100 from 1"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("the table lacks %q:\n%s", want, b.String())
+		}
+	}
+}
+
+func TestCompare(t *testing.T) {
+	a, b := newReport(100*time.Millisecond), newReport(200*time.Millisecond)
+	pairs := Compare(a, b)
+	i := slices.IndexFunc(pairs, func(p Pair) bool { return p.Class == "total" && p.Measure == "p99" })
+	if i < 0 {
+		t.Fatal("no p99 of the total")
+	}
+	if r := pairs[i].Ratio(); r < 1.99 || r > 2.01 {
+		t.Errorf("ratio %v, want 2", r)
+	}
+	b.Steps[0].Classes[0].Name = "other"
+	if n := len(Compare(a, b)); n != len(measures) {
+		t.Errorf("%d measures where only the total is in both, want %d", n, len(measures))
+	}
+	var w bytes.Buffer
+	if err := CompareTable(&w, "direct", "cells", a, b); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(w.String(), "direct") || !strings.Contains(w.String(), "2.00") {
+		t.Errorf("the comparison lacks names or ratio:\n%s", w.String())
+	}
+}
+
+func TestPlot(t *testing.T) {
+	tests := []struct {
+		file string
+		head string
+	}{
+		{file: "a.svg", head: "<?xml"},
+		{file: "a.png", head: "\x89PNG"},
+	}
+	for _, tt := range tests {
+		format, err := Format(tt.file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var b bytes.Buffer
+		reports := []Named{
+			{
+				Name:   "a",
+				Report: newReport(100 * time.Millisecond),
+			},
+			{
+				Name:   "empty",
+				Report: &recorder.Report{},
+			},
+		}
+		if err := Plot(&b, format, reports...); err != nil {
+			t.Fatal(err)
+		}
+		if !strings.HasPrefix(b.String(), tt.head) {
+			t.Errorf("%s begins with %q", tt.file, b.Bytes()[:8])
+		}
+	}
+	if _, err := Format("a.pdf"); err == nil || !strings.Contains(err.Error(), "a.pdf") {
+		t.Errorf("Format(a.pdf) = %v, want an error that names it", err)
+	}
+}
