--- a/entryd/pkg/starter/mutator.go
+++ b/entryd/pkg/starter/mutator.go
@@ -7,7 +7,6 @@
 
 	"plantaincleat/entryd/pkg/forwarder"
 	"plantaincleat/entryd/pkg/handler"
-	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/target"
 )
 
@@ -22,11 +21,9 @@
 func (d *Daemon) newMutator() handler.Mutator {
 	return &mutator{
 		forwarder: &forwarder.Forwarder{
-			ID:      d.cfg.GetId(),
-			Configs: d.configs,
-			Placement: &placement{
-				views: d.gossip,
-			},
+			ID:         d.cfg.GetId(),
+			Configs:    d.configs,
+			Placement:  &d.placement,
 			Departures: d.departer,
 			Connector:  d.dialer,
 			Local:      d.gatherer,
@@ -68,20 +65,3 @@
 		RetryAfter: retryPause,
 	}
 }
-
-// openAdmitter admits everything.
-type openAdmitter struct{}
-
-// Admit implements handler.Admitter.
-func (openAdmitter) Admit(context.Context, *config.Institution, *config.Class, time.Time) (func(bool), error) {
-	return func(bool) {}, nil
-}
-
-// openQuarantine quarantines nothing.
-type openQuarantine struct{}
-
-// Check implements handler.Quarantine.
-func (openQuarantine) Check(uint64) (time.Duration, bool) { return 0, false }
-
-// Done implements handler.Quarantine.
-func (openQuarantine) Done(uint64, string, []string) {}
