--- a/entryd/pkg/starter/configs.go
+++ b/entryd/pkg/starter/configs.go
@@ -4,23 +4,11 @@
 	"context"
 	"sync/atomic"
 
+	"plantaincleat/entryd/pkg/adopter"
 	"plantaincleat/tier/gen/config"
-	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/pkg/indexer"
 )
 
-// Adopter moves the daemon to newer configurations.
-type Adopter interface {
-	// Run follows the configuration until ctx ends.
-	Run(ctx context.Context)
-	// Accepted returns the configuration in force, nil for none.
-	Accepted() *config.Accepted
-	// Subscribe returns a channel that gets a value after changes.
-	Subscribe() (<-chan struct{}, func())
-	// Fetch serves other daemons.
-	Fetch(ctx context.Context, in *peer.FetchRequest) (*config.Accepted, error)
-}
-
 // configs holds the index of the configuration in force.
 type configs struct {
 	index    atomic.Pointer[indexer.Index]
@@ -37,11 +25,11 @@
 func (c *configs) Index() *indexer.Index { return c.index.Load() }
 
 // follow indexes each newly adopted configuration until ctx ends.
-func (c *configs) follow(ctx context.Context, a Adopter) {
+func (c *configs) follow(ctx context.Context, a *adopter.Runner) {
 	changed, stop := a.Subscribe()
 	defer stop()
 	for {
-		c.adopt(a.Accepted())
+		c.adopt(a.Current())
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/entryd/pkg/starter/report.go
+++ b/entryd/pkg/starter/report.go
@@ -11,6 +11,9 @@
 	"plantaincleat/entryd/pkg/administrator"
 )
 
+// neverConfirmed is the staleness of a configuration that was never confirmed.
+const neverConfirmed = -1
+
 // Status implements administrator.Reporter.
 func (d *Daemon) Status() administrator.Status {
 	ix := d.configs.Index()
@@ -19,9 +22,12 @@
 		DataCentre: d.cfg.GetDatacentre(),
 		Revision:   ix.Revision(),
 		Ready:      ix.Revision() > 0,
-		Stale:      d.stale(),
+		Stale:      neverConfirmed,
 		Leaving:    append([]string{}, d.departer.List()...),
 	}
+	if age, ok := d.adopter.Stale(); ok {
+		s.Stale = age.Seconds()
+	}
 	for _, m := range d.gossip.View().Members() {
 		state := strings.ToLower(strings.TrimPrefix(m.State().String(), "STATE_"))
 		if !m.Reachable() {
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/administrator"
+	"plantaincleat/entryd/pkg/adopter"
 	"plantaincleat/entryd/pkg/coordinator"
 	"plantaincleat/entryd/pkg/departer"
 	"plantaincleat/entryd/pkg/dialer"
@@ -52,7 +53,7 @@
 	dialer      *dialer.Dialer
 	store       storer.Store
 	configs     *configs
-	adopter     Adopter
+	adopter     *adopter.Runner
 	gossip      *gossiper.Runner
 	placement   placer.Holder
 	admission   *admission
@@ -107,7 +108,16 @@
 		Seeds:  d.cfg.GetSeeds(),
 		Source: rand.NewPCG(rand.Uint64(), rand.Uint64()),
 	}, d.clock, gossiper.NewTransport(d.dialer.Dial))
-	d.adopter = d.newAdopter()
+	d.adopter = adopter.NewRunner(adopter.Options{
+		Config: adopter.Config{
+			ID:         d.cfg.GetId(),
+			DataCentre: d.cfg.GetDatacentre(),
+		},
+		Store:  d.store,
+		Fleet:  adopter.NewFleet(d.gossip),
+		Puller: adopter.NewPuller(d.dialer.Dial),
+		Clock:  d.clock,
+	})
 	d.departer = departer.New(d.gossip, d.configs, d.clock)
 }
 
