--- a/loadgen/pkg/verifier/verifier.go
+++ b/loadgen/pkg/verifier/verifier.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"strings"
+	"sync"
 
 	"plantaincleat/loadgen/pkg/caller"
 	"plantaincleat/tier/gen/config"
@@ -53,15 +54,21 @@
 	snapshot   string
 }
 
+// shard is one shard with its records, which are made at the first use.
+type shard struct {
+	synthesizer.Shard
+	records func() []*target.Record
+}
+
 // Verifier knows the shards of all snapshots. Use New.
 type Verifier struct {
-	editions map[edition][]synthesizer.Shard
+	editions map[edition][]shard
 }
 
 // New returns a verifier for the snapshots of all the configurations.
 func New(cfgs ...*config.Config) *Verifier {
 	v := &Verifier{
-		editions: make(map[edition][]synthesizer.Shard),
+		editions: make(map[edition][]shard),
 	}
 	for _, cfg := range cfgs {
 		for _, c := range cfg.GetCollections() {
@@ -80,15 +87,19 @@
 }
 
 func (v *Verifier) add(e edition, s *config.Snapshot) {
-	shards := make([]synthesizer.Shard, 0, len(s.GetShards()))
-	for _, shard := range s.GetShards() {
-		shards = append(shards, synthesizer.Shard{
+	shards := make([]shard, 0, len(s.GetShards()))
+	for _, sh := range s.GetShards() {
+		known := synthesizer.Shard{
 			Collection: e.collection,
 			Version:    e.version,
 			Snapshot:   e.snapshot,
-			ID:         shard.GetId(),
-			From:       shard.GetFrom(),
-			To:         shard.GetTo(),
+			ID:         sh.GetId(),
+			From:       sh.GetFrom(),
+			To:         sh.GetTo(),
+		}
+		shards = append(shards, shard{
+			Shard:   known,
+			records: sync.OnceValue(func() []*target.Record { return synthesizer.All(known) }),
 		})
 	}
 	v.editions[e] = shards
@@ -98,7 +109,7 @@
 type check struct {
 	search     *caller.Search
 	answer     *caller.Answer
-	covered    []synthesizer.Shard
+	covered    []shard
 	violations []Violation
 }
 
@@ -138,7 +149,7 @@
 }
 
 // coverage compares the covered and missing shards with those of the snapshot.
-func (c *check) coverage(shards []synthesizer.Shard) {
+func (c *check) coverage(shards []shard) {
 	covered := count(c.answer.Coverage.Covered)
 	missing := make(map[string]int)
 	for _, m := range c.answer.Coverage.Missing {
@@ -165,7 +176,7 @@
 
 // records compares the records with the reference merge of the covered shards.
 func (c *check) records() {
-	want := synthesizer.Merge(c.covered, c.search.Query)
+	want := c.reference()
 	wanted := make(map[string]*target.Record, len(want))
 	for _, r := range want {
 		wanted[r.GetKey()] = r
@@ -189,6 +200,15 @@
 	}
 }
 
+// reference returns the answer of a correct tier from the covered shards.
+func (c *check) reference() []*target.Record {
+	var merged []*target.Record
+	for _, s := range c.covered {
+		merged = append(merged, synthesizer.Select(s.records(), c.search.Query)...)
+	}
+	return synthesizer.Top(merged, c.search.Query.GetLimit())
+}
+
 // record checks one record against the wanted one, nil if there is none.
 func (c *check) record(r caller.Record, want *target.Record) {
 	if want != nil && want.GetText() == r.Text && want.GetScore() == r.Score {
@@ -198,7 +218,7 @@
 	switch {
 	case snapshot != c.answer.Snapshot:
 		c.fail(Mixed, "record %s of snapshot %q in an answer of %q", r.Key, snapshot, c.answer.Snapshot)
-	case !slices.ContainsFunc(c.covered, func(s synthesizer.Shard) bool { return holds(s, r.Key) }):
+	case !slices.ContainsFunc(c.covered, func(s shard) bool { return holds(s.Shard, r.Key) }):
 		c.fail(Coverage, "record %s lies in no covered shard", r.Key)
 	default:
 		c.fail(Crossed, "record %s does not answer the query", r.Key)
--- a/tier/pkg/synthesizer/synthesizer.go
+++ b/tier/pkg/synthesizer/synthesizer.go
@@ -97,11 +97,17 @@
 	for _, s := range shards {
 		merged = append(merged, Records(s, q)...)
 	}
-	slices.SortFunc(merged, Compare)
-	if n := int(q.GetLimit()); n > 0 && len(merged) > n {
-		merged = merged[:n]
+	return Top(merged, q.GetLimit())
+}
+
+// Top sorts records into the result order and cuts them to a limit. A limit
+// of zero means no limit.
+func Top(records []*target.Record, limit uint32) []*target.Record {
+	slices.SortFunc(records, Compare)
+	if n := int(limit); n > 0 && len(records) > n {
+		records = records[:n]
 	}
-	return merged
+	return records
 }
 
 // Compare orders records by score descending, then by key ascending.
