--- a/loadgen/pkg/reporter/plot.go
+++ b/loadgen/pkg/reporter/plot.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		return nil, err
 	}
+	good.Y.Min = 0
 	coverages, err := newPanel("Mean coverage of each second", "s", "fraction", covered)
 	if err != nil {
 		return nil, err
@@ -132,16 +133,21 @@
 		l.Color = plotutil.Color(i)
 		l.Dashes = plotutil.Dashes(i)
 		p.Add(l)
-		p.Legend.Add(s.name, l)
+		if s.name != "" {
+			p.Legend.Add(s.name, l)
+		}
 	}
 	return p, nil
 }
 
-// logarithmic sets a logarithmic vertical axis if there is anything to show.
+// logarithmic sets a logarithmic vertical axis of whole decades if there is
+// anything to show.
 func logarithmic(p *plot.Plot) {
 	if p.Y.Min <= 0 || p.Y.Max <= p.Y.Min {
 		return
 	}
+	p.Y.Min = math.Pow10(int(math.Floor(math.Log10(p.Y.Min))))
+	p.Y.Max = math.Pow10(int(math.Ceil(math.Log10(p.Y.Max))))
 	p.Y.Scale = plot.LogScale{}
 	p.Y.Tick.Marker = plot.LogTicks{
 		Prec: -1,
