--- a/entryd/pkg/departer/departer.go
+++ b/entryd/pkg/drainer/drainer.go
@@ -1,5 +1,5 @@
-// Package departer tells which targets are leaving and get no new work.
-package departer
+// Package drainer tells which targets are leaving and get no new work.
+package drainer
 
 import (
 	"context"
@@ -27,9 +27,9 @@
 	Index() *indexer.Index
 }
 
-// Departer combines the targets' own signals, spread as notices, with the
+// Drainer combines the targets' own signals, spread as notices, with the
 // operators' configuration. It is safe for concurrent use.
-type Departer struct {
+type Drainer struct {
 	board   Board
 	configs Configs
 	clock   clockwork.Clock
@@ -37,9 +37,9 @@
 	announced atomic.Pointer[map[string]time.Time]
 }
 
-// New returns a departer.
-func New(board Board, configs Configs, clock clockwork.Clock) *Departer {
-	d := &Departer{
+// New returns a drainer.
+func New(board Board, configs Configs, clock clockwork.Clock) *Drainer {
+	d := &Drainer{
 		board:   board,
 		configs: configs,
 		clock:   clock,
@@ -49,7 +49,7 @@
 }
 
 // Run follows the notices until ctx ends.
-func (d *Departer) Run(ctx context.Context) {
+func (d *Drainer) Run(ctx context.Context) {
 	changed, stop := d.board.Subscribe()
 	defer stop()
 	for {
@@ -62,7 +62,7 @@
 	}
 }
 
-func (d *Departer) refresh() {
+func (d *Drainer) refresh() {
 	out := map[string]time.Time{}
 	for _, n := range d.board.Notices() {
 		l := n.GetLeaving()
@@ -78,7 +78,7 @@
 }
 
 // Leaving reports whether a target takes no new work.
-func (d *Departer) Leaving(target string) bool {
+func (d *Drainer) Leaving(target string) bool {
 	if d.configs.Index().Target(target).GetLeaving() {
 		return true
 	}
@@ -88,7 +88,7 @@
 
 // Announce tells the fleet that one incarnation of a target is leaving. It
 // renews an earlier notice once half of its life has passed.
-func (d *Departer) Announce(target string, incarnation uint64) {
+func (d *Drainer) Announce(target string, incarnation uint64) {
 	now := d.clock.Now()
 	if expiry, ok := (*d.announced.Load())[target]; ok && expiry.Sub(now) > noticeLife/2 {
 		return
@@ -106,7 +106,7 @@
 }
 
 // List returns the targets that are leaving.
-func (d *Departer) List() []string {
+func (d *Drainer) List() []string {
 	var out []string
 	for _, t := range d.configs.Index().Accepted().GetConfig().GetTargets() {
 		if d.Leaving(t.GetId()) {
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -314,7 +314,7 @@
 
 func (j *job) collectMissing() {
 	for i := range j.reported {
-		if j.reported[i] || j.query.Covered(i) || !(j.query.Closed(i) || j.query.Done()) {
+		if j.reported[i] || j.query.Covered(i) || !j.query.Closed(i) && !j.query.Done() {
 			continue
 		}
 		j.reported[i] = true
--- a/entryd/pkg/server/server.go
+++ b/entryd/pkg/server/server.go
@@ -65,7 +65,7 @@
 
 // Gather implements peer.PeerServer.
 func (s *Server) Gather(stream peer.Peer_GatherServer) error {
-	return s.Options.Gatherer.Serve(stream)
+	return s.Gatherer.Serve(stream)
 }
 
 // Gossip implements peer.PeerServer.
--- a/entryd/pkg/starter/mutator.go
+++ b/entryd/pkg/starter/mutator.go
@@ -24,7 +24,7 @@
 			ID:         d.cfg.GetId(),
 			Configs:    d.configs,
 			Placement:  &d.placement,
-			Departures: d.departer,
+			Departures: d.drainer,
 			Connector:  d.dialer,
 			Local:      d.gatherer,
 		},
--- a/entryd/pkg/starter/report.go
+++ b/entryd/pkg/starter/report.go
@@ -23,7 +23,7 @@
 		Revision:   ix.Revision(),
 		Ready:      ix.Revision() > 0,
 		Stale:      neverConfirmed,
-		Leaving:    append([]string{}, d.departer.List()...),
+		Leaving:    append([]string{}, d.drainer.List()...),
 	}
 	if age, ok := d.adopter.Stale(); ok {
 		s.Stale = age.Seconds()
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -18,8 +18,8 @@
 	"plantaincleat/entryd/pkg/administrator"
 	"plantaincleat/entryd/pkg/adopter"
 	"plantaincleat/entryd/pkg/coordinator"
-	"plantaincleat/entryd/pkg/departer"
 	"plantaincleat/entryd/pkg/dialer"
+	"plantaincleat/entryd/pkg/drainer"
 	"plantaincleat/entryd/pkg/gatherer"
 	"plantaincleat/entryd/pkg/gossiper"
 	"plantaincleat/entryd/pkg/handler"
@@ -58,7 +58,7 @@
 	placement   placer.Holder
 	admission   *admission
 	quarantine  *quarantiner.Quarantiner
-	departer    *departer.Departer
+	drainer     *drainer.Drainer
 	gatherer    *gatherer.Gatherer
 	coordinator *coordinator.Coordinator
 	handler     *handler.Handler
@@ -118,7 +118,7 @@
 		Puller: adopter.NewPuller(d.dialer.Dial),
 		Clock:  d.clock,
 	})
-	d.departer = departer.New(d.gossip, d.configs, d.clock)
+	d.drainer = drainer.New(d.gossip, d.configs, d.clock)
 }
 
 // buildQueries makes the path of a query.
@@ -130,7 +130,7 @@
 	d.gatherer = gatherer.New(gatherer.Options{
 		ID:         d.cfg.GetId(),
 		Configs:    d.configs,
-		Departures: d.departer,
+		Departures: d.drainer,
 		Dial:       d.dialer.Dial,
 		Connector:  d.dialer,
 		Clock:      d.clock,
@@ -214,7 +214,7 @@
 	d.wg.Go(func() { d.gossip.Run(d.ctx) })
 	d.wg.Go(func() { d.adopter.Run(d.ctx) })
 	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
-	d.wg.Go(func() { d.departer.Run(d.ctx) })
+	d.wg.Go(func() { d.drainer.Run(d.ctx) })
 	d.wg.Go(func() { d.place(d.ctx) })
 	d.wg.Go(func() { d.followQuarantine(d.ctx) })
 	d.wg.Go(func() { d.admission.run(d.ctx) })
--- a/standin/pkg/launcher/launcher_test.go
+++ b/standin/pkg/launcher/launcher_test.go
@@ -38,8 +38,8 @@
 	cfg, err := loader.ParseConfig("test", []byte(`{
 		// Two targets, one shard each.
 		"targets": [
-			{"id": "t1", "address": "` + freeAddress(t) + `", "datacentre": "dc1", "slots": 1, "connections": 4},
-			{"id": "t2", "address": "` + freeAddress(t) + `", "datacentre": "dc1", "slots": 1, "connections": 4},
+			{"id": "t1", "address": "`+freeAddress(t)+`", "datacentre": "dc1", "slots": 1, "connections": 4},
+			{"id": "t2", "address": "`+freeAddress(t)+`", "datacentre": "dc1", "slots": 1, "connections": 4},
 		],
 		"collections": [{"name": "c", "versions": [{"name": "v", "snapshots": [
 			{"id": "s1", "shards": [{"id": "a", "to": "m", "replicas": ["t1"]}, {"id": "b", "from": "m", "replicas": ["t2"]}]},
