--- /dev/null
+++ b/entryd/pkg/starter/configs.go
@@ -0,0 +1,50 @@
+package starter
+
+import (
+	"context"
+	"sync/atomic"
+
+	"plantaincleat/entryd/pkg/adopter"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/pkg/indexer"
+)
+
+// configs holds the index of the configuration in force.
+type configs struct {
+	index    atomic.Pointer[indexer.Index]
+	onChange []func(*indexer.Index)
+}
+
+func newConfigs() *configs {
+	c := &configs{}
+	c.index.Store(indexer.New(nil))
+	return c
+}
+
+// Index implements gatherer.Configs.
+func (c *configs) Index() *indexer.Index { return c.index.Load() }
+
+// follow indexes each newly adopted configuration until ctx ends.
+func (c *configs) follow(ctx context.Context, a *adopter.Runner) {
+	changed, stop := a.Subscribe()
+	defer stop()
+	for {
+		c.adopt(a.Current())
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *configs) adopt(accepted *config.Accepted) {
+	if accepted.GetHead().GetRevision() <= c.Index().Revision() {
+		return
+	}
+	ix := indexer.New(accepted)
+	c.index.Store(ix)
+	for _, f := range c.onChange {
+		f(ix)
+	}
+}
