--- a/entryd/pkg/gossiper/view.go
+++ b/entryd/pkg/gossiper/view.go
@@ -14,6 +14,8 @@
 	index   map[string]int
 	live    uint64
 	mark    uint64
+	// delegate tells whether this daemon is a representative.
+	delegate bool
 }
 
 // View returns the state of the fleet.
@@ -25,6 +27,8 @@
 		within:  make(map[string][]Member),
 		index:   make(map[string]int, len(all)),
 		mark:    m.mark,
+
+		delegate: m.isRepresentative(),
 	}
 	reached := make(map[string]bool)
 	for _, dc := range m.table.indexed().datacentres {
@@ -70,6 +74,10 @@
 // alike.
 func (v *View) Live() uint64 { return v.live }
 
+// Representative reports whether this daemon is one of the few of its data
+// centre that talk to others on behalf of all.
+func (v *View) Representative() bool { return v.delegate }
+
 // Mark is the highest configuration revision that any daemon is known to have
 // adopted.
 func (v *View) Mark() uint64 { return v.mark }
