--- a/standin/pkg/commander/root.go
+++ b/standin/pkg/commander/root.go
@@ -27,6 +27,7 @@
 		newKV(),
 		newTarget(),
 		newRelay(),
+		newHosts(),
 	}
 }
 
