--- a/entryd/pkg/gossiper/bench_test.go
+++ b/entryd/pkg/gossiper/bench_test.go
@@ -191,12 +191,7 @@
 	w.run(settle)
 	v := w.order[0].m.Greeting()
 	encoded := 0
-<<<<<<< HEAD
-	_, err := transport.Exchange(b.Context(), address, v)
-	if err != nil {
-=======
 	if _, err := transport.Exchange(b.Context(), address, v); err != nil {
->>>>>>> main
 		b.Fatal(err)
 	}
 	bytes.Store(0)
