Govern concurrency by the wait for a place, and measure overload

The wait of a sub-request for a place at a target tells overload from slowness and needs no base. It shows only if queues do not form at the targets, so the limiter now also follows the queue that they report.

A target that was not used for 5 s because it was slow is tried again.

--- a/entryd/pkg/admitter/admitter.go
+++ b/entryd/pkg/admitter/admitter.go
@@ -41,14 +41,14 @@
 // ErrInstitution reports a request of an institution without terms.
 var ErrInstitution = errors.New("admit: unknown institution")
 
-// Result tells how an admitted request ended.
-type Result int
+// Outcome tells how an admitted request ended.
+type Outcome int
 
-// Results of a request.
+// Outcomes of a request.
 const (
 	// Failed says nothing about the load: cancelled by the caller, or
 	// partial because targets were lost, silent or leaving.
-	Failed Result = iota
+	Failed Outcome = iota
 	// Completed is an answer with all that was asked for.
 	Completed
 	// Overloaded is an answer that was late or partial because targets shed
@@ -56,6 +56,14 @@
 	Overloaded
 )
 
+// Result is what the admission learns from a request.
+type Result struct {
+	Outcome Outcome
+	// Waited is the longest time that a sub-request waited here for a place
+	// at a target before it was first sent.
+	Waited time.Duration
+}
+
 // Settings configure an Admitter. Zero fields take defaults.
 type Settings struct {
 	// Daemon is the name of this daemon in gossip.
@@ -238,7 +246,7 @@
 		class:    c,
 		deadline: now.Add(r.Remaining),
 	}
-	if a.queued == 0 && a.governor.flight < a.governor.allowed(now) {
+	if a.queued == 0 && a.governor.flight < a.governor.allowed() {
 		a.admit(now, ticket)
 		return ticket, nil
 	}
@@ -262,13 +270,10 @@
 	latency := now.Sub(t.admitted)
 	t.terms.flight--
 	a.left.add(now)
-	if r != Failed {
+	if r.Outcome != Failed {
 		t.class.add(now, latency)
 	}
-	a.governor.leave(now, &t.class.base, latency, r)
-	if a.governor.rotates(now) {
-		a.rotate()
-	}
+	a.governor.leave(now, latency, r)
 	return a.dispatch(now)
 }
 
@@ -280,15 +285,6 @@
 	return a.dispatch(now)
 }
 
-// rotate begins a period of base latencies.
-func (a *Admitter) rotate() {
-	for _, t := range a.order {
-		for _, c := range t.classes {
-			c.base.rotate()
-		}
-	}
-}
-
 // check finds the reason to refuse a request, with the time until that reason
 // passes, or a zero kind.
 func (a *Admitter) check(now time.Time, t *terms, c *class, r Request) (Kind, time.Duration) {
--- a/entryd/pkg/admitter/stats.go
+++ b/entryd/pkg/admitter/stats.go
@@ -1,7 +1,5 @@
 package admitter
 
-import "time"
-
 // Stats is a snapshot of an Admitter.
 type Stats struct {
 	// Limit is the concurrency in force.
@@ -25,11 +23,11 @@
 }
 
 // Stats returns a snapshot.
-func (a *Admitter) Stats(now time.Time) Stats {
+func (a *Admitter) Stats() Stats {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := Stats{
-		Limit:   a.governor.allowed(now),
+		Limit:   a.governor.allowed(),
 		Flight:  a.governor.flight,
 		Queued:  a.queued,
 		Refused: map[Kind]int64{},
--- a/entryd/pkg/admitter/terms.go
+++ b/entryd/pkg/admitter/terms.go
@@ -92,7 +92,6 @@
 
 // class is the state of one class of an institution.
 type class struct {
-	base    base
 	sketch  estimator.Sketch
 	n       int
 	p50     time.Duration
--- a/entryd/pkg/admitter/waiting.go
+++ b/entryd/pkg/admitter/waiting.go
@@ -57,7 +57,7 @@
 			})
 		}
 	}
-	for a.queued > 0 && a.governor.flight < a.governor.allowed(now) {
+	for a.queued > 0 && a.governor.flight < a.governor.allowed() {
 		ticket := a.next()
 		a.dequeue(ticket)
 		a.admit(now, ticket)
--- a/entryd/pkg/estimator/estimator.go
+++ b/entryd/pkg/estimator/estimator.go
@@ -22,6 +22,9 @@
 
 	// reportLife is the age at which a reported queue no longer counts.
 	reportLife = 500 * time.Millisecond
+	// staleAfter is the time without an answer after which an idle target is
+	// tried again as if it were new.
+	staleAfter = 5 * time.Second
 	// refresh is the number of samples after which quantiles are computed.
 	refresh = 16
 	// rampFactor times the slots is the in-flight limit at which a cold
@@ -203,10 +206,15 @@
 //	service × (1 + (own in flight + others' queue) / slots)
 //
 // A suspected target takes at least as long as it has been silent, and a
-// penalty.
+// penalty. A target that was not used for a while, because it was slow, counts
+// as no slower than a new one until it has one request in flight, so that its
+// recovery is noticed.
 func (e *Estimator) Finish(now time.Time) time.Duration {
 	at := e.group.since(now)
 	service := float64(e.service.Load())
+	if e.flight.Load() <= 0 && at-time.Duration(e.reported.Load()) >= staleAfter {
+		service = min(service, float64(e.prior))
+	}
 	finish := time.Duration(service * (1 + e.ahead(at)/e.slots))
 	if e.Suspected() {
 		finish += penalty + e.silent()
--- a/entryd/pkg/estimator/estimator_test.go
+++ b/entryd/pkg/estimator/estimator_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+func TestIdleTargetIsTriedAgain(t *testing.T) {
+	var g Group
+	now := start
+	e := g.New(Settings{})
+	for range 50 {
+		now = answer(e, now, 100*time.Millisecond, Report{Incarnation: 1})
+	}
+	if f := e.Finish(now); f < 90*time.Millisecond {
+		t.Errorf("slow target: %v", f)
+	}
+	now = now.Add(staleAfter)
+	if f := e.Finish(now); f != DefaultPrior {
+		t.Errorf("not used for a while: %v", f)
+	}
+	e.Send(now)
+	if f := e.Finish(now); f < 90*time.Millisecond {
+		t.Errorf("with one request in flight: %v", f)
+	}
+}
+
 func TestIncarnationResetsAndRamps(t *testing.T) {
 	var g Group
 	now := start
--- a/entryd/pkg/limiter/limiter.go
+++ b/entryd/pkg/limiter/limiter.go
@@ -1,6 +1,6 @@
 // Package limiter bounds the requests in flight to a target. The limit starts
 // from the target's slots and a small queue, falls by a factor when the target
-// sheds or times out, and rises by one for each round of successes that used
+// sheds, times out or reports a long queue, and rises by one for each round of successes that used
 // it (additive increase, multiplicative decrease: Chiu and Jain, 1989).
 //
 // All methods are safe for concurrent use and allocate nothing.
@@ -20,6 +20,10 @@
 	// shedFactor and timeoutFactor multiply the limit.
 	shedFactor    = 0.8
 	timeoutFactor = 0.5
+	// queueFactor multiplies the limit when a target reports a long queue.
+	queueFactor = 0.9
+	// longQueue times the allowed queue is a long one.
+	longQueue = 4
 	// usedShare is the part of the limit that must be in flight for a
 	// success to raise it.
 	usedShare = 0.75
@@ -158,7 +162,9 @@
 	l.group.flight.Add(-1)
 	switch r {
 	case Success:
-		if p.used && queue <= l.queue {
+		if queue > longQueue*l.queue {
+			l.cut(p, queueFactor)
+		} else if p.used && queue <= l.queue {
 			l.raise()
 		}
 	case Shed:
