Report the wait for a place, and count a loss once

The admission needs the time that sub-requests wait for a place at a target: attempts now say when they left, and the coordinator takes the longest wait of the first ones.

When a stream fails, each of its requests reports the loss. Requests that were sent to the target in between were blamed as well, and a suspect that runs alone could have been quarantined for the loss before it. The loss now names a run and counts once.

--- a/entryd/pkg/coordinator/coordinator.go
+++ b/entryd/pkg/coordinator/coordinator.go
@@ -73,6 +73,9 @@
 	// Crashed are the targets whose connection was lost while they ran the
 	// request.
 	Crashed []string
+	// Waited is the longest time that a first attempt waited for a place at a
+	// target.
+	Waited time.Duration
 	// Restarts counts the snapshots that were given up for a newer one.
 	Restarts int
 }
@@ -188,6 +191,21 @@
 	}
 }
 
+// waited returns the longest wait of an attempt, hedges excluded.
+func waited(attempts []*peer.Attempt) time.Duration {
+	longest := int64(0)
+	for _, a := range attempts {
+		until := a.GetSent()
+		if until == 0 {
+			until = a.GetEnd()
+		}
+		if !a.GetHedge() {
+			longest = max(longest, until-a.GetStart())
+		}
+	}
+	return time.Duration(longest) * time.Microsecond
+}
+
 func (c *Coordinator) result(s *search, restarts int) *Result {
 	out := &Result{
 		Revision: s.index.Revision(),
@@ -196,6 +214,7 @@
 		Attempts: s.attempts,
 		Plans:    s.plans(),
 		Crashed:  s.crashed,
+		Waited:   waited(s.attempts),
 		Restarts: restarts,
 		Stats: Stats{
 			Needed:  s.snapshot.Len(),
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -138,8 +138,10 @@
 		if a.Cancel {
 			if f := j.flights[a.Nonce]; f != nil {
 				delete(j.flights, a.Nonce)
-				f.lane.withdraw(a.Nonce, j.late())
-				j.conclude(f, target.Status_STATUS_CANCELLED, nil)
+				sent := f.lane.withdraw(a.Nonce, j.late())
+				j.conclude(f, target.Status_STATUS_CANCELLED, reply{
+					sent: sent,
+				})
 			}
 			continue
 		}
@@ -216,7 +218,7 @@
 func (j *job) judge(f *flight, r reply) peer.Reason {
 	counts := &j.gatherer.counts
 	if r.err != nil {
-		j.conclude(f, target.Status_STATUS_UNSPECIFIED, r.err)
+		j.conclude(f, target.Status_STATUS_UNSPECIFIED, r)
 		switch {
 		case errors.Is(r.err, errWaiting):
 			counts.Sheds.Add(1)
@@ -231,7 +233,7 @@
 		return peer.Reason_REASON_UNREACHABLE
 	}
 	a := r.answer
-	j.conclude(f, a.GetStatus(), nil)
+	j.conclude(f, a.GetStatus(), r)
 	if a.GetLoad().GetLeaving() {
 		j.gatherer.departures.Announce(f.lane.id, a.GetIncarnation())
 	}
@@ -266,11 +268,14 @@
 	target.Status_STATUS_EXPIRED:     peer.Reason_REASON_LATE,
 }
 
-func (j *job) conclude(f *flight, status target.Status, err error) {
+func (j *job) conclude(f *flight, status target.Status, r reply) {
 	f.attempt.Status = status
 	f.attempt.End = j.gatherer.clock.Since(j.start).Microseconds()
-	if err != nil {
-		f.attempt.Error = err.Error()
+	if !r.sent.IsZero() {
+		f.attempt.Sent = max(r.sent.Sub(j.start).Microseconds(), 1)
+	}
+	if r.err != nil {
+		f.attempt.Error = r.err.Error()
 	}
 }
 
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -25,6 +25,8 @@
 	nonce  uint64
 	answer *target.Answer
 	err    error
+	// sent is when the request left for the target; zero if it did not.
+	sent time.Time
 }
 
 // Errors of requests that were not sent.
@@ -47,6 +49,7 @@
 	institution string
 	sink        func(reply)
 
+	sent   time.Time
 	ticket estimator.Ticket
 	permit limiter.Permit
 	run    quarantiner.Run
@@ -108,8 +111,9 @@
 }
 
 // withdraw ends the interest in a request and cancels it at the target if it
-// was sent. late tells that its deadline has passed.
-func (l *lane) withdraw(nonce uint64, late bool) {
+// was sent. late tells that its deadline has passed. It returns when the
+// request was sent, zero if it was not.
+func (l *lane) withdraw(nonce uint64, late bool) time.Time {
 	l.mu.Lock()
 	r, flying := l.flying[nonce]
 	if flying {
@@ -121,7 +125,9 @@
 		l.unqueue(nonce)
 	}
 	l.mu.Unlock()
+	var sent time.Time
 	if flying {
+		sent = r.sent
 		l.link.Forget(nonce)
 		l.link.Post(&target.Call{
 			Nonce: nonce,
@@ -131,6 +137,7 @@
 		})
 	}
 	l.pump()
+	return sent
 }
 
 func withdrawal(late bool) limiter.Result {
@@ -196,6 +203,7 @@
 			return r, err
 		}
 		r.search.Remaining = max(r.expiry.Sub(now), 0).Microseconds()
+		r.sent = now
 		r.ticket = l.gauge.Send(now)
 		r.permit = permit
 		r.run = run
@@ -241,6 +249,7 @@
 			nonce:  r.nonce,
 			answer: a,
 			err:    err,
+			sent:   r.sent,
 		})
 	}
 	l.pump()
@@ -252,7 +261,7 @@
 		l.gauge.Fail()
 		l.limit.Release(r.permit, limiter.Neutral, 0)
 		if errors.Is(err, exchanger.ErrLost) {
-			l.watch.Lost(l.clock.Now())
+			l.watch.Lost(l.clock.Now(), r.run)
 			go l.onLoss()
 		}
 		l.watch.End(r.run, false)
--- a/entryd/pkg/handler/search.go
+++ b/entryd/pkg/handler/search.go
@@ -98,15 +98,22 @@
 // load tells what the end of a query says about the load.
 func load(result *coordinator.Result, err error) admitter.Result {
 	if err != nil {
-		return admitter.Failed
+		return admitter.Result{}
 	}
-	for _, m := range result.Missing {
+	return admitter.Result{
+		Outcome: outcomeOf(result.Missing),
+		Waited:  result.Waited,
+	}
+}
+
+func outcomeOf(missing []*peer.Missing) admitter.Outcome {
+	for _, m := range missing {
 		switch m.GetReason() {
 		case peer.Reason_REASON_SHED, peer.Reason_REASON_LATE, peer.Reason_REASON_BUDGET:
 			return admitter.Overloaded
 		}
 	}
-	if len(result.Missing) > 0 {
+	if len(missing) > 0 {
 		return admitter.Failed
 	}
 	return admitter.Completed
--- a/entryd/pkg/quarantiner/quarantiner_test.go
+++ b/entryd/pkg/quarantiner/quarantiner_test.go
@@ -85,7 +85,11 @@
 func (f *fleet) crash(i int) {
 	f.crashes++
 	f.down[i] = 20
-	f.target(i).Lost(f.now)
+	for _, r := range f.requests {
+		if r.target == i && !r.done {
+			f.target(i).Lost(f.now, r.run)
+		}
+	}
 	for _, r := range f.requests {
 		if r.target == i && !r.done {
 			f.target(i).End(r.run, false)
@@ -148,17 +152,17 @@
 func TestManyLossesQuarantineNothing(t *testing.T) {
 	q := New(Settings{})
 	a, b := q.Target("a"), q.Target("b")
-	a.Begin(start, 7, "corrib", "s")
-	a.Lost(start)
+	crash(a, start)
 	if _, v := a.Begin(start, 7, "corrib", "s"); v != Avoid {
 		t.Errorf("verdict %v on the suspected target", v)
 	}
-	if _, v := b.Begin(start, 7, "corrib", "s"); v != Go {
+	if v := crash(b, start); v != Go {
 		t.Fatalf("verdict %v on another target", v)
 	}
-	b.Lost(start)
 	for i := range 3 {
-		q.Target(fmt.Sprint(i)).Lost(start.Add(100 * time.Millisecond))
+		other := q.Target(fmt.Sprint(i))
+		run, _ := other.Begin(start, uint64(100+i), "corrib", "s")
+		other.Lost(start.Add(100*time.Millisecond), run)
 	}
 	if _, v := q.Target("c").Begin(start.Add(200*time.Millisecond), 7, "corrib", "s"); v != Busy {
 		t.Errorf("verdict %v amid the losses", v)
@@ -174,12 +178,38 @@
 	}
 }
 
+// crash runs fingerprint 7 on a target and loses the target.
+func crash(t *Target, now time.Time) Verdict {
+	run, verdict := t.Begin(now, 7, "corrib", "s")
+	if verdict == Go {
+		t.Lost(now, run)
+	}
+	return verdict
+}
+
+func TestLossIsCountedOnce(t *testing.T) {
+	q := New(Settings{})
+	a := q.Target("a")
+	run, _ := a.Begin(start, 7, "corrib", "s")
+	other, _ := a.Begin(start, 8, "corrib", "s")
+	a.Lost(start, run)
+	next, v := a.Begin(start, 9, "corrib", "s")
+	a.Lost(start, other)
+	a.End(other, true)
+	if v != Go || !q.Suspected(start, 7) || !q.Suspected(start, 8) || q.Suspected(start, 9) {
+		t.Error("a request sent after the loss was blamed")
+	}
+	a.End(next, true)
+	if len(a.runs) > 0 {
+		t.Errorf("still in flight: %v", a.runs)
+	}
+}
+
 // poison returns a Quarantiner that has quarantined fingerprint 7.
 func poison(now time.Time) *Quarantiner {
 	q := New(Settings{})
 	for _, id := range []string{"a", "b"} {
-		q.Target(id).Begin(now, 7, "corrib", "s")
-		q.Target(id).Lost(now)
+		crash(q.Target(id), now)
 	}
 	return q
 }
@@ -196,13 +226,11 @@
 	if p := q.Plan(now, 7); p.Mode != Free {
 		t.Errorf("known request: %+v", p)
 	}
-	q.Target("a").Begin(now, 7, "corrib", "s")
-	q.Target("a").Lost(now)
+	crash(q.Target("a"), now)
 	if p := q.Plan(now, 7); p.Mode != Canary || p.Shard != "s" || !p.Suspected {
 		t.Errorf("suspect: %+v", p)
 	}
-	q.Target("b").Begin(now, 7, "corrib", "s")
-	q.Target("b").Lost(now)
+	crash(q.Target("b"), now)
 	if p := q.Plan(now, 7); p.Mode != Canary || !p.Suspected {
 		t.Errorf("charged: %+v", p)
 	}
@@ -235,8 +263,7 @@
 		t.Error("not cleared at the other daemon")
 	}
 	for _, id := range []string{"a", "b"} {
-		other.Target(id).Begin(now, 7, "corrib", "s")
-		other.Target(id).Lost(now)
+		crash(other.Target(id), now)
 	}
 	now = now.Add(settle)
 	for _, n := range other.Notices(now) {
--- a/entryd/pkg/quarantiner/target.go
+++ b/entryd/pkg/quarantiner/target.go
@@ -180,15 +180,19 @@
 }
 
 // Lost records that the target closed its connection or came back with another
-// incarnation. It is not to be called when a connection was given up here, or
-// timed out: that says nothing about what the target ran. Such runs end with
-// End.
-func (t *Target) Lost(now time.Time) {
+// incarnation while a run was in flight. All runs then in flight end; a second
+// call for one of them does nothing. It is not to be called when a connection
+// was given up here, or timed out: that says nothing about what the target ran.
+// Such runs end with End.
+func (t *Target) Lost(now time.Time, r Run) {
 	q := t.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	runs := t.clear(r.generation)
+	if len(runs) == 0 {
+		return
+	}
 	q.lose(now, t.id)
-	runs := t.clear()
 	if len(runs) == 1 && runs[0].alone {
 		q.charge(now, runs[0], t)
 		return
@@ -196,10 +200,13 @@
 	q.blame(now, runs, t)
 }
 
-// clear empties the target for a new incarnation.
-func (t *Target) clear() []Run {
+// clear ends the runs of a generation and begins another one.
+func (t *Target) clear(generation uint64) []Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if generation != t.generation {
+		return nil
+	}
 	runs := t.runs
 	t.runs = nil
 	t.generation++
--- a/entryd/pkg/starter/admission.go
+++ b/entryd/pkg/starter/admission.go
@@ -110,7 +110,7 @@
 			a.mu.Lock()
 			delete(a.waiting, ticket)
 			a.mu.Unlock()
-			a.done(ticket, admitter.Failed)
+			a.done(ticket, admitter.Result{})
 			return ctx.Err()
 		}
 	}
