--- a/entryd/pkg/handler/search.go
+++ b/entryd/pkg/handler/search.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"plantaincleat/entryd/pkg/admitter"
 	"plantaincleat/entryd/pkg/coordinator"
 	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/tier/gen/config"
@@ -95,30 +94,6 @@
 	writeJSON(w, http.StatusOK, answer)
 }
 
-// load tells what the end of a query says about the load.
-func load(result *coordinator.Result, err error) admitter.Result {
-	if err != nil {
-		return admitter.Result{}
-	}
-	return admitter.Result{
-		Outcome: outcomeOf(result.Missing),
-		Waited:  result.Waited,
-	}
-}
-
-func outcomeOf(missing []*peer.Missing) admitter.Outcome {
-	for _, m := range missing {
-		switch m.GetReason() {
-		case peer.Reason_REASON_SHED, peer.Reason_REASON_LATE, peer.Reason_REASON_BUDGET:
-			return admitter.Overloaded
-		}
-	}
-	if len(missing) > 0 {
-		return admitter.Failed
-	}
-	return admitter.Completed
-}
-
 func (h *Handler) parseSearch(w http.ResponseWriter, r *http.Request) (*query, error) {
 	q := &query{}
 	ix := h.Configs.Index()
