Probe silent targets, and time out only those

A suspected target was chosen only when no replica was left. Its late answers no longer count once their requests were withdrawn, so a target that had been frozen stayed out of use: now a first attempt probes it once in each interval.

Requests that were late or expired at their target halved its limit also if they had been sent shortly before their deadline. Under overload many are. Only a target that has fallen silent times out now.

--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -120,7 +120,7 @@
 		delete(l.flying, nonce)
 		l.watch.End(r.run, false)
 		l.gauge.Drop()
-		l.limit.Release(r.permit, withdrawal(late), 0)
+		l.limit.Release(r.permit, l.withdrawal(late), 0)
 	} else {
 		l.unqueue(nonce)
 	}
@@ -140,8 +140,11 @@
 	return sent
 }
 
-func withdrawal(late bool) limiter.Result {
-	if late {
+// withdrawal returns what a request that was given up says about the limit. One
+// that was late may have been sent shortly before its deadline: only a target
+// that has fallen silent has timed out.
+func (l *lane) withdrawal(late bool) limiter.Result {
+	if late && l.gauge.Suspected() {
 		return limiter.Timeout
 	}
 	return limiter.Neutral
@@ -288,11 +291,12 @@
 	}
 }
 
-// results maps the status of an answer to what it says about the limit.
+// results maps the status of an answer to what it says about the limit. An
+// expired request says nothing: it may have been sent shortly before its
+// deadline.
 var results = map[target.Status]limiter.Result{
-	target.Status_STATUS_DONE:    limiter.Success,
-	target.Status_STATUS_SHED:    limiter.Shed,
-	target.Status_STATUS_EXPIRED: limiter.Timeout,
+	target.Status_STATUS_DONE: limiter.Success,
+	target.Status_STATUS_SHED: limiter.Shed,
 }
 
 // expected returns when one more request would be answered, its wait here
--- a/entryd/pkg/gatherer/selector.go
+++ b/entryd/pkg/gatherer/selector.go
@@ -18,7 +18,9 @@
 	job *job
 }
 
-// Choose implements router.Chooser.
+// Choose implements router.Chooser. A first attempt probes a suspected target
+// now and then: its late answers no longer count once their requests were
+// withdrawn, so that only a new one can end the suspicion.
 func (s *selector) Choose(unit int, tried []string, now time.Time) (string, bool) {
 	best, found := "", false
 	var least time.Duration
@@ -33,6 +35,9 @@
 		if _, leaving := l.departure(); leaving {
 			continue
 		}
+		if len(tried) == 0 && !s.job.task.GetSuspected() && l.gauge.Suspected() && l.gauge.Probe(now) {
+			return id, true
+		}
 		if d := l.expected(now); !found || d < least {
 			best, found, least = id, true, d
 		}
