--- /dev/null
+++ b/entryd/pkg/coordinator/search.go
@@ -0,0 +1,369 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"plantaincleat/entryd/pkg/estimator"
+	"plantaincleat/entryd/pkg/exchanger"
+	"plantaincleat/entryd/pkg/merger"
+	"plantaincleat/entryd/pkg/router"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/batcher"
+	"plantaincleat/tier/pkg/indexer"
+	"plantaincleat/tier/pkg/tracer"
+)
+
+// event is a partial, or the error that ended a sub-plan.
+type event struct {
+	nonce   uint64
+	partial *peer.Partial
+	err     error
+}
+
+// subplan is one sub-plan in flight.
+type subplan struct {
+	path   Path
+	units  map[string]int
+	order  int
+	cancel context.CancelFunc
+	peer   *neighbour
+	ticket estimator.Ticket
+	sent   uint32
+}
+
+// search is one try of a query on one snapshot.
+type search struct {
+	root     *Coordinator
+	request  *Request
+	index    *indexer.Index
+	snapshot *indexer.Snapshot
+	start    time.Time
+
+	ctx      context.Context
+	query    *router.Query[Path]
+	merged   *merger.Merger
+	events   batcher.Queue[event]
+	subplans map[uint64]*subplan
+	log      []Plan
+	attempts []*peer.Attempt
+	crashed  []string
+	// sent counts the sub-requests to targets.
+	sent    int
+	dropped bool
+}
+
+func newSearch(c *Coordinator, r *Request, ix *indexer.Index, snapshot *indexer.Snapshot) *search {
+	s := &search{
+		root:     c,
+		request:  r,
+		index:    ix,
+		snapshot: snapshot,
+		start:    c.Clock.Now(),
+		merged:   merger.New(snapshot, int(r.Query.GetLimit())),
+		subplans: map[uint64]*subplan{},
+	}
+	terms := router.Terms{
+		Deadline: r.Deadline,
+		Goal:     r.Goal,
+		Floor:    r.Floor,
+		Hedging:  !r.Suspected,
+		First:    first(r, snapshot),
+	}
+	ch := &chooser{
+		root:    c,
+		plan:    c.plan(snapshot),
+		avoided: map[string]bool{},
+	}
+	s.query = router.New(snapshot.Len(), terms, ch, c.Budget, func() uint64 { return c.nonce.Add(1) })
+	return s
+}
+
+// first returns one more than the shard to ask first, 0 for all at once.
+func first(r *Request, snapshot *indexer.Snapshot) int {
+	if !r.Canary || snapshot.Len() == 0 {
+		return 0
+	}
+	if i := snapshot.Find(r.First); i >= 0 {
+		return i + 1
+	}
+	return int(r.Fingerprint%uint64(snapshot.Len())) + 1
+}
+
+// quarantined reports whether targets were kept from the request.
+func (s *search) quarantined() bool {
+	for i := range s.snapshot.Len() {
+		if s.query.Reason(i) == peer.Reason_REASON_QUARANTINED {
+			return true
+		}
+	}
+	return false
+}
+
+// run drives the query to its end. All of its state belongs to the calling
+// goroutine.
+func (s *search) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.ctx = ctx
+	clock := s.root.Clock
+	s.apply(s.query.Start(s.start))
+	timer := clock.NewTimer(s.query.Wake().Sub(clock.Now()))
+	defer timer.Stop()
+	ready := s.events.Ready()
+	for !s.query.Done() && !s.dropped {
+		timer.Reset(max(s.query.Wake().Sub(clock.Now()), 0))
+		select {
+		case <-ready:
+			for _, e := range s.events.Drain() {
+				s.receive(e)
+			}
+		case <-timer.Chan():
+			s.apply(s.query.Tick(clock.Now()))
+		case <-ctx.Done():
+			s.abandon()
+			return
+		}
+	}
+	s.abandon()
+}
+
+func (s *search) apply(actions []router.Action[Path]) {
+	for _, a := range actions {
+		if a.Cancel {
+			s.withdraw(a.Nonce)
+			continue
+		}
+		s.send(a)
+	}
+}
+
+func (s *search) send(a router.Action[Path]) {
+	p := &subplan{
+		path:  a.Path,
+		units: make(map[string]int, len(a.Units)),
+		order: len(s.log),
+	}
+	ids := make([]string, 0, len(a.Units))
+	for _, u := range a.Units {
+		id := s.snapshot.Shard(u).ID()
+		p.units[id] = u
+		ids = append(ids, id)
+	}
+	s.log = append(s.log, Plan{
+		Daemon:     a.Path.Daemon.ID,
+		DataCentre: a.Path.DataCentre,
+		Shards:     ids,
+		Hedge:      a.Hedge,
+		Start:      s.root.Clock.Since(s.start).Microseconds(),
+	})
+	s.subplans[a.Nonce] = p
+	ctx, span := tracer.Start(s.ctx, "subplan", attribute.String("daemon", a.Path.Daemon.ID))
+	ctx, cancel := context.WithCancel(ctx)
+	p.cancel = func() {
+		cancel()
+		span.End()
+	}
+	task := s.task(ctx, a)
+	if a.Path.Daemon.ID == s.root.ID {
+		go s.root.Gatherer.Run(ctx, a.Nonce, task, func(partial *peer.Partial) {
+			s.events.Put(event{
+				nonce:   a.Nonce,
+				partial: partial,
+			})
+		})
+		return
+	}
+	p.peer = s.root.neighbour(a.Path.Daemon.Address)
+	p.ticket = p.peer.gauge.Send(s.root.Clock.Now())
+	p.peer.link.Send(a.Nonce, &peer.Task{
+		Nonce: a.Nonce,
+		Body: &peer.Task_Gather{
+			Gather: task,
+		},
+	}, func(partial *peer.Partial, err error) {
+		s.events.Put(event{
+			nonce:   a.Nonce,
+			partial: partial,
+			err:     err,
+		})
+	})
+}
+
+func (s *search) task(ctx context.Context, a router.Action[Path]) *peer.Gather {
+	g := &peer.Gather{
+		Revision:    s.index.Revision(),
+		Collection:  s.snapshot.Collection(),
+		Version:     s.snapshot.Version(),
+		Snapshot:    s.snapshot.ID(),
+		Query:       s.request.Query,
+		Remaining:   s.request.Deadline.Sub(s.root.Clock.Now()).Microseconds(),
+		Trace:       tracer.Inject(ctx),
+		Fingerprint: s.request.Fingerprint,
+		Institution: s.request.Institution,
+		Suspected:   s.request.Suspected,
+	}
+	for _, u := range a.Units {
+		shard := s.snapshot.Shard(u)
+		g.Shards = append(g.Shards, &peer.Wanted{
+			Shard:   shard.ID(),
+			From:    shard.From(),
+			To:      shard.To(),
+			Targets: replicasIn(shard.Replicas(), a.Path.DataCentre),
+		})
+	}
+	return g
+}
+
+func replicasIn(replicas []*config.Target, dataCentre string) []string {
+	var ids []string
+	for _, t := range replicas {
+		if t.GetDatacentre() == dataCentre {
+			ids = append(ids, t.GetId())
+		}
+	}
+	return ids
+}
+
+// receive handles one event of a sub-plan.
+func (s *search) receive(e event) {
+	p := s.subplans[e.nonce]
+	if p == nil {
+		return
+	}
+	now := s.root.Clock.Now()
+	if e.err != nil {
+		s.end(e.nonce, p, e.err)
+		s.apply(s.query.Lost(e.nonce, peer.Reason_REASON_UNREACHABLE, now))
+		return
+	}
+	covered, lacks, err := s.verify(p, e.partial)
+	if err != nil {
+		s.root.counts.Crossed.Add(1)
+		s.end(e.nonce, p, err)
+		s.apply(s.query.Lost(e.nonce, peer.Reason_REASON_FAILED, now))
+		return
+	}
+	s.attempts = append(s.attempts, e.partial.GetAttempts()...)
+	s.crashed = append(s.crashed, e.partial.GetCrashed()...)
+	s.sent += int(e.partial.GetSent()) - int(p.sent)
+	p.sent = e.partial.GetSent()
+	if e.partial.GetLast() {
+		s.end(e.nonce, p, nil)
+	}
+	s.apply(s.query.Answer(e.nonce, covered, lacks, e.partial.GetLast(), now))
+	s.checkDropped(lacks)
+}
+
+var errCrossed = errors.New("partial does not match its sub-plan")
+
+// verify checks a partial against its sub-plan and merges its records.
+func (s *search) verify(p *subplan, partial *peer.Partial) ([]int, []router.Lack, error) {
+	if partial.GetDaemon() != p.path.Daemon.ID {
+		return nil, nil, errCrossed
+	}
+	covered := make([]int, 0, len(partial.GetCovered()))
+	for _, id := range partial.GetCovered() {
+		u, ok := p.units[id]
+		if !ok {
+			return nil, nil, errCrossed
+		}
+		covered = append(covered, u)
+	}
+	lacks := make([]router.Lack, 0, len(partial.GetMissing()))
+	for _, m := range partial.GetMissing() {
+		u, ok := p.units[m.GetShard()]
+		if !ok {
+			return nil, nil, errCrossed
+		}
+		lacks = append(lacks, router.Lack{
+			Unit:   u,
+			Reason: m.GetReason(),
+		})
+	}
+	if err := s.merged.Merge(partial.GetSnapshot(), partial.GetCovered(), partial.GetRecords()); err != nil {
+		return nil, nil, err
+	}
+	return covered, lacks, nil
+}
+
+// checkDropped ends the try once no replica of some shard has the snapshot.
+func (s *search) checkDropped(lacks []router.Lack) {
+	for _, l := range lacks {
+		if s.query.Closed(l.Unit) && s.query.Reason(l.Unit) == peer.Reason_REASON_DROPPED {
+			s.dropped = true
+		}
+	}
+}
+
+// end closes a sub-plan that answered or failed.
+func (s *search) end(nonce uint64, p *subplan, err error) {
+	now := s.root.Clock.Now()
+	delete(s.subplans, nonce)
+	s.log[p.order].End = now.Sub(s.start).Microseconds()
+	if err != nil {
+		s.log[p.order].Error = err.Error()
+	}
+	p.cancel()
+	if p.peer == nil {
+		return
+	}
+	p.peer.link.Forget(nonce)
+	switch {
+	case err == nil:
+		p.peer.gauge.Answer(now, p.ticket, estimator.Report{})
+	case errors.Is(err, exchanger.ErrLost), errors.Is(err, exchanger.ErrNotSent):
+		p.peer.gauge.Fail()
+	default:
+		p.peer.gauge.Shed(now, estimator.Report{})
+	}
+}
+
+// withdraw cancels a sub-plan whose answer is not needed any more.
+func (s *search) withdraw(nonce uint64) {
+	p := s.subplans[nonce]
+	if p == nil {
+		return
+	}
+	delete(s.subplans, nonce)
+	p.cancel()
+	if p.sent == 0 {
+		// The gatherer has not reported: each unit was sent at least once.
+		s.sent += len(p.units)
+	}
+	if p.peer == nil {
+		return
+	}
+	p.peer.gauge.Drop()
+	p.peer.link.Forget(nonce)
+	p.peer.link.Post(&peer.Task{
+		Nonce: nonce,
+		Body: &peer.Task_Cancel{
+			Cancel: true,
+		},
+	})
+}
+
+// abandon withdraws every sub-plan that is still open.
+func (s *search) abandon() {
+	for nonce := range s.subplans {
+		s.withdraw(nonce)
+	}
+}
+
+// hedges returns the hedges of the root and those that gatherers reported.
+func (s *search) hedges() int {
+	n := s.query.Hedges()
+	for _, a := range s.attempts {
+		if a.GetHedge() {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *search) plans() []Plan { return s.log }
--- /dev/null
+++ b/entryd/pkg/gatherer/lane.go
@@ -0,0 +1,307 @@
+package gatherer
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/entryd/pkg/estimator"
+	"plantaincleat/entryd/pkg/exchanger"
+	"plantaincleat/entryd/pkg/limiter"
+	"plantaincleat/entryd/pkg/quarantiner"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/target"
+)
+
+// waitingPerSlot bounds the requests that wait here per slot. Requests above
+// the target's limit wait here, where they can be withdrawn free of cost.
+const waitingPerSlot = 32
+
+// reply is what became of one request to a target.
+type reply struct {
+	nonce  uint64
+	answer *target.Answer
+	err    error
+}
+
+// Errors of requests that were not sent.
+var (
+	errWaiting     = errors.New("too many requests wait for the target")
+	errAvoided     = errors.New("the request may have crashed this target")
+	errQuarantined = errors.New("the request is quarantined")
+)
+
+// busyPause is the time after which requests that had to wait for a suspect
+// are tried again.
+const busyPause = 2 * time.Millisecond
+
+// request is one search on its way to a target.
+type request struct {
+	nonce       uint64
+	search      *target.Search
+	expiry      time.Time
+	fingerprint uint64
+	institution string
+	sink        func(reply)
+
+	ticket estimator.Ticket
+	permit limiter.Permit
+	run    quarantiner.Run
+}
+
+// lane is the one queue of this gatherer for one target.
+type lane struct {
+	id    string
+	slots int
+	clock clockwork.Clock
+	link  *exchanger.TargetLink
+	gauge *estimator.Estimator
+	limit *limiter.Limiter
+	watch *quarantiner.Target
+	// onLoss is called after the target was lost.
+	onLoss func()
+
+	mu      sync.Mutex
+	waiting []*request
+	flying  map[uint64]*request
+	retry   bool
+	// leaving is the incarnation that has said that it is leaving, or zero.
+	leaving uint64
+}
+
+func newLane(g *Gatherer, t *config.Target) *lane {
+	slots := max(int(t.GetSlots()), 1)
+	return &lane{
+		id:    t.GetId(),
+		slots: slots,
+		clock: g.clock,
+		link:  exchanger.NewTargetLink(t.GetAddress(), g.dial, g.clock),
+		gauge: g.gauges.New(estimator.Settings{
+			Slots: slots,
+		}),
+		limit: g.limits.New(limiter.Settings{
+			Slots: slots,
+		}),
+		watch:  g.quarantine.Target(t.GetId()),
+		onLoss: g.onLoss,
+		flying: map[uint64]*request{},
+	}
+}
+
+// submit sends a request now or once the target has room.
+func (l *lane) submit(r *request) {
+	l.mu.Lock()
+	if len(l.waiting) >= waitingPerSlot*l.slots {
+		l.mu.Unlock()
+		r.sink(reply{
+			nonce: r.nonce,
+			err:   errWaiting,
+		})
+		return
+	}
+	l.waiting = append(l.waiting, r)
+	l.mu.Unlock()
+	l.pump()
+}
+
+// withdraw ends the interest in a request and cancels it at the target if it
+// was sent. late tells that its deadline has passed.
+func (l *lane) withdraw(nonce uint64, late bool) {
+	l.mu.Lock()
+	r, flying := l.flying[nonce]
+	if flying {
+		delete(l.flying, nonce)
+		l.watch.End(r.run, false)
+		l.gauge.Drop()
+		l.limit.Release(r.permit, withdrawal(late), 0)
+	} else {
+		l.unqueue(nonce)
+	}
+	l.mu.Unlock()
+	if flying {
+		l.link.Forget(nonce)
+		l.link.Post(&target.Call{
+			Nonce: nonce,
+			Body: &target.Call_Cancel{
+				Cancel: true,
+			},
+		})
+	}
+	l.pump()
+}
+
+func withdrawal(late bool) limiter.Result {
+	if late {
+		return limiter.Timeout
+	}
+	return limiter.Neutral
+}
+
+func (l *lane) unqueue(nonce uint64) {
+	for i, r := range l.waiting {
+		if r.nonce == nonce {
+			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// pump sends waiting requests while the target has room.
+func (l *lane) pump() {
+	for {
+		r, err := l.next()
+		if r == nil {
+			return
+		}
+		if err != nil {
+			r.sink(reply{
+				nonce: r.nonce,
+				err:   err,
+			})
+			continue
+		}
+		l.link.Send(r.nonce, &target.Call{
+			Nonce: r.nonce,
+			Body: &target.Call_Search{
+				Search: r.search,
+			},
+		}, func(a *target.Answer, err error) { l.receive(r, a, err) })
+	}
+}
+
+// next takes the oldest waiting request that may run, if the target has room
+// for it. An error refuses the request.
+func (l *lane) next() (*request, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) == 0 {
+		return nil, nil
+	}
+	permit, ok := l.limit.Acquire(l.gauge.Allowed())
+	if !ok {
+		return nil, nil
+	}
+	now := l.clock.Now()
+	for i, r := range l.waiting {
+		run, verdict := l.watch.Begin(now, r.fingerprint, r.institution, r.search.GetShard())
+		if verdict == quarantiner.Busy {
+			continue
+		}
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+		if err := refusals[verdict]; err != nil {
+			l.limit.Release(permit, limiter.Neutral, 0)
+			return r, err
+		}
+		r.search.Remaining = max(r.expiry.Sub(now), 0).Microseconds()
+		r.ticket = l.gauge.Send(now)
+		r.permit = permit
+		r.run = run
+		l.flying[r.nonce] = r
+		return r, nil
+	}
+	l.limit.Release(permit, limiter.Neutral, 0)
+	l.pumpLater()
+	return nil, nil
+}
+
+// refusals maps the verdicts that keep a request from a target to errors.
+var refusals = map[quarantiner.Verdict]error{
+	quarantiner.Avoid:  errAvoided,
+	quarantiner.Denied: errQuarantined,
+}
+
+// pumpLater pumps again after a pause. l.mu is held.
+func (l *lane) pumpLater() {
+	if l.retry {
+		return
+	}
+	l.retry = true
+	l.clock.AfterFunc(busyPause, func() {
+		l.mu.Lock()
+		l.retry = false
+		l.mu.Unlock()
+		l.pump()
+	})
+}
+
+func (l *lane) receive(r *request, a *target.Answer, err error) {
+	l.mu.Lock()
+	_, live := l.flying[r.nonce]
+	delete(l.flying, r.nonce)
+	if live {
+		l.record(r, a, err)
+	}
+	l.mu.Unlock()
+	l.link.Forget(r.nonce)
+	if live {
+		r.sink(reply{
+			nonce:  r.nonce,
+			answer: a,
+			err:    err,
+		})
+	}
+	l.pump()
+}
+
+// record updates the estimate of the target. l.mu is held.
+func (l *lane) record(r *request, a *target.Answer, err error) {
+	if err != nil {
+		l.gauge.Fail()
+		l.limit.Release(r.permit, limiter.Neutral, 0)
+		if errors.Is(err, exchanger.ErrLost) {
+			l.watch.Lost(l.clock.Now())
+			go l.onLoss()
+		}
+		l.watch.End(r.run, false)
+		return
+	}
+	l.watch.End(r.run, a.GetStatus() == target.Status_STATUS_DONE)
+	l.limit.Release(r.permit, results[a.GetStatus()], int(a.GetLoad().GetQueue()))
+	l.leaving = 0
+	if a.GetLoad().GetLeaving() {
+		l.leaving = a.GetIncarnation()
+	}
+	report := estimator.Report{
+		Incarnation: a.GetIncarnation(),
+		Queue:       a.GetLoad().GetQueue(),
+		Service:     time.Duration(a.GetLoad().GetService()) * time.Microsecond,
+	}
+	switch a.GetStatus() {
+	case target.Status_STATUS_DONE:
+		l.gauge.Answer(l.clock.Now(), r.ticket, report)
+	case target.Status_STATUS_FAILED:
+		l.gauge.Fail()
+	default:
+		l.gauge.Shed(l.clock.Now(), report)
+	}
+}
+
+// results maps the status of an answer to what it says about the limit.
+var results = map[target.Status]limiter.Result{
+	target.Status_STATUS_DONE:    limiter.Success,
+	target.Status_STATUS_SHED:    limiter.Shed,
+	target.Status_STATUS_EXPIRED: limiter.Timeout,
+}
+
+// expected returns when one more request would be answered, its wait here
+// included.
+func (l *lane) expected(now time.Time) time.Duration {
+	l.mu.Lock()
+	waiting := len(l.waiting)
+	l.mu.Unlock()
+	return l.gauge.Finish(now) + l.gauge.Service()*time.Duration(waiting)/time.Duration(l.slots)
+}
+
+// departure returns the incarnation of the target that is draining and still
+// connected.
+func (l *lane) departure() (incarnation uint64, leaving bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.link.Up() {
+		l.leaving = 0
+	}
+	return l.leaving, l.leaving != 0
+}
--- /dev/null
+++ b/entryd/pkg/handler/mutate.go
@@ -0,0 +1,94 @@
+package handler
+
+import (
+	"net/http"
+
+	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/hasher"
+	"plantaincleat/tier/pkg/tracer"
+)
+
+type mutateBody struct {
+	Collection string `json:"collection"`
+	Version    string `json:"version"`
+	Key        string `json:"key"`
+	Text       string `json:"text"`
+}
+
+type mutateAnswer struct {
+	Request string  `json:"request"`
+	Trace   string  `json:"trace"`
+	Outcome outcome `json:"outcome"`
+}
+
+type outcome struct {
+	Key    string `json:"key"`
+	Target string `json:"target"`
+	Detail string `json:"detail"`
+}
+
+func (h *Handler) mutate(w http.ResponseWriter, r *http.Request) {
+	ctx, span := tracer.Start(tracer.Extract(r.Context(), r.Header.Get("Traceparent")), "mutate")
+	defer span.End()
+	m, err := h.parseMutation(w, r)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	out, err := h.Mutator.Mutate(ctx, m)
+	if err != nil {
+		h.refuse(w, r, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, mutateAnswer{
+		Request: requestID(r),
+		Trace:   tracer.ID(ctx),
+		Outcome: outcome{
+			Key:    out.GetKey(),
+			Target: out.GetTarget(),
+			Detail: out.GetDetail(),
+		},
+	})
+}
+
+func (h *Handler) parseMutation(w http.ResponseWriter, r *http.Request) (*Mutation, error) {
+	ix := h.Configs.Index()
+	in, err := identify(ix, r)
+	if err != nil {
+		return nil, err
+	}
+	key := r.Header.Get(headerRequestKey)
+	if key == "" {
+		return nil, malformed(headerRequestKey, "header is missing; send a UUIDv7 and repeat it in resends")
+	}
+	var b mutateBody
+	if err := decode(w, r, &b); err != nil {
+		return nil, err
+	}
+	switch {
+	case b.Collection == "":
+		return nil, malformed("collection", "is missing")
+	case b.Version == "":
+		return nil, malformed("version", "is missing")
+	case b.Key == "":
+		return nil, malformed("key", "is missing")
+	}
+	if _, err := ix.Pin(b.Collection, b.Version, ""); err != nil {
+		return nil, err
+	}
+	left, err := deadline(r, nil)
+	if err != nil {
+		return nil, err
+	}
+	return &Mutation{
+		Key:        key,
+		Collection: b.Collection,
+		Version:    b.Version,
+		Record: &target.Record{
+			Key:  b.Key,
+			Text: b.Text,
+		},
+		Deadline:    h.Clock.Now().Add(left),
+		Fingerprint: hasher.Strings(in.GetName(), b.Collection, b.Version, b.Key, b.Text),
+	}, nil
+}
