Avoid slow targets across data centres, and hedge on the gatherer's report

Cause: with replicas in different data centres only the root can hedge, and its delay was twice the 95th percentile of a gatherer's sub-plans, which one slow target inflates; and the root kept sending to the slow target, as its choice of a path did not know of target latency. Now gatherers report targets that would answer late, roots avoid them and probe them once a second beside another path; a partial with open shards means that these are late and they are hedged at once; a gatherer counts as silent by the time to its first partial.

--- a/entryd/pkg/coordinator/coordinator.go
+++ b/entryd/pkg/coordinator/coordinator.go
@@ -133,6 +133,7 @@
 	nonce  atomic.Uint64
 	plans  atomic.Pointer[planCache]
 	group  estimator.Group
+	slow   slowTargets
 
 	mu    sync.RWMutex
 	peers map[string]*neighbour
--- a/entryd/pkg/coordinator/plan.go
+++ b/entryd/pkg/coordinator/plan.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,12 +16,21 @@
 type Path struct {
 	Daemon     placer.Daemon
 	DataCentre string
+	// Probe paths are taken by one unit, to learn whether a target is still
+	// slow, and beside another path.
+	Probe bool
 }
 
-// plan holds, for each shard of a snapshot, its paths in order of preference.
+// way is a path to one shard with the targets that it leads to.
+type way struct {
+	path    Path
+	targets []string
+}
+
+// plan holds, for each shard of a snapshot, its ways in order of preference.
 // It is immutable.
 type plan struct {
-	paths [][]Path
+	ways [][]way
 }
 
 // planCache holds the plans made under one placement.
@@ -51,17 +59,17 @@
 
 func (c *Coordinator) makePlan(s *indexer.Snapshot) *plan {
 	p := &plan{
-		paths: make([][]Path, s.Len()),
+		ways: make([][]way, s.Len()),
 	}
 	for i := range s.Len() {
-		p.paths[i] = c.paths(s.Shard(i))
+		p.ways[i] = c.ways(s.Shard(i))
 	}
 	return p
 }
 
-// paths orders the ways to a shard: the first gatherer of each data centre
+// ways orders the ways to a shard: the first gatherer of each data centre
 // that has a replica, nearest first, then the second gatherers, and so on.
-func (c *Coordinator) paths(shard *indexer.Shard) []Path {
+func (c *Coordinator) ways(shard *indexer.Shard) []way {
 	groups := groupReplicas(shard.Replicas())
 	centres := make([]string, 0, len(groups))
 	for dc := range groups {
@@ -74,13 +82,16 @@
 		ranked[i] = c.Placement.Gatherers(dc, groups[dc])
 		longest = max(longest, len(ranked[i]))
 	}
-	var out []Path
+	var out []way
 	for rank := range longest {
 		for i, dc := range centres {
 			if rank < len(ranked[i]) {
-				out = append(out, Path{
-					Daemon:     ranked[i][rank],
-					DataCentre: dc,
+				out = append(out, way{
+					path: Path{
+						Daemon:     ranked[i][rank],
+						DataCentre: dc,
+					},
+					targets: replicasIn(shard.Replicas(), dc),
 				})
 			}
 		}
@@ -118,69 +129,3 @@
 	}
 	return groups
 }
-
-const (
-	// minHedgeDelay and maxHedgeDelay bound the wait before a sub-plan is
-	// sent to a second gatherer.
-	minHedgeDelay = 5 * time.Millisecond
-	maxHedgeDelay = 150 * time.Millisecond
-	// hedgeFactor times the 95th percentile of a gatherer's sub-plans is that
-	// wait. It leaves the gatherer time to hedge and to report first.
-	hedgeFactor = 2
-)
-
-// chooser picks paths for one query. Whether a daemon is avoided is decided
-// once in a query.
-type chooser struct {
-	root    *Coordinator
-	plan    *plan
-	avoided map[string]bool
-}
-
-// Choose implements router.Chooser.
-func (ch *chooser) Choose(unit int, tried []Path, now time.Time) (Path, bool) {
-	var spare Path
-	found := false
-	for _, p := range ch.plan.paths[unit] {
-		if slices.Contains(tried, p) {
-			continue
-		}
-		if !ch.avoid(p.Daemon, now) {
-			return p, true
-		}
-		if !found {
-			spare, found = p, true
-		}
-	}
-	return spare, found
-}
-
-func (ch *chooser) avoid(d placer.Daemon, now time.Time) bool {
-	if d.ID == ch.root.ID {
-		return false
-	}
-	avoided, known := ch.avoided[d.ID]
-	if !known {
-		gauge := ch.root.neighbour(d.Address).gauge
-		avoided = gauge.Suspected() && !gauge.Probe(now)
-		ch.avoided[d.ID] = avoided
-	}
-	return avoided
-}
-
-// HedgeDelay implements router.Chooser.
-func (ch *chooser) HedgeDelay(p Path) time.Duration {
-	if p.Daemon.ID == ch.root.ID {
-		return maxHedgeDelay
-	}
-	d := hedgeFactor * ch.root.neighbour(p.Daemon.Address).gauge.P95()
-	if d == 0 {
-		return maxHedgeDelay
-	}
-	return min(max(d, minHedgeDelay), maxHedgeDelay)
-}
-
-// Failed implements router.Chooser.
-func (ch *chooser) Failed(p Path, _ time.Time) bool {
-	return p.Daemon.ID != ch.root.ID && ch.root.neighbour(p.Daemon.Address).gauge.Suspected()
-}
--- a/entryd/pkg/coordinator/search.go
+++ b/entryd/pkg/coordinator/search.go
@@ -31,8 +31,10 @@
 	units  map[string]int
 	order  int
 	cancel context.CancelFunc
+	asked  []string
 	peer   *neighbour
 	ticket estimator.Ticket
+	heard  bool
 	sent   uint32
 }
 
@@ -72,7 +74,7 @@
 		Goal:     r.Goal,
 		Floor:    r.Floor,
 		Hedging:  !r.Suspected,
-		First:    first(r, snapshot),
+		First:    canary(r, snapshot),
 	}
 	ch := &chooser{
 		root:    c,
@@ -83,8 +85,8 @@
 	return s
 }
 
-// first returns one more than the shard to ask first, 0 for all at once.
-func first(r *Request, snapshot *indexer.Snapshot) int {
+// canary returns one more than the shard to ask first, 0 for all at once.
+func canary(r *Request, snapshot *indexer.Snapshot) int {
 	if !r.Canary || snapshot.Len() == 0 {
 		return 0
 	}
@@ -169,6 +171,7 @@
 		span.End()
 	}
 	task := s.task(ctx, a)
+	p.asked = targetsOf(task)
 	if a.Path.Daemon.ID == s.root.ID {
 		go s.root.Gatherer.Run(ctx, a.Nonce, task, func(partial *peer.Partial) {
 			s.events.Put(event{
@@ -250,6 +253,8 @@
 	}
 	s.attempts = append(s.attempts, e.partial.GetAttempts()...)
 	s.crashed = append(s.crashed, e.partial.GetCrashed()...)
+	s.root.slow.update(p.asked, e.partial.GetSlow(), now)
+	p.hear(now)
 	s.sent += int(e.partial.GetSent()) - int(p.sent)
 	p.sent = e.partial.GetSent()
 	if e.partial.GetLast() {
@@ -259,6 +264,23 @@
 	s.checkDropped(lacks)
 }
 
+// hear records the time to the first sign of life of the gatherer.
+func (p *subplan) hear(now time.Time) {
+	if p.peer != nil && !p.heard {
+		p.heard = true
+		p.peer.gauge.Answer(now, p.ticket, estimator.Report{})
+	}
+}
+
+// targetsOf returns the targets that a sub-plan may ask.
+func targetsOf(task *peer.Gather) []string {
+	var out []string
+	for _, w := range task.GetShards() {
+		out = append(out, w.GetTargets()...)
+	}
+	return out
+}
+
 var errCrossed = errors.New("partial does not match its sub-plan")
 
 // verify checks a partial against its sub-plan and merges its records.
@@ -314,8 +336,9 @@
 	}
 	p.peer.link.Forget(nonce)
 	switch {
+	case p.heard:
 	case err == nil:
-		p.peer.gauge.Answer(now, p.ticket, estimator.Report{})
+		p.hear(now)
 	case errors.Is(err, exchanger.ErrLost), errors.Is(err, exchanger.ErrNotSent):
 		p.peer.gauge.Fail()
 	default:
@@ -338,7 +361,9 @@
 	if p.peer == nil {
 		return
 	}
-	p.peer.gauge.Drop()
+	if !p.heard {
+		p.peer.gauge.Drop()
+	}
 	p.peer.link.Forget(nonce)
 	p.peer.link.Post(&peer.Task{
 		Nonce: nonce,
--- a/entryd/pkg/gatherer/gatherer.go
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -53,6 +53,7 @@
 	gauges estimator.Group
 	limits limiter.Group
 	pace   pace
+	origin time.Time
 
 	running atomic.Int64
 	drained chan struct{}
@@ -81,6 +82,7 @@
 // New returns a gatherer.
 func New(o Options) *Gatherer {
 	return &Gatherer{
+		origin:     o.Clock.Now(),
 		id:         o.ID,
 		configs:    o.Configs,
 		departures: o.Departures,
@@ -210,43 +212,3 @@
 	Sheds   atomic.Int64
 	Lost    atomic.Int64
 }
-
-// pace keeps the decayed mean and mean deviation of the duration of sub-plans.
-// The zero value starts from a prior.
-type pace struct {
-	mu   sync.Mutex
-	mean float64
-	dev  float64
-}
-
-const (
-	// paceGain is the weight of one sample in the decayed mean.
-	paceGain = 1.0 / 32
-	// pacePrior is the duration assumed before the first sample.
-	pacePrior = 10 * time.Millisecond
-	// paceDeviations is how many mean deviations above the mean a sub-plan is
-	// late.
-	paceDeviations = 2
-)
-
-func (p *pace) add(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	v := float64(d)
-	if p.mean == 0 {
-		p.mean, p.dev = v, v/2
-		return
-	}
-	p.dev += paceGain * (max(v-p.mean, p.mean-v) - p.dev)
-	p.mean += paceGain * (v - p.mean)
-}
-
-// late returns the duration after which a sub-plan counts as late.
-func (p *pace) late() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.mean == 0 {
-		return pacePrior
-	}
-	return time.Duration(p.mean + paceDeviations*p.dev)
-}
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -119,7 +119,6 @@
 			return
 		}
 	}
-	j.gatherer.pace.add(j.gatherer.clock.Since(j.start))
 }
 
 // wait returns the time until the query or the next flush is due.
@@ -307,6 +306,7 @@
 		Last:     done,
 		Sent:     uint32(j.query.Sent()),
 		Crashed:  j.crashed,
+		Slow:     j.slow(now),
 	}
 	if done {
 		p.Attempts = j.attempts
@@ -317,6 +317,36 @@
 	emit(p)
 }
 
+// slowFactor times the time after which a sub-request counts as late is the
+// expected finish from which a target is reported as slow.
+const slowFactor = 1.5
+
+// slow lists the wanted targets that would answer late.
+func (j *job) slow(now time.Time) []*peer.Slow {
+	limit := time.Duration(slowFactor * float64(j.gatherer.pace.late()))
+	var out []*peer.Slow
+	seen := map[string]bool{}
+	for _, w := range j.wanted {
+		for _, id := range w.GetTargets() {
+			if seen[id] {
+				continue
+			}
+			seen[id] = true
+			l := j.gatherer.lane(id)
+			if l == nil {
+				continue
+			}
+			if d := l.expected(now); d > limit {
+				out = append(out, &peer.Slow{
+					Target: id,
+					Finish: d.Microseconds(),
+				})
+			}
+		}
+	}
+	return out
+}
+
 func (j *job) collectMissing() {
 	for i := range j.reported {
 		if j.reported[i] || j.query.Covered(i) || !j.query.Closed(i) && !j.query.Done() {
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -66,6 +66,8 @@
 	watch *quarantiner.Target
 	// onLoss is called after the target was lost.
 	onLoss func()
+	// heard is called with the latency of each completed request.
+	heard func(time.Duration)
 
 	mu      sync.Mutex
 	waiting []*request
@@ -90,6 +92,7 @@
 		}),
 		watch:  g.quarantine.Target(t.GetId()),
 		onLoss: g.onLoss,
+		heard:  func(d time.Duration) { g.pace.add(g.clock.Since(g.origin), d) },
 		flying: map[uint64]*request{},
 	}
 }
@@ -283,7 +286,9 @@
 	}
 	switch a.GetStatus() {
 	case target.Status_STATUS_DONE:
-		l.gauge.Answer(l.clock.Now(), r.ticket, report)
+		now := l.clock.Now()
+		l.gauge.Answer(now, r.ticket, report)
+		l.heard(now.Sub(r.sent))
 	case target.Status_STATUS_FAILED:
 		l.gauge.Fail()
 	default:
--- a/entryd/pkg/gatherer/selector.go
+++ b/entryd/pkg/gatherer/selector.go
@@ -5,14 +5,6 @@
 	"time"
 )
 
-const (
-	// minHedgeDelay and maxHedgeDelay bound the wait before a hedge.
-	minHedgeDelay = time.Millisecond
-	maxHedgeDelay = 100 * time.Millisecond
-	// firstHedgeDelay is the wait before a target has answered at all.
-	firstHedgeDelay = 30 * time.Millisecond
-)
-
 // selector chooses among the replicas of a shard by expected finish.
 type selector struct {
 	job *job
@@ -45,18 +37,13 @@
 	return best, found
 }
 
-// HedgeDelay implements router.Chooser: the 95th percentile of the target's
-// recent latency.
+// HedgeDelay implements router.Chooser. A request to a target that has fallen
+// silent is a probe, and is sent elsewhere at once as well.
 func (s *selector) HedgeDelay(id string) time.Duration {
-	l := s.job.gatherer.lane(id)
-	if l == nil {
-		return firstHedgeDelay
-	}
-	d := l.gauge.P95()
-	if d == 0 {
-		return firstHedgeDelay
+	if s.Failed(id, time.Time{}) {
+		return 0
 	}
-	return min(max(d, minHedgeDelay), maxHedgeDelay)
+	return s.job.gatherer.pace.late()
 }
 
 // Failed implements router.Chooser.
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -148,8 +148,9 @@
 }
 
 // Answer records what an attempt returned. last ends the attempt: units of it
-// that were never reported are treated as unreachable. Answers to unknown
-// nonces are counted and otherwise ignored.
+// that were never reported are treated as unreachable. Otherwise the units that
+// are still open are late, and are hedged. Answers to unknown nonces are counted
+// and otherwise ignored.
 func (q *Query[P]) Answer(nonce uint64, covered []int, lacks []Lack, last bool, now time.Time) []Action[P] {
 	q.out = nil
 	a, ok := q.attempts[nonce]
@@ -173,6 +174,10 @@
 	}
 	q.drop(a)
 	q.retry(again, now)
+	if !last && !a.hedgeAt.IsZero() {
+		a.hedgeAt = now
+		q.hedge(now)
+	}
 	q.settle(now)
 	return q.out
 }
