--- /dev/null
+++ b/plantainctl/pkg/asker/asker.go
@@ -0,0 +1,64 @@
+// Package asker calls the operators' listeners of daemons.
+package asker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+// answerLimit is the size in bytes of the largest answer.
+const answerLimit = 16 << 20
+
+// Errors of calls.
+var (
+	// ErrNotFound reports that the daemon does not have what was asked for.
+	ErrNotFound = errors.New("not found")
+	// ErrAnswer reports an answer other than success.
+	ErrAnswer = errors.New("unexpected answer")
+)
+
+// Asker calls daemons.
+type Asker struct {
+	Client *http.Client
+	// Scheme is http or https.
+	Scheme string
+}
+
+// Ask calls one daemon and decodes its JSON answer into out.
+func (a *Asker) Ask(ctx context.Context, method, address, path string, out any) error {
+	r, err := http.NewRequestWithContext(ctx, method, a.Scheme+"://"+address+path, nil)
+	if err != nil {
+		return eris.Wrapf(err, "ask: daemon %s", address)
+	}
+	resp, err := a.Client.Do(r)
+	if err != nil {
+		return eris.Wrapf(err, "ask: daemon %s", address)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode == http.StatusNotFound:
+		return eris.Wrapf(ErrNotFound, "ask: daemon %s", address)
+	case resp.StatusCode != http.StatusOK:
+		return eris.Wrapf(ErrAnswer, "ask: daemon %s: %s", address, resp.Status)
+	}
+	return eris.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, answerLimit)).Decode(out), "ask: daemon %s", address)
+}
+
+// First calls the daemons in turn until one has what was asked for. It returns
+// the errors of all if none does.
+func (a *Asker) First(ctx context.Context, method string, addresses []string, path string, out any) error {
+	var all []error
+	for _, address := range addresses {
+		err := a.Ask(ctx, method, address, path, out)
+		if err == nil {
+			return nil
+		}
+		all = append(all, err)
+	}
+	return errors.Join(all...)
+}
--- a/plantainctl/pkg/commander/commander.go
+++ b/plantainctl/pkg/commander/commander.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
 
+	"plantaincleat/plantainctl/pkg/asker"
 	"plantaincleat/plantainctl/pkg/waiter"
 	"plantaincleat/tier/pkg/proposer"
 	"plantaincleat/tier/pkg/storer"
@@ -71,15 +72,18 @@
 	open func(t *tool) (storer.Store, error)
 	// wait returns a Waiter.
 	wait func(t *tool) (*waiter.Waiter, error)
+	// askers returns an Asker.
+	askers func(t *tool) (*asker.Asker, error)
 }
 
 // Run executes a command line and returns the exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	t := &tool{
-		clock: clockwork.NewRealClock(),
-		newID: proposer.NewID,
-		open:  openStore,
-		wait:  openWaiter,
+		clock:  clockwork.NewRealClock(),
+		newID:  proposer.NewID,
+		open:   openStore,
+		wait:   openWaiter,
+		askers: openAsker,
 	}
 	return t.run(ctx, args, stdout, stderr)
 }
@@ -137,7 +141,7 @@
 	f.StringVar(&t.certificate, "certificate", "", "PEM file of the tool's certificate")
 	f.StringVar(&t.key, "key", "", "PEM file of the certificate's key")
 	f.BoolVar(&t.insecure, "insecure", false, "allow plain text on addresses other than loopback")
-	root.AddCommand(t.config())
+	root.AddCommand(t.config(), t.target(), t.quarantine(), t.status(), t.explain())
 	return root
 }
 
--- a/plantainctl/pkg/commander/connect.go
+++ b/plantainctl/pkg/commander/connect.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc"
 
+	"plantaincleat/plantainctl/pkg/asker"
 	"plantaincleat/plantainctl/pkg/waiter"
 	"plantaincleat/tier/gen/settings"
 	"plantaincleat/tier/pkg/securer"
@@ -88,18 +89,41 @@
 
 // openWaiter returns a Waiter for the daemons' admin listeners.
 func openWaiter(t *tool) (*waiter.Waiter, error) {
-	s, err := t.security()
+	client, scheme, err := t.client()
 	if err != nil {
 		return nil, err
 	}
-	w := &waiter.Waiter{
-		Client: &http.Client{},
-		Scheme: "http",
+	return &waiter.Waiter{
+		Client: client,
+		Scheme: scheme,
 		Clock:  t.clock,
+	}, nil
+}
+
+// openAsker returns an Asker for the daemons' admin listeners.
+func openAsker(t *tool) (*asker.Asker, error) {
+	client, scheme, err := t.client()
+	if err != nil {
+		return nil, err
 	}
-	if s != nil {
-		w.Scheme = "https"
-		w.Client.Transport = &http.Transport{TLSClientConfig: s.Client()}
+	return &asker.Asker{
+		Client: client,
+		Scheme: scheme,
+	}, nil
+}
+
+// client returns the HTTP client and the scheme of the admin listeners.
+func (t *tool) client() (*http.Client, string, error) {
+	s, err := t.security()
+	if err != nil {
+		return nil, "", err
 	}
-	return w, nil
+	if s == nil {
+		return &http.Client{}, "http", nil
+	}
+	return &http.Client{
+		Transport: &http.Transport{
+			TLSClientConfig: s.Client(),
+		},
+	}, "https", nil
 }
