Stamp answers with the hash of their query

Ruled out: nonces, since a target that swaps them echoes valid ones; random nonces over connections help only against answers on another connection. The hash is computed by the target from the query that it ran. The check of it at the gatherer is not part of this change.

--- a/standin/pkg/searcher/searcher_test.go
+++ b/standin/pkg/searcher/searcher_test.go
@@ -14,6 +14,7 @@
 
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/digester"
 	"plantaincleat/tier/pkg/synthesizer"
 )
 
@@ -186,12 +187,15 @@
 
 func TestStampsAndRecords(t *testing.T) {
 	b := newBench(t, Options{Slots: 1})
-	b.call(7, newSearch("b"))
+	q := &target.Query{Limit: 3}
+	search := newSearch("b")
+	search.Query = q
+	b.call(7, search)
 	b.running(1)
 	b.clock.Advance(median)
 	a := b.answers(1)[7][0]
-	if a.GetTarget() != "t1" || a.GetSnapshot() != "s1" || a.GetShard() != "b" || a.GetIncarnation() != b.searcher.Incarnation() {
-		t.Errorf("stamp %s %s %s %d", a.GetTarget(), a.GetSnapshot(), a.GetShard(), a.GetIncarnation())
+	if a.GetTarget() != "t1" || a.GetSnapshot() != "s1" || a.GetShard() != "b" || a.GetIncarnation() != b.searcher.Incarnation() || a.GetQuery() != digester.Query(q) {
+		t.Errorf("stamp %s %s %s %d %d", a.GetTarget(), a.GetSnapshot(), a.GetShard(), a.GetIncarnation(), a.GetQuery())
 	}
 	want := synthesizer.Records(synthesizer.Shard{
 		Collection: "entries",
@@ -199,7 +203,7 @@
 		Snapshot:   "s1",
 		ID:         "b",
 		From:       "b",
-	}, &target.Query{})
+	}, q)
 	same := func(a, b *target.Record) bool { return a.String() == b.String() }
 	if !slices.EqualFunc(a.GetRecords(), want, same) {
 		t.Errorf("%d records differ from the %d synthesised", len(a.GetRecords()), len(want))
@@ -299,8 +303,8 @@
 			}
 		}},
 		{name: "cross", faults: Faults{Cross: 1}, want: 2, check: func(t *testing.T, got map[uint64][]*target.Answer) {
-			if s := got[1][0].GetShard(); s != "b" {
-				t.Errorf("nonce 1 carries shard %q, want b", s)
+			if a := got[1][0]; a.GetShard() != "b" || a.GetQuery() != digester.Query(&target.Query{Limit: 2}) {
+				t.Errorf("nonce 1 carries shard %q and query %x, want those of nonce 2", a.GetShard(), a.GetQuery())
 			}
 		}},
 		{name: "duplicate", faults: Faults{Duplicate: 1}, want: 4, check: func(t *testing.T, got map[uint64][]*target.Answer) {
@@ -324,7 +328,9 @@
 				t.Fatal(err)
 			}
 			b.call(1, newSearch("a"))
-			b.call(2, newSearch("b"))
+			second := newSearch("b")
+			second.Query = &target.Query{Limit: 2}
+			b.call(2, second)
 			b.running(2)
 			b.clock.Advance(median)
 			tt.check(t, b.answers(tt.want))
--- a/standin/pkg/searcher/stream.go
+++ b/standin/pkg/searcher/stream.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/digester"
 	"plantaincleat/tier/pkg/synthesizer"
 )
 
@@ -189,6 +190,7 @@
 		return
 	}
 	a.Snapshot = r.shard.Snapshot
+	a.Query = digester.Query(q.GetQuery())
 	if s.sampler.chance(f.Foreign) {
 		e := edition{
 			collection: q.GetCollection(),
