--- a/loadgen/pkg/commander/profile.go
+++ b/loadgen/pkg/commander/profile.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/url"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -101,6 +102,9 @@
 	current := p.Snapshots[len(p.Snapshots)-1]
 	fmt.Fprintf(b, "# The slots are full at %.0f requests/s of the profile's mix.\n", p.Profile.Capacity(current.Split, p.Pace.Mean()))
 	fmt.Fprintf(b, "standin kv --listen %s\n", p.KV)
+	if u, err := url.Parse(p.Hosts); err == nil && p.Hosts != "" {
+		fmt.Fprintf(b, "standin hosts --listen %s --hosts %s\n", u.Host, filepath.Join(directory, profiler.HostsFile))
+	}
 	cfg, groups := p.Files()
 	fmt.Fprintf(b, "standin target --admin 127.0.0.1:%d --config %s", p.Port, filepath.Join(directory, cfg))
 	for _, g := range groups {
@@ -113,6 +117,7 @@
 	for _, s := range p.Settings() {
 		fmt.Fprintf(b, "entryd --settings %s\n", filepath.Join(directory, s.GetId()+".json"))
 	}
+	fmt.Fprintf(b, "plantainctl config apply %s --kv %s\n", filepath.Join(directory, profiler.ConfigFile), p.KV)
 	fmt.Fprintf(b, "loadgen run --profile %s --config %s --entry %s\n",
 		p.Profile.Name, filepath.Join(directory, profiler.ConfigFile), strings.Join(p.Entries(), ","))
 	_, err := io.WriteString(w, b.String())
--- a/loadgen/pkg/profiler/files.go
+++ b/loadgen/pkg/profiler/files.go
@@ -28,6 +28,8 @@
 	DirectFile = "config-direct.json"
 	// RelayFile is the plan of the relay.
 	RelayFile = "relay.json"
+	// HostsFile is the platform's list of hosts.
+	HostsFile = "hosts.json"
 )
 
 // daemon is one daemon of a plan.
@@ -128,6 +130,39 @@
 	return g
 }
 
+// host is one entry of the host list, as standin hosts reads it.
+type host struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	DataCentre string `json:"datacentre"`
+	Role       string `json:"role"`
+	State      string `json:"state"`
+}
+
+// hosts lists the daemons and the targets.
+func (p *Plan) hosts() []host {
+	var list []host
+	for _, d := range p.daemons() {
+		list = append(list, host{
+			ID:         d.id(),
+			Address:    d.address(peerPort, p.Relay),
+			DataCentre: dataCentre(d.dc),
+			Role:       "daemon",
+			State:      "live",
+		})
+	}
+	for _, t := range p.targets() {
+		list = append(list, host{
+			ID:         t.id,
+			Address:    t.address(p.Relay),
+			DataCentre: dataCentre(t.dc),
+			Role:       "target",
+			State:      "live",
+		})
+	}
+	return list
+}
+
 // Write writes the files of the deployment to a directory, which it makes if
 // needed. The comment goes to the head of each file.
 func (p *Plan) Write(directory, comment string) error {
@@ -148,6 +183,7 @@
 	for _, s := range p.Profile.Services {
 		w.value(GroupFile(s.Collection), p.group(s))
 	}
+	w.value(HostsFile, p.hosts())
 	if p.Relay {
 		w.message(DirectFile, p.Config(false))
 		w.value(RelayFile, p.relay())
