--- a/entryd/pkg/forwarder/forwarder.go
+++ b/entryd/pkg/forwarder/forwarder.go
@@ -54,8 +54,11 @@
 	Local      Local
 }
 
-// Forward sends a mutation on its way once. Errors that match ErrNotRun state
-// that no target was asked; after any other error a target may have run it.
+// Forward has one target run a mutation. It tries other gatherers and replicas
+// only after a try that certainly reached no target. Errors that match ErrNotRun
+// state that no target was asked; after any other error a target may have run
+// the mutation. So does an outcome, unless its status is STATUS_SHED or
+// STATUS_LEAVING.
 func (f *Forwarder) Forward(ctx context.Context, m *target.Mutation) (*target.Outcome, error) {
 	snapshot, err := f.Configs.Index().Pin(m.GetCollection(), m.GetVersion(), "")
 	if err != nil {
@@ -67,11 +70,41 @@
 	}
 	shard := snapshot.Shard(at)
 	m.Shard = shard.ID()
-	t := f.choose(shard)
-	if t == nil {
-		return nil, eris.Wrapf(ErrNotRun, "route: every replica of shard %s is leaving", shard.ID())
+	var out *target.Outcome
+	err = eris.Wrapf(ErrNotRun, "route: every replica of shard %s is leaving", shard.ID())
+	for _, t := range shard.Replicas() {
+		if f.Departures.Leaving(t.GetId()) {
+			continue
+		}
+		if out, err = f.toTarget(ctx, t, group(shard, t.GetDatacentre()), m); ran(out, err) {
+			return out, err
+		}
+	}
+	return out, err
+}
+
+// ran reports whether a target may have run the mutation.
+func ran(out *target.Outcome, err error) bool {
+	if err != nil {
+		return !errors.Is(err, ErrNotRun)
+	}
+	return out.GetStatus() != target.Status_STATUS_SHED && out.GetStatus() != target.Status_STATUS_LEAVING
+}
+
+// toTarget tries the gatherers of a target in turn.
+func (f *Forwarder) toTarget(ctx context.Context, t *config.Target, group string, m *target.Mutation) (*target.Outcome, error) {
+	in := &peer.MutateRequest{
+		Target:   t.GetId(),
+		Mutation: m,
+	}
+	var out *target.Outcome
+	err := eris.Wrapf(ErrNotRun, "route: no daemon gathers for target %s", t.GetId())
+	for _, d := range f.Placement.Gatherers(t.GetDatacentre(), group) {
+		if out, err = f.send(ctx, d, in); ran(out, err) || err == nil {
+			return out, err
+		}
 	}
-	return f.send(ctx, t, group(shard, t.GetDatacentre()), m)
+	return out, err
 }
 
 // group names the shard group of a shard in a data centre.
@@ -95,16 +128,7 @@
 	return nil
 }
 
-func (f *Forwarder) send(ctx context.Context, t *config.Target, group string, m *target.Mutation) (*target.Outcome, error) {
-	in := &peer.MutateRequest{
-		Target:   t.GetId(),
-		Mutation: m,
-	}
-	gatherers := f.Placement.Gatherers(t.GetDatacentre(), group)
-	if len(gatherers) == 0 {
-		return nil, eris.Wrapf(ErrNotRun, "route: no daemon gathers for target %s", t.GetId())
-	}
-	d := gatherers[0]
+func (f *Forwarder) send(ctx context.Context, d placer.Daemon, in *peer.MutateRequest) (*target.Outcome, error) {
 	if d.ID == f.ID {
 		return f.Local.Mutate(ctx, in)
 	}
--- a/entryd/pkg/placer/placer.go
+++ b/entryd/pkg/placer/placer.go
@@ -114,7 +114,7 @@
 	order := p.preferred(serving, dc)
 	ranked := make(map[string][]Daemon)
 	for _, g := range f.groups[dc] {
-		list := g.rank(order)
+		list := p.withFallback(dc, g, g.rank(order))
 		for _, s := range g.spellings {
 			ranked[s] = list
 		}
@@ -127,6 +127,21 @@
 	}
 }
 
+// withFallback appends a daemon of the root's own cell to the gatherers of
+// another data centre, for when none of those can be reached. Targets refuse
+// what exceeds their connections then.
+func (p *Placement) withFallback(dc string, g *group, list []Daemon) []Daemon {
+	own := p.cells[p.home]
+	if dc == p.home || len(own) == 0 {
+		return list
+	}
+	d, _ := g.best(p.preferred(own, p.home)[0])
+	if slices.Contains(list, d.Daemon) {
+		return list
+	}
+	return append(list, d.Daemon)
+}
+
 // adopters returns at most n cells that gather for a data centre without live
 // daemons: one of each other data centre before a second of any.
 func (p *Placement) adopters(n int) []cell {
@@ -216,7 +231,8 @@
 }
 
 // Gatherers returns the daemons that gather a shard group of a data centre, in
-// order of preference. The group is named by the ids of its targets, in the
+// order of preference; the last one of another data centre is of the root's own
+// cell. The group is named by the ids of its targets, in the
 // order of the shard's replicas and separated by commas. The slice must not be
 // changed. It is empty if no daemon lives or the group is not configured.
 func (p *Placement) Gatherers(dataCentre, group string) []Daemon {
