--- a/loadgen/pkg/commander/run.go
+++ b/loadgen/pkg/commander/run.go
@@ -39,6 +39,7 @@
 	seed      uint64
 	uniform   bool
 	terms     []string
+	same      bool
 	verify    bool
 	patience  time.Duration
 	inFlight  int64
@@ -62,7 +63,8 @@
 		Example: "  loadgen run --profile kahikatea --entry http://127.0.1.1:20000 --rate 200 --duration 30s\n" +
 			"  loadgen run --profile corrib --classes spoken,browse --entry http://127.0.1.1:20000=http://127.0.1.1:20002/ready \\\n" +
 			"    --rate 500 --steps 0.5,0.9,1.2,2 --duration 20s --config out/config.json --verify \\\n" +
-			"    --report cells.json --plot cells.svg",
+			"    --report cells.json --plot cells.svg\n" +
+			"  loadgen run --profile kahikatea --classes lookup --terms '!crash' --same --rate 1 --entry http://127.0.1.1:20000",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return runLoad(cmd, f)
@@ -84,6 +86,7 @@
 	flags.Uint64Var(&f.seed, "seed", 1, "seed of send times and queries")
 	flags.BoolVar(&f.uniform, "uniform", false, "even gaps in place of exponential ones")
 	flags.StringSliceVar(&f.terms, "terms", nil, "terms added to each query, for example !crash")
+	flags.BoolVar(&f.same, "same", false, "the same query for all reads of a class, as resends are")
 	flags.BoolVar(&f.verify, "verify", false, "compare answers with the reference")
 	flags.DurationVar(&f.patience, "patience", 2*time.Second, "time after the deadline at which a request counts as lost")
 	flags.Int64Var(&f.inFlight, "inflight", 20000, "requests without an answer beyond which new ones count as lost")
@@ -145,6 +148,7 @@
 			Seed:    f.seed,
 			Uniform: f.uniform,
 			Terms:   f.terms,
+			Same:    f.same,
 		},
 		Institution: profile.Name,
 		Version:     profiler.Version,
--- a/loadgen/pkg/pacer/pacer.go
+++ b/loadgen/pkg/pacer/pacer.go
@@ -35,6 +35,9 @@
 	Uniform bool
 	// Terms are added to each query.
 	Terms []string
+	// Same gives all reads of a class the same query, as a caller does that
+	// sends its request again. Otherwise no two queries are the same.
+	Same bool
 }
 
 // Request is one request of the load.
@@ -83,6 +86,7 @@
 		p := &pacer{
 			options: o,
 			rng:     rand.New(rand.NewPCG(o.Seed, o.Seed)),
+			queries: make(map[*profiler.Class]*target.Query),
 		}
 		var start time.Duration
 		for i, s := range o.Steps {
@@ -100,6 +104,7 @@
 	options *Options
 	rng     *rand.Rand
 	number  int
+	queries map[*profiler.Class]*target.Query
 }
 
 // gap returns the time to the next request.
@@ -125,11 +130,20 @@
 		r.Text = p.word()
 		return r
 	}
-	r.Query = &target.Query{
+	r.Query = p.query(c)
+	return r
+}
+
+func (p *pacer) query(c *profiler.Class) *target.Query {
+	if q := p.queries[c]; q != nil && p.options.Same {
+		return q
+	}
+	q := &target.Query{
 		Limit: uint32(c.Limit),
 		Terms: p.terms(c.Terms),
 	}
-	return r
+	p.queries[c] = q
+	return q
 }
 
 // pick draws a class by weight.
--- a/loadgen/pkg/pacer/pacer_test.go
+++ b/loadgen/pkg/pacer/pacer_test.go
@@ -77,6 +77,29 @@
 	}
 }
 
+func TestSameQueries(t *testing.T) {
+	for _, same := range []bool{false, true} {
+		o := newOptions(t, 1)
+		o.Same = same
+		o.Terms = []string{"!crash"}
+		queries := make(map[string]bool)
+		reads := 0
+		for r := range o.Schedule() {
+			if r.Class.Name != "lookup" {
+				continue
+			}
+			reads++
+			queries[strings.Join(r.Query.GetTerms(), " ")] = true
+			if !slices.Contains(r.Query.GetTerms(), "!crash") {
+				t.Fatal("a query lacks the added term")
+			}
+		}
+		if want := map[bool]int{false: reads, true: 1}[same]; len(queries) != want {
+			t.Errorf("same %v: %d queries in %d reads, want %d", same, len(queries), reads, want)
+		}
+	}
+}
+
 func TestValidate(t *testing.T) {
 	tests := []struct {
 		name   string
