--- a/standin/pkg/launcher/launcher_test.go
+++ b/standin/pkg/launcher/launcher_test.go
@@ -22,10 +22,11 @@
 	"plantaincleat/tier/pkg/loader"
 )
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns an address that was free a moment ago, on a loopback
+// address that nothing else uses.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.88.0.2:0")
 	if err != nil {
 		t.Fatal(err)
 	}
