--- a/loadgen/pkg/profiler/profiler.go
+++ b/loadgen/pkg/profiler/profiler.go
@@ -130,8 +130,9 @@
 }
 
 // Capacity returns the requests a second at which the load of the classes
-// fills all slots of one service, for a mean execution time. Reads ask
-// every shard once; a mutation runs on one target.
+// fills all slots of one service, for a mean execution time. Each page of a read
+// asks every shard once; a mutation runs on one target. Pages after the first
+// are not counted as requests.
 func (p Profile) Capacity(split int, mean time.Duration) float64 {
 	var total float64
 	for _, c := range p.Classes {
@@ -158,5 +159,5 @@
 	if c.Mutation {
 		return 1
 	}
-	return float64(shards)
+	return float64(shards * max(1, c.Pages))
 }
