Demands of other data centres as even parts; fresh demands first

The admitter wants the demand of each daemon and drops those of names that are no daemon, so that the sums of other data centres never counted: their daemons looked as if they wanted all they could get. Their members now appear with even parts of the sum, which a fair division takes as an upper bound.

--- a/entryd/pkg/gossiper/bench_test.go
+++ b/entryd/pkg/gossiper/bench_test.go
@@ -71,6 +71,14 @@
 		}
 		spent := time.Since(start)
 		runtime.ReadMemStats(&after)
+		oldest, ages, count := 0.0, 0.0, 0.0
+		now := uint64(w.now.UnixMilli())
+		for _, d := range w.order[0].m.Demands() {
+			age := float64(now - d.GetBeat())
+			oldest, ages, count = max(oldest, age), ages+age, count+1
+		}
+		b.ReportMetric(oldest, "oldest-ms")
+		b.ReportMetric(ages/max(count, 1), "age-ms")
 		sent, bytes, most := 0, 0, 0
 		for _, n := range w.order {
 			all := n.bytes + n.sent*wireBytes
@@ -95,7 +103,7 @@
 }
 
 // BenchmarkBusy is a minute with a change of configuration, a leaving target,
-// two restarts, and two institutions' demands from each daemon every 5 s.
+// two restarts, and two institutions' demands from each daemon every second.
 func BenchmarkBusy(b *testing.B) {
 	forSizes(b, func(b *testing.B, w *network) {
 		revision := uint64(0)
@@ -115,11 +123,9 @@
 			case 30, 40:
 				w.start(w.order[5].cfg)
 			}
-			if second%5 == 0 {
-				for i, n := range w.order {
-					n.m.SetDemand(w.now, "kahikatea", float64(second+i), 3)
-					n.m.SetDemand(w.now, "corrib", float64(second+i), 3)
-				}
+			for i, n := range w.order {
+				n.m.SetDemand(w.now, "kahikatea", 100+float64((second+i)%10), 3)
+				n.m.SetDemand(w.now, "corrib", 100+float64((second+i)%10), 3)
 			}
 		})
 	})
--- a/entryd/pkg/gossiper/crossing.go
+++ b/entryd/pkg/gossiper/crossing.go
@@ -121,7 +121,7 @@
 	return []Action{m.exchange(contactOf(r), m.repair(now))}
 }
 
-// renew repeats the verdicts on the other data centres and the sums of demand.
+// renew repeats the verdicts on the other data centres.
 func (m *Machine) renew(now time.Time, others []string) {
 	for _, dc := range others {
 		key := linkKey{
@@ -133,6 +133,7 @@
 			m.judge(dc, now)
 		}
 	}
+	m.sum(now)
 	if now.Before(m.nextRenew) {
 		return
 	}
@@ -140,8 +141,16 @@
 	maps.DeleteFunc(m.links, func(k linkKey, _ *link) bool {
 		return m.table.records[k.daemon] == nil
 	})
+}
+
+// sum states the sums of demand of this data centre.
+func (m *Machine) sum(now time.Time) {
+	if now.Before(m.nextSum) {
+		return
+	}
+	m.nextSum = now.Add(demandRenewal)
 	for _, d := range m.demands.sum(m.cfg.Self.DataCentre, uint64(now.UnixMilli())) {
-		m.demands.add(d, m.copies(), now)
+		m.demands.add(d, now)
 	}
 }
 
--- a/entryd/pkg/gossiper/demands.go
+++ b/entryd/pkg/gossiper/demands.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -29,7 +30,9 @@
 // sums of the others.
 type demands struct {
 	byKey map[demandKey]*demand
-	queue []demandKey
+	// queues holds the keys of the demands by the copies left to send. A key
+	// whose demand has another number of copies left is out of date.
+	queues [demandCopies + 1][]demandKey
 }
 
 func newDemands() demands {
@@ -48,72 +51,91 @@
 	) > 0
 }
 
-// add stores d if it is later than what is known and reports whether it was.
-func (s *demands) add(d *peer.Demand, copies int, now time.Time) bool {
+// add stores d if it is later than what is known, and queues it.
+func (s *demands) add(d *peer.Demand, now time.Time) {
 	key := demandKey{
 		daemon:      d.GetDaemon(),
 		institution: d.GetInstitution(),
 	}
 	if key.daemon == "" || key.institution == "" {
-		return false
+		return
 	}
-	old, ok := s.byKey[key]
-	if ok && !later(d, old.value) {
-		return false
-	}
-	const numbers = 36
-	if !ok || old.left == 0 {
-		s.queue = append(s.queue, key)
+	if old, ok := s.byKey[key]; ok && !later(d, old.value) {
+		return
 	}
+	const numbers = 30
+	s.queues[demandCopies] = append(s.queues[demandCopies], key)
 	s.byKey[key] = &demand{
 		value: d,
 		heard: now,
-		left:  copies,
+		left:  demandCopies,
 		size:  numbers + len(key.daemon) + len(key.institution),
 	}
-	return true
 }
 
 // expire drops what has not been renewed for ttl.
-func (s *demands) expire(now time.Time, ttl time.Duration) bool {
-	changed := false
+func (s *demands) expire(now time.Time, ttl time.Duration) {
 	for k, d := range s.byKey {
 		if now.Sub(d.heard) >= ttl {
 			delete(s.byKey, k)
-			changed = true
 		}
 	}
-	return changed
 }
 
-// take returns queued demands of at most limit bytes in all. Between data
-// centres only the sums travel.
+// take returns demands with copies left to send of at most limit bytes in all,
+// those sent least often first, so that fresh ones overtake what most daemons
+// know. Between data centres only the sums travel.
 func (s *demands) take(limit int, remote bool) []*peer.Demand {
-	var out []*peer.Demand
-	n := len(s.queue)
-	for range n {
-		key := s.queue[0]
-		d, ok := s.byKey[key]
-		if !ok || d.left == 0 {
-			s.queue = s.queue[1:]
-			continue
-		}
-		if !remote || strings.HasPrefix(key.daemon, sumPrefix) {
+	var taken []demandKey
+	for left := demandCopies; left > 0 && limit > 0; left-- {
+		waiting := s.queues[left]
+		s.queues[left] = nil
+		for i, key := range waiting {
+			d, ok := s.byKey[key]
+			switch {
+			case !ok || d.left != left:
+				continue
+			case remote && !strings.HasPrefix(key.daemon, sumPrefix):
+				s.queues[left] = append(s.queues[left], key)
+				continue
+			}
 			limit -= d.size
 			if limit < 0 {
+				s.queues[left] = append(s.queues[left], waiting[i:]...)
 				break
 			}
-			out = append(out, d.value)
 			d.left--
+			taken = append(taken, key)
 		}
-		s.queue = s.queue[1:]
-		if d.left > 0 {
-			s.queue = append(s.queue, key)
-		}
 	}
+	out := make([]*peer.Demand, 0, len(taken))
+	for _, key := range taken {
+		d := s.byKey[key]
+		out = append(out, d.value)
+		s.queues[d.left] = append(s.queues[d.left], key)
+	}
+	s.queues[0] = nil
 	return out
 }
 
+// steady reports whether a demand need not be told again: the one told before
+// is recent and differs little.
+func (s *demands) steady(d *peer.Demand, now time.Time) bool {
+	old, ok := s.byKey[demandKey{
+		daemon:      d.GetDaemon(),
+		institution: d.GetInstitution(),
+	}]
+	return ok && now.Sub(old.heard) < demandRenewal &&
+		near(old.value.GetRate(), d.GetRate()) &&
+		near(float64(old.value.GetConcurrency()), float64(d.GetConcurrency()))
+}
+
+// near reports whether b differs from a by at most a fifth.
+func near(a, b float64) bool {
+	const tolerance = 0.2
+	return math.Abs(a-b) <= tolerance*a
+}
+
 // sum adds up what the daemons of one data centre demand, by institution.
 func (s *demands) sum(datacentre string, beat uint64) []*peer.Demand {
 	sums := make(map[string]*peer.Demand)
@@ -157,14 +179,37 @@
 	return keys
 }
 
-// list returns the demands in a fixed order, without the sum of the own data
-// centre, whose daemons stand in the list one by one.
-func (s *demands) list(datacentre string) []*peer.Demand {
+// list returns the demands of the daemons of this data centre, and those of
+// other data centres as even parts of the sums. members holds the live members
+// of each data centre. An even part is the safe guess for a fair division: no
+// other split of the sum asks for more below a common bound.
+func (s *demands) list(datacentre string, members map[string][]*record) []*peer.Demand {
 	out := make([]*peer.Demand, 0, len(s.byKey))
 	for _, k := range s.keys() {
-		if k.daemon != sumPrefix+datacentre {
-			out = append(out, s.byKey[k].value)
+		d := s.byKey[k].value
+		from, isSum := strings.CutPrefix(k.daemon, sumPrefix)
+		switch {
+		case !isSum:
+			out = append(out, d)
+		case from != datacentre:
+			out = append(out, split(d, members[from])...)
 		}
 	}
 	return out
 }
+
+// split divides the demand of a data centre among its members.
+func split(d *peer.Demand, members []*record) []*peer.Demand {
+	out := make([]*peer.Demand, 0, len(members))
+	n := uint32(len(members))
+	for _, r := range members {
+		out = append(out, &peer.Demand{
+			Daemon:      r.id,
+			Institution: d.GetInstitution(),
+			Rate:        d.GetRate() / float64(n),
+			Concurrency: (d.GetConcurrency() + n - 1) / n,
+			Beat:        d.GetBeat(),
+		})
+	}
+	return out
+}
--- a/entryd/pkg/gossiper/exchange.go
+++ b/entryd/pkg/gossiper/exchange.go
@@ -118,9 +118,7 @@
 		}
 	}
 	for _, d := range v.GetDemands() {
-		if m.demands.add(d, m.copies(), now) {
-			m.changed |= ChangeDemands
-		}
+		m.demands.add(d, now)
 	}
 	r, ok := m.table.records[v.GetSender()]
 	if !ok || r.datacentre != m.cfg.Self.DataCentre {
@@ -224,7 +222,8 @@
 }
 
 // SetDemand states this daemon's recent use of an institution's terms. rate is
-// in requests per second.
+// in requests per second. It may be called at any rate: small changes travel
+// with a delay.
 func (m *Machine) SetDemand(now time.Time, institution string, rate float64, concurrency uint32) {
 	m.observe(now)
 	d := &peer.Demand{
@@ -234,8 +233,8 @@
 		Concurrency: concurrency,
 		Beat:        uint64(now.UnixMilli()),
 	}
-	if m.demands.add(d, m.copies(), now) {
-		m.changed |= ChangeDemands
+	if !m.demands.steady(d, now) {
+		m.demands.add(d, now)
 	}
 }
 
--- a/entryd/pkg/gossiper/machine.go
+++ b/entryd/pkg/gossiper/machine.go
@@ -84,8 +84,14 @@
 	newsBurst = 6
 	// newsRefill is the time after which one more burst is allowed.
 	newsRefill = 500 * time.Millisecond
-	// renewal is the time between two repetitions of links and sums.
+	// renewal is the time between two repetitions of links.
 	renewal = 10 * time.Second
+	// demandRenewal is the time between two repetitions of a steady demand, and
+	// of the sums.
+	demandRenewal = 2 * time.Second
+	// demandCopies is the number of messages that carry a demand. It is less
+	// than that of other changes, since demands are repeated.
+	demandCopies = 4
 )
 
 func (c Config) withDefaults() Config {
@@ -131,6 +137,7 @@
 	nextRetry time.Time
 	nextFull  time.Time
 	nextRenew time.Time
+	nextSum   time.Time
 
 	// refreshing is true from start or wake until the table is fresh.
 	refreshing bool
@@ -161,7 +168,6 @@
 const (
 	ChangeMembers Change = 1 << iota
 	ChangeNotices
-	ChangeDemands
 )
 
 // New returns a Machine that starts at now. The incarnation is now in Unix
@@ -186,7 +192,7 @@
 		calls:      make(map[uint64]*call),
 		tokens:     newsBurst,
 		refilled:   now,
-		changed:    ChangeMembers | ChangeNotices | ChangeDemands,
+		changed:    ChangeMembers | ChangeNotices,
 	}
 	m.put(Member{
 		id:          cfg.Self.ID,
@@ -359,9 +365,7 @@
 	if m.facts.expire(now) {
 		m.changed |= ChangeNotices
 	}
-	if m.demands.expire(now, m.cfg.Expiry) {
-		m.changed |= ChangeDemands
-	}
+	m.demands.expire(now, m.cfg.Expiry)
 }
 
 // announce asks for an immediate exchange with a few others.
--- a/entryd/pkg/gossiper/merge_test.go
+++ b/entryd/pkg/gossiper/merge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -72,3 +73,27 @@
 		requireSemilattice(t, drawLeaving, Merge, equalNotices)
 	}))
 }
+
+// A demand is sent at most demandCopies times, whatever comes in between.
+func TestDemandCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newDemands()
+		sent := make(map[uint64]int)
+		now := time.UnixMilli(0)
+		for beat := uint64(1); beat < 40; beat++ {
+			s.add(&peer.Demand{
+				Daemon:      rapid.SampledFrom([]string{"a", "b", "@x"}).Draw(t, "daemon"),
+				Institution: rapid.SampledFrom([]string{"i", "j"}).Draw(t, "institution"),
+				Beat:        beat,
+			}, now)
+			for _, d := range s.take(rapid.IntRange(0, 200).Draw(t, "limit"), rapid.Bool().Draw(t, "remote")) {
+				if sent[d.GetBeat()]++; sent[d.GetBeat()] > demandCopies {
+					t.Fatalf("beat %d sent %d times", d.GetBeat(), sent[d.GetBeat()])
+				}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "expire") == 0 {
+				s.expire(now.Add(time.Hour), time.Minute)
+			}
+		}
+	})
+}
--- a/entryd/pkg/gossiper/runner.go
+++ b/entryd/pkg/gossiper/runner.go
@@ -18,7 +18,7 @@
 	probeTimeout = 2 * exchangeTimeout
 )
 
-// Runner runs a Machine. Its read methods take no lock.
+// Runner runs a Machine. View, Notices and Awake take no lock.
 type Runner struct {
 	clock     clockwork.Clock
 	transport Transport
@@ -31,7 +31,6 @@
 	calls   sync.WaitGroup
 	view    atomic.Pointer[View]
 	notices atomic.Pointer[[]*peer.Notice]
-	demands atomic.Pointer[[]*peer.Demand]
 	awake   atomic.Bool
 	last    atomic.Pointer[time.Time]
 
@@ -88,10 +87,6 @@
 		notices := r.machine.Notices()
 		r.notices.Store(&notices)
 	}
-	if c&ChangeDemands != 0 {
-		demands := r.machine.Demands()
-		r.demands.Store(&demands)
-	}
 	r.subscribers.mu.Lock()
 	defer r.subscribers.mu.Unlock()
 	for ch := range r.subscribers.all {
@@ -234,7 +229,11 @@
 func (r *Runner) Notices() []*peer.Notice { return *r.notices.Load() }
 
 // Demands returns the demands as Machine.Demands does.
-func (r *Runner) Demands() []*peer.Demand { return *r.demands.Load() }
+func (r *Runner) Demands() []*peer.Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.Demands()
+}
 
 // Awake reports whether the view is fresh enough to act on. It is false after
 // a start or a freeze until others have been heard, and at once upon waking,
--- a/entryd/pkg/gossiper/view.go
+++ b/entryd/pkg/gossiper/view.go
@@ -103,10 +103,12 @@
 // changed.
 func (m *Machine) Notices() []*peer.Notice { return m.facts.list() }
 
-// Demands returns the latest demand of each daemon of this data centre, and of
-// each other data centre the sum under the name "@" and the data centre. They
-// must not be changed.
-func (m *Machine) Demands() []*peer.Demand { return m.demands.list(m.cfg.Self.DataCentre) }
+// Demands returns the latest demand of each daemon. Of other data centres only
+// the sums are known; their members appear with even parts of them. The
+// demands must not be changed.
+func (m *Machine) Demands() []*peer.Demand {
+	return m.demands.list(m.cfg.Self.DataCentre, m.table.indexed().within)
+}
 
 // Changes returns which parts have changed since it was last called.
 func (m *Machine) Changes() Change {
