--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -207,34 +207,38 @@
 		:: got(2) -> claim = REC(2)
 #endif
 		fi;
-		answer(claim, hold, shut, low, done);
-		if
-		:: done || next > ENTRIES -> claim = NONE
-		:: else ->
-			new_base = seen / 2;
-			new_floor = low;
-#ifdef EARLY_ANSWER
+		d_step {
+			answer(claim, hold, shut, low, done);
 			if
-			:: claim >= TAKE(0) && claim < REL(0) -> grant(claim - 2)
-			:: else
-			fi;
+			:: done || next > ENTRIES -> claim = NONE
+			:: else ->
+				new_base = seen / 2;
+				new_floor = low;
+#ifdef EARLY_ANSWER
+				if
+				:: claim >= TAKE(0) && claim < REL(0) -> grant(claim - 2)
+				:: else
+				fi
 #endif
-			/* Drop nothing, or all entries at the head that hold only keys below the floor. */
+			fi;
+			done = 0
+		};
+		/* Drop nothing, or all entries at the head that hold only keys below the floor. */
+		if
+		:: claim == FILL && seen == REVISION ->
 			if
-			:: claim == FILL && seen == REVISION ->
-				if
-				:: new_floor = 1
-				:: true
-				fi;
+			:: new_floor = 1
+			:: true
+			fi;
+			d_step {
 				do
 				:: new_base + 1 < next && (entry[new_base + 1] == FILL || new_floor) -> new_base++
 				:: else -> break
-				od
-			:: true
-			fi
-		fi;
-		i = 0;
-		done = 0
+				od;
+				skip
+			}
+		:: true
+		fi
 	}
 
 	/* The write lands, or lands again. */
@@ -245,6 +249,7 @@
 #else
 		:: REVISION == seen && entry[next] == NONE ->
 #endif
+			d_step {
 			entry[next] = claim;
 			i = base;
 			do
@@ -262,7 +267,8 @@
 				assert(call[claim - 8] == EXECUTED);
 				first_record = claim
 			:: else
-			fi;
+			fi
+			};
 #ifdef TRUNCATE_TO_EMPTY
 			/* Deletes the log with its base once it holds nothing to retain. */
 			if
@@ -273,33 +279,34 @@
 			fi;
 #endif
 			if
-			:: /* The answer arrives. */
+			:: d_step { /* The answer arrives. */
 				low = new_floor;
 				fold(claim, hold, shut, low);
 				answer(claim, hold, shut, low, done);
 				done = 0;
 				seen = REVISION;
 				next++;
-				claim = NONE
+				claim = NONE;
+				new_base = 0;
+				new_floor = 0
+			}
 #ifndef FENCE_OFF
 			:: /* The answer is lost: the same write is repeated. */
 				skip
 #endif
 			fi
 #ifndef FENCE_OFF
-		:: else ->
-			/* Refused: read again and decide anew. */
+		:: else -> d_step { /* Refused: read again and decide anew. */
 			claim = NONE;
 			next = 0;
 			hold = FREE;
 			shut = 0;
 			low = 0;
-			seen = 0
+			seen = 0;
+			new_base = 0;
+			new_floor = 0
+		}
 #endif
-		fi;
-		if
-		:: claim == NONE -> new_base = 0; new_floor = 0
-		:: else
 		fi
 	}
 	od
