--- /dev/null
+++ b/entryd/pkg/claimer/bucket.go
@@ -0,0 +1,454 @@
+package claimer
+
+import (
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/storer"
+)
+
+// CallKind is what a Bucket wants from the store.
+type CallKind int
+
+const (
+	// CallNone means nothing, until the time in Step.Wake or a new claim.
+	CallNone CallKind = iota
+	// CallLoad reads the whole log. The answer goes to Bucket.Loaded.
+	CallLoad
+	// CallTail reads the entries from Call.From on, then the base. The answer goes
+	// to Bucket.Tailed.
+	CallTail
+	// CallCommit runs Call.Txn. The answer goes to Bucket.Committed.
+	CallCommit
+)
+
+// Call is one operation on the store. A Bucket has at most one under way.
+type Call struct {
+	Kind CallKind
+	From uint64
+	Txn  storer.Txn
+}
+
+// Answer is the verdict on the claim that was added with an id.
+type Answer struct {
+	ID      uint64
+	Verdict peer.Verdict
+	Outcome *target.Outcome
+}
+
+// Step is what a Bucket wants done after an event.
+type Step struct {
+	Answers []Answer
+	Call    Call
+	// Wake is when Tick is due if no event comes before; zero means never.
+	Wake time.Time
+}
+
+// Tail is the part of a log that was read after a known head.
+type Tail struct {
+	Entries []storer.Item
+	// Complete is true if the entry after the last one was absent.
+	Complete bool
+	// Modified is the store revision of the base, read after the entries.
+	Modified int64
+}
+
+// pending is a claim that has not been answered.
+type pending struct {
+	id    uint64
+	claim *peer.Claim
+	since time.Time
+	// covered is true once a read or write began after the claim arrived.
+	covered bool
+}
+
+// write is an append whose outcome is not known yet.
+type write struct {
+	entry   *peer.Entry
+	txn     storer.Txn
+	base    *peer.Entry
+	claims  []*pending
+	started time.Time
+	// unknown is true once an answer was lost, so that the write may land at
+	// any time.
+	unknown bool
+}
+
+// Bucket is the keeper of one bucket: a deterministic state machine. It is
+// driven by Add, Cancel, Tick and the answers to the calls in its steps.
+type Bucket struct {
+	cfg    Config
+	id     uint32
+	ledger Ledger
+	loaded bool
+	// modified is the store revision of the base; 0 if there is none.
+	modified int64
+	queue    []*pending
+	writing  *write
+	busy     bool
+	stale    bool
+	down     bool
+	ready    time.Time
+	written  uint64
+	answers  []Answer
+}
+
+// NewBucket returns the machine of a bucket that was not read yet.
+func NewBucket(id uint32, cfg Config) *Bucket {
+	return &Bucket{
+		cfg: cfg.withDefaults(),
+		id:  id,
+	}
+}
+
+// Idle reports whether no claim and no write is left to deal with.
+func (b *Bucket) Idle() bool {
+	return len(b.queue) == 0 && b.writing == nil && !b.busy
+}
+
+// Keys returns the number of keys retained.
+func (b *Bucket) Keys() int { return b.ledger.Len() }
+
+// Add offers a claim under an id that is unique in the bucket.
+func (b *Bucket) Add(now time.Time, id uint64, c *peer.Claim) Step {
+	p := &pending{
+		id:    id,
+		claim: c,
+		since: now,
+	}
+	if v := b.screen(now, c); v != peer.Verdict_VERDICT_UNSPECIFIED {
+		b.answer(p, v, nil)
+		return b.step(now)
+	}
+	if b.loaded {
+		if v, outcome := b.ledger.Decide(c); settled(v) {
+			b.answer(p, v, outcome)
+			return b.step(now)
+		}
+	}
+	if len(b.queue) >= b.cfg.Queue || b.down && now.Before(b.ready) {
+		b.answer(p, peer.Verdict_VERDICT_UNAVAILABLE, nil)
+		return b.step(now)
+	}
+	b.queue = append(b.queue, p)
+	return b.step(now)
+}
+
+// screen judges a claim by its key alone.
+func (b *Bucket) screen(now time.Time, c *peer.Claim) peer.Verdict {
+	key, err := ParseKey(c.GetKey())
+	switch {
+	case err != nil || key.String() != c.GetKey() || key.Bucket() != b.id || c.GetDispatcher() == "":
+		return peer.Verdict_VERDICT_REFUSED
+	case c.GetKind() != peer.ClaimKind_CLAIM_KIND_TAKE:
+		return peer.Verdict_VERDICT_UNSPECIFIED
+	case key.Time() > now.Add(b.cfg.Skew).UnixMilli():
+		return peer.Verdict_VERDICT_REFUSED
+	case key.Time() < now.Add(-b.cfg.Retention).UnixMilli():
+		return peer.Verdict_VERDICT_EXPIRED
+	}
+	return peer.Verdict_VERDICT_UNSPECIFIED
+}
+
+// settled reports whether a verdict needs neither a write nor a read.
+func settled(v peer.Verdict) bool {
+	return v != peer.Verdict_VERDICT_UNSPECIFIED && v != peer.Verdict_VERDICT_HELD
+}
+
+// Cancel withdraws a claim whose caller waits no longer. It reports whether
+// the claim was certainly not written.
+func (b *Bucket) Cancel(id uint64) bool {
+	n := len(b.queue)
+	b.queue = slices.DeleteFunc(b.queue, func(p *pending) bool { return p.id == id })
+	if len(b.queue) < n {
+		return true
+	}
+	if b.writing != nil {
+		b.writing.claims = slices.DeleteFunc(b.writing.claims, func(p *pending) bool { return p.id == id })
+	}
+	return false
+}
+
+// Tick lets the bucket act on the passing of time.
+func (b *Bucket) Tick(now time.Time) Step { return b.step(now) }
+
+// step returns the answers due and the next call, if one is due.
+func (b *Bucket) step(now time.Time) Step {
+	b.expire(now)
+	s := Step{Call: b.next(now)}
+	s.Answers, b.answers = b.answers, nil
+	s.Wake = b.wake(now)
+	return s
+}
+
+// wake returns when the next step is due.
+func (b *Bucket) wake(now time.Time) time.Time {
+	if b.busy || b.writing == nil && len(b.queue) == 0 {
+		return time.Time{}
+	}
+	if !b.ready.After(now) || b.behind() {
+		return now
+	}
+	return b.ready
+}
+
+// behind reports whether the log is to be read at once: another keeper has
+// written, and the store answers.
+func (b *Bucket) behind() bool {
+	return (b.stale || !b.loaded) && !b.down && b.writing == nil
+}
+
+// expire answers claims that have waited too long. Those in the queue were
+// certainly not written.
+func (b *Bucket) expire(now time.Time) {
+	limit := now.Add(-b.cfg.Patience)
+	b.queue = slices.DeleteFunc(b.queue, func(p *pending) bool {
+		if p.since.After(limit) {
+			return false
+		}
+		b.answer(p, peer.Verdict_VERDICT_UNAVAILABLE, nil)
+		return true
+	})
+	if b.writing == nil || b.writing.started.After(limit) {
+		return
+	}
+	for _, p := range b.writing.claims {
+		b.answer(p, peer.Verdict_VERDICT_UNKNOWN, nil)
+	}
+	b.writing.claims = nil
+}
+
+func (b *Bucket) answer(p *pending, v peer.Verdict, outcome *target.Outcome) {
+	b.answers = append(b.answers, Answer{
+		ID:      p.id,
+		Verdict: v,
+		Outcome: outcome,
+	})
+}
+
+// next returns the next call on the store.
+func (b *Bucket) next(now time.Time) Call {
+	if b.busy || now.Before(b.ready) && !b.behind() {
+		return Call{}
+	}
+	switch {
+	case b.writing != nil:
+		return b.commit(now)
+	case len(b.queue) == 0:
+		return Call{}
+	case !b.loaded:
+		return b.read(Call{Kind: CallLoad})
+	case b.stale:
+		return b.tail()
+	case b.batch(now):
+		return b.commit(now)
+	case len(b.queue) == 0:
+		return Call{}
+	}
+	b.ready = now.Add(b.cfg.Interval)
+	return b.tail()
+}
+
+func (b *Bucket) tail() Call {
+	return b.read(Call{
+		Kind: CallTail,
+		From: b.ledger.Head() + 1,
+	})
+}
+
+func (b *Bucket) read(c Call) Call {
+	b.busy = true
+	b.cover()
+	return c
+}
+
+func (b *Bucket) commit(now time.Time) Call {
+	b.busy = true
+	b.ready = now.Add(b.cfg.Interval)
+	return Call{
+		Kind: CallCommit,
+		Txn:  b.writing.txn,
+	}
+}
+
+// cover marks the claims that the next answer of the store will be newer than.
+func (b *Bucket) cover() {
+	for _, p := range b.queue {
+		p.covered = true
+	}
+}
+
+// batch moves claims from the queue into a write. It returns false if no claim
+// has to be written.
+func (b *Bucket) batch(now time.Time) bool {
+	var claims []*pending
+	size, fresh, full := 0, 0, false
+	b.queue = slices.DeleteFunc(b.queue, func(p *pending) bool {
+		v, outcome := b.ledger.Decide(p.claim)
+		switch {
+		case settled(v):
+			b.answer(p, v, outcome)
+			return true
+		case v == peer.Verdict_VERDICT_HELD || full:
+			return false
+		case p.claim.GetKind() == peer.ClaimKind_CLAIM_KIND_TAKE && b.ledger.Len()+fresh >= b.cfg.Keys:
+			b.answer(p, peer.Verdict_VERDICT_UNAVAILABLE, nil)
+			return true
+		}
+		size += proto.Size(p.claim)
+		fresh++
+		claims = append(claims, p)
+		full = len(claims) >= b.cfg.Batch || size >= b.cfg.Bytes
+		return true
+	})
+	if len(claims) == 0 {
+		return false
+	}
+	b.cover()
+	b.writing = b.newWrite(now, claims)
+	return true
+}
+
+func (b *Bucket) newWrite(now time.Time, claims []*pending) *write {
+	b.written++
+	w := &write{
+		claims:  claims,
+		started: now,
+		entry: &peer.Entry{
+			Bucket:   b.id,
+			Sequence: b.ledger.Head() + 1,
+			Writer:   b.cfg.Writer + "/" + strconv.FormatUint(b.written, 10),
+			Time:     now.UnixMilli(),
+		},
+	}
+	for _, p := range claims {
+		w.entry.Claims = append(w.entry.Claims, p.claim)
+	}
+	path := entryPath(b.id, w.entry.Sequence)
+	w.txn = storer.Txn{
+		Conditions: []storer.Condition{
+			{
+				Key:      basePath(b.id),
+				Modified: b.modified,
+			},
+			{
+				Key:      path,
+				Modified: 0,
+			},
+		},
+		Writes: []storer.Write{{
+			Key:   path,
+			Value: encode(w.entry),
+		}},
+	}
+	b.truncate(now, w)
+	return w
+}
+
+// truncate lets a write also drop the start of the log. The first write of a
+// log creates its base.
+func (b *Bucket) truncate(now time.Time, w *write) {
+	floor := now.Add(-b.cfg.Retention - b.cfg.Skew).UnixMilli()
+	last := b.ledger.Droppable(floor, b.cfg.Drops)
+	if last == b.ledger.base && b.modified != 0 {
+		return
+	}
+	w.base = &peer.Entry{
+		Bucket:   b.id,
+		Sequence: last,
+		Floor:    max(floor, b.ledger.floor),
+		Time:     now.UnixMilli(),
+	}
+	if last == b.ledger.base {
+		w.base.Floor = b.ledger.floor
+	}
+	w.txn.Writes = append(w.txn.Writes, storer.Write{
+		Key:   basePath(b.id),
+		Value: encode(w.base),
+	})
+	for sequence := b.ledger.base + 1; sequence <= last; sequence++ {
+		w.txn.Writes = append(w.txn.Writes, storer.Write{
+			Key:    entryPath(b.id, sequence),
+			Delete: true,
+		})
+	}
+}
+
+// Committed takes the answer to a CallCommit.
+func (b *Bucket) Committed(now time.Time, r storer.Result, err error) Step {
+	b.busy = false
+	w := b.writing
+	switch {
+	case errors.Is(err, storer.ErrUnavailable) && !w.unknown:
+		b.writing = nil
+		b.fail(now)
+		for _, p := range w.claims {
+			b.answer(p, peer.Verdict_VERDICT_UNAVAILABLE, nil)
+		}
+	case err != nil:
+		// The same write is repeated until its outcome is known.
+		b.down = w.unknown
+		w.unknown = true
+		b.ready = now.Add(b.cfg.Pause)
+	case !r.Applied:
+		// Either another keeper wrote, or this write had landed before.
+		b.writing = nil
+		b.down = false
+		b.stale = true
+		b.queue = append(w.claims, b.queue...)
+	default:
+		b.applied(w, r)
+	}
+	return b.step(now)
+}
+
+// applied folds a write that took effect and answers its claims.
+func (b *Bucket) applied(w *write, r storer.Result) {
+	b.writing = nil
+	b.down = false
+	b.ledger.Apply(w.entry)
+	if w.base != nil {
+		b.modified = r.Revision
+		b.ledger.Rebase(w.base.GetSequence(), w.base.GetFloor())
+	}
+	for _, p := range w.claims {
+		v, outcome := b.ledger.Conclude(p.claim)
+		b.answer(p, v, outcome)
+	}
+	b.settle()
+}
+
+// settle answers the claims that the view is fresh enough for.
+func (b *Bucket) settle() {
+	b.queue = slices.DeleteFunc(b.queue, func(p *pending) bool {
+		v, outcome := b.ledger.Decide(p.claim)
+		if !settled(v) && (v != peer.Verdict_VERDICT_HELD || !p.covered) {
+			return false
+		}
+		b.answer(p, v, outcome)
+		return true
+	})
+}
+
+// fail answers all waiting claims: none of them was written.
+func (b *Bucket) fail(now time.Time) {
+	b.down = true
+	b.ready = now.Add(b.cfg.Pause)
+	for _, p := range b.queue {
+		b.answer(p, peer.Verdict_VERDICT_UNAVAILABLE, nil)
+	}
+	b.queue = nil
+}
+
+func encode(e *peer.Entry) []byte {
+	// Marshalling fails only on invalid UTF-8, which ParseKey and the codec of
+	// the request exclude.
+	value, _ := proto.Marshal(e)
+	return value
+}
