--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -119,7 +119,6 @@
 			return
 		}
 	}
-	j.gatherer.pace.add(j.gatherer.clock.Since(j.start))
 }
 
 // wait returns the time until the query or the next flush is due.
@@ -138,8 +137,10 @@
 		if a.Cancel {
 			if f := j.flights[a.Nonce]; f != nil {
 				delete(j.flights, a.Nonce)
-				f.lane.withdraw(a.Nonce, j.late())
-				j.conclude(f, target.Status_STATUS_CANCELLED, nil)
+				sent := f.lane.withdraw(a.Nonce, j.late())
+				j.conclude(f, target.Status_STATUS_CANCELLED, reply{
+					sent: sent,
+				})
 			}
 			continue
 		}
@@ -216,7 +217,7 @@
 func (j *job) judge(f *flight, r reply) peer.Reason {
 	counts := &j.gatherer.counts
 	if r.err != nil {
-		j.conclude(f, target.Status_STATUS_UNSPECIFIED, r.err)
+		j.conclude(f, target.Status_STATUS_UNSPECIFIED, r)
 		switch {
 		case errors.Is(r.err, errWaiting):
 			counts.Sheds.Add(1)
@@ -231,7 +232,7 @@
 		return peer.Reason_REASON_UNREACHABLE
 	}
 	a := r.answer
-	j.conclude(f, a.GetStatus(), nil)
+	j.conclude(f, a.GetStatus(), r)
 	if a.GetLoad().GetLeaving() {
 		j.gatherer.departures.Announce(f.lane.id, a.GetIncarnation())
 	}
@@ -266,11 +267,14 @@
 	target.Status_STATUS_EXPIRED:     peer.Reason_REASON_LATE,
 }
 
-func (j *job) conclude(f *flight, status target.Status, err error) {
+func (j *job) conclude(f *flight, status target.Status, r reply) {
 	f.attempt.Status = status
 	f.attempt.End = j.gatherer.clock.Since(j.start).Microseconds()
-	if err != nil {
-		f.attempt.Error = err.Error()
+	if !r.sent.IsZero() {
+		f.attempt.Sent = max(r.sent.Sub(j.start).Microseconds(), 1)
+	}
+	if r.err != nil {
+		f.attempt.Error = r.err.Error()
 	}
 }
 
@@ -302,6 +306,7 @@
 		Last:     done,
 		Sent:     uint32(j.query.Sent()),
 		Crashed:  j.crashed,
+		Slow:     j.slow(now),
 	}
 	if done {
 		p.Attempts = j.attempts
@@ -312,9 +317,39 @@
 	emit(p)
 }
 
+// slowFactor times the time after which a sub-request counts as late is the
+// expected finish from which a target is reported as slow.
+const slowFactor = 1.5
+
+// slow lists the wanted targets that would answer late.
+func (j *job) slow(now time.Time) []*peer.Slow {
+	limit := time.Duration(slowFactor * float64(j.gatherer.pace.late()))
+	var out []*peer.Slow
+	seen := map[string]bool{}
+	for _, w := range j.wanted {
+		for _, id := range w.GetTargets() {
+			if seen[id] {
+				continue
+			}
+			seen[id] = true
+			l := j.gatherer.lane(id)
+			if l == nil {
+				continue
+			}
+			if d := l.expected(now); d > limit {
+				out = append(out, &peer.Slow{
+					Target: id,
+					Finish: d.Microseconds(),
+				})
+			}
+		}
+	}
+	return out
+}
+
 func (j *job) collectMissing() {
 	for i := range j.reported {
-		if j.reported[i] || j.query.Covered(i) || !(j.query.Closed(i) || j.query.Done()) {
+		if j.reported[i] || j.query.Covered(i) || !j.query.Closed(i) && !j.query.Done() {
 			continue
 		}
 		j.reported[i] = true
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -25,6 +25,8 @@
 	nonce  uint64
 	answer *target.Answer
 	err    error
+	// sent is when the request left for the target; zero if it did not.
+	sent time.Time
 }
 
 // Errors of requests that were not sent.
@@ -47,6 +49,7 @@
 	institution string
 	sink        func(reply)
 
+	sent   time.Time
 	ticket estimator.Ticket
 	permit limiter.Permit
 	run    quarantiner.Run
@@ -63,6 +66,8 @@
 	watch *quarantiner.Target
 	// onLoss is called after the target was lost.
 	onLoss func()
+	// heard is called with the latency of each completed request.
+	heard func(time.Duration)
 
 	mu      sync.Mutex
 	waiting []*request
@@ -87,6 +92,7 @@
 		}),
 		watch:  g.quarantine.Target(t.GetId()),
 		onLoss: g.onLoss,
+		heard:  func(d time.Duration) { g.pace.add(g.clock.Since(g.origin), d) },
 		flying: map[uint64]*request{},
 	}
 }
@@ -108,20 +114,23 @@
 }
 
 // withdraw ends the interest in a request and cancels it at the target if it
-// was sent. late tells that its deadline has passed.
-func (l *lane) withdraw(nonce uint64, late bool) {
+// was sent. late tells that its deadline has passed. It returns when the
+// request was sent, zero if it was not.
+func (l *lane) withdraw(nonce uint64, late bool) time.Time {
 	l.mu.Lock()
 	r, flying := l.flying[nonce]
 	if flying {
 		delete(l.flying, nonce)
 		l.watch.End(r.run, false)
 		l.gauge.Drop()
-		l.limit.Release(r.permit, withdrawal(late), 0)
+		l.limit.Release(r.permit, l.withdrawal(late), 0)
 	} else {
 		l.unqueue(nonce)
 	}
 	l.mu.Unlock()
+	var sent time.Time
 	if flying {
+		sent = r.sent
 		l.link.Forget(nonce)
 		l.link.Post(&target.Call{
 			Nonce: nonce,
@@ -131,10 +140,14 @@
 		})
 	}
 	l.pump()
+	return sent
 }
 
-func withdrawal(late bool) limiter.Result {
-	if late {
+// withdrawal returns what a request that was given up says about the limit. One
+// that was late may have been sent shortly before its deadline: only a target
+// that has fallen silent has timed out.
+func (l *lane) withdrawal(late bool) limiter.Result {
+	if late && l.gauge.Suspected() {
 		return limiter.Timeout
 	}
 	return limiter.Neutral
@@ -196,6 +209,7 @@
 			return r, err
 		}
 		r.search.Remaining = max(r.expiry.Sub(now), 0).Microseconds()
+		r.sent = now
 		r.ticket = l.gauge.Send(now)
 		r.permit = permit
 		r.run = run
@@ -241,6 +255,7 @@
 			nonce:  r.nonce,
 			answer: a,
 			err:    err,
+			sent:   r.sent,
 		})
 	}
 	l.pump()
@@ -252,7 +267,7 @@
 		l.gauge.Fail()
 		l.limit.Release(r.permit, limiter.Neutral, 0)
 		if errors.Is(err, exchanger.ErrLost) {
-			l.watch.Lost(l.clock.Now())
+			l.watch.Lost(l.clock.Now(), r.run)
 			go l.onLoss()
 		}
 		l.watch.End(r.run, false)
@@ -271,7 +286,9 @@
 	}
 	switch a.GetStatus() {
 	case target.Status_STATUS_DONE:
-		l.gauge.Answer(l.clock.Now(), r.ticket, report)
+		now := l.clock.Now()
+		l.gauge.Answer(now, r.ticket, report)
+		l.heard(now.Sub(r.sent))
 	case target.Status_STATUS_FAILED:
 		l.gauge.Fail()
 	default:
@@ -279,11 +296,12 @@
 	}
 }
 
-// results maps the status of an answer to what it says about the limit.
+// results maps the status of an answer to what it says about the limit. An
+// expired request says nothing: it may have been sent shortly before its
+// deadline.
 var results = map[target.Status]limiter.Result{
-	target.Status_STATUS_DONE:    limiter.Success,
-	target.Status_STATUS_SHED:    limiter.Shed,
-	target.Status_STATUS_EXPIRED: limiter.Timeout,
+	target.Status_STATUS_DONE: limiter.Success,
+	target.Status_STATUS_SHED: limiter.Shed,
 }
 
 // expected returns when one more request would be answered, its wait here
--- a/entryd/pkg/gatherer/selector.go
+++ b/entryd/pkg/gatherer/selector.go
@@ -5,20 +5,14 @@
 	"time"
 )
 
-const (
-	// minHedgeDelay and maxHedgeDelay bound the wait before a hedge.
-	minHedgeDelay = time.Millisecond
-	maxHedgeDelay = 100 * time.Millisecond
-	// firstHedgeDelay is the wait before a target has answered at all.
-	firstHedgeDelay = 30 * time.Millisecond
-)
-
 // selector chooses among the replicas of a shard by expected finish.
 type selector struct {
 	job *job
 }
 
-// Choose implements router.Chooser.
+// Choose implements router.Chooser. A first attempt probes a suspected target
+// now and then: its late answers no longer count once their requests were
+// withdrawn, so that only a new one can end the suspicion.
 func (s *selector) Choose(unit int, tried []string, now time.Time) (string, bool) {
 	best, found := "", false
 	var least time.Duration
@@ -33,6 +27,9 @@
 		if _, leaving := l.departure(); leaving {
 			continue
 		}
+		if len(tried) == 0 && !s.job.task.GetSuspected() && l.gauge.Suspected() && l.gauge.Probe(now) {
+			return id, true
+		}
 		if d := l.expected(now); !found || d < least {
 			best, found, least = id, true, d
 		}
@@ -40,18 +37,13 @@
 	return best, found
 }
 
-// HedgeDelay implements router.Chooser: the 95th percentile of the target's
-// recent latency.
+// HedgeDelay implements router.Chooser. A request to a target that has fallen
+// silent is a probe, and is sent elsewhere at once as well.
 func (s *selector) HedgeDelay(id string) time.Duration {
-	l := s.job.gatherer.lane(id)
-	if l == nil {
-		return firstHedgeDelay
-	}
-	d := l.gauge.P95()
-	if d == 0 {
-		return firstHedgeDelay
+	if s.Failed(id, time.Time{}) {
+		return 0
 	}
-	return min(max(d, minHedgeDelay), maxHedgeDelay)
+	return s.job.gatherer.pace.late()
 }
 
 // Failed implements router.Chooser.
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -16,9 +16,10 @@
 	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/administrator"
+	"plantaincleat/entryd/pkg/adopter"
 	"plantaincleat/entryd/pkg/coordinator"
-	"plantaincleat/entryd/pkg/departer"
 	"plantaincleat/entryd/pkg/dialer"
+	"plantaincleat/entryd/pkg/drainer"
 	"plantaincleat/entryd/pkg/gatherer"
 	"plantaincleat/entryd/pkg/gossiper"
 	"plantaincleat/entryd/pkg/handler"
@@ -52,12 +53,12 @@
 	dialer      *dialer.Dialer
 	store       storer.Store
 	configs     *configs
-	adopter     Adopter
+	adopter     *adopter.Runner
 	gossip      *gossiper.Runner
 	placement   placer.Holder
 	admission   *admission
 	quarantine  *quarantiner.Quarantiner
-	departer    *departer.Departer
+	drainer     *drainer.Drainer
 	gatherer    *gatherer.Gatherer
 	coordinator *coordinator.Coordinator
 	handler     *handler.Handler
@@ -107,8 +108,17 @@
 		Seeds:  d.cfg.GetSeeds(),
 		Source: rand.NewPCG(rand.Uint64(), rand.Uint64()),
 	}, d.clock, gossiper.NewTransport(d.dialer.Dial))
-	d.adopter = d.newAdopter()
-	d.departer = departer.New(d.gossip, d.configs, d.clock)
+	d.adopter = adopter.NewRunner(adopter.Options{
+		Config: adopter.Config{
+			ID:         d.cfg.GetId(),
+			DataCentre: d.cfg.GetDatacentre(),
+		},
+		Store:  d.store,
+		Fleet:  adopter.NewFleet(d.gossip),
+		Puller: adopter.NewPuller(d.dialer.Dial),
+		Clock:  d.clock,
+	})
+	d.drainer = drainer.New(d.gossip, d.configs, d.clock)
 }
 
 // buildQueries makes the path of a query.
@@ -120,7 +130,7 @@
 	d.gatherer = gatherer.New(gatherer.Options{
 		ID:         d.cfg.GetId(),
 		Configs:    d.configs,
-		Departures: d.departer,
+		Departures: d.drainer,
 		Dial:       d.dialer.Dial,
 		Connector:  d.dialer,
 		Clock:      d.clock,
@@ -204,7 +214,7 @@
 	d.wg.Go(func() { d.gossip.Run(d.ctx) })
 	d.wg.Go(func() { d.adopter.Run(d.ctx) })
 	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
-	d.wg.Go(func() { d.departer.Run(d.ctx) })
+	d.wg.Go(func() { d.drainer.Run(d.ctx) })
 	d.wg.Go(func() { d.place(d.ctx) })
 	d.wg.Go(func() { d.followQuarantine(d.ctx) })
 	d.wg.Go(func() { d.admission.run(d.ctx) })
--- a/standin/pkg/launcher/launcher_test.go
+++ b/standin/pkg/launcher/launcher_test.go
@@ -22,10 +22,11 @@
 	"plantaincleat/tier/pkg/loader"
 )
 
-// freeAddress returns a loopback address that was free a moment ago.
+// freeAddress returns an address that was free a moment ago, on a loopback
+// address that nothing else uses.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.88.0.2:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,8 +39,8 @@
 	cfg, err := loader.ParseConfig("test", []byte(`{
 		// Two targets, one shard each.
 		"targets": [
-			{"id": "t1", "address": "` + freeAddress(t) + `", "datacentre": "dc1", "slots": 1, "connections": 4},
-			{"id": "t2", "address": "` + freeAddress(t) + `", "datacentre": "dc1", "slots": 1, "connections": 4},
+			{"id": "t1", "address": "`+freeAddress(t)+`", "datacentre": "dc1", "slots": 1, "connections": 4},
+			{"id": "t2", "address": "`+freeAddress(t)+`", "datacentre": "dc1", "slots": 1, "connections": 4},
 		],
 		"collections": [{"name": "c", "versions": [{"name": "v", "snapshots": [
 			{"id": "s1", "shards": [{"id": "a", "to": "m", "replicas": ["t1"]}, {"id": "b", "from": "m", "replicas": ["t2"]}]},
