--- /dev/null
+++ b/tier/pkg/encoder/bench_test.go
@@ -0,0 +1,101 @@
+package encoder
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"plantaincleat/tier/gen/config"
+)
+
+// Sizes of the configuration that the benchmarks use.
+const (
+	benchTargets  = 1900
+	benchShards   = 710
+	benchReplicas = 3
+	// benchSnapshots are two snapshots of each of two versions.
+	benchSnapshots = 4
+)
+
+// large returns a configuration with a number of collections.
+func large(collections int) *config.Config {
+	cfg := &config.Config{}
+	for i := range benchTargets {
+		cfg.Targets = append(cfg.Targets, &config.Target{
+			Id:          fmt.Sprintf("searcher-%04d", i),
+			Address:     fmt.Sprintf("10.%d.%d.%d:7000", i%7, i/250, i%250),
+			Datacentre:  fmt.Sprintf("dc%d", i%7),
+			Slots:       2,
+			Connections: 25,
+		})
+	}
+	for c := range collections {
+		collection := &config.Collection{Name: fmt.Sprintf("collection-%02d", c)}
+		for s := range benchSnapshots {
+			if s%2 == 0 {
+				collection.Versions = append(collection.Versions, &config.Version{Name: fmt.Sprintf("v%d", s/2)})
+			}
+			version := collection.Versions[s/2]
+			version.Snapshots = append(version.Snapshots, snapshot(c, s))
+		}
+		cfg.Collections = append(cfg.Collections, collection)
+	}
+	return cfg
+}
+
+func snapshot(c, s int) *config.Snapshot {
+	out := &config.Snapshot{Id: fmt.Sprintf("2030-01-02T03:04:%02dZ", s)}
+	for i := range benchShards {
+		shard := &config.Shard{
+			Id:   fmt.Sprintf("%d-%03d", c, i),
+			From: fmt.Sprintf("%08x", i*6049000),
+			To:   fmt.Sprintf("%08x", (i+1)*6049000),
+		}
+		for r := range benchReplicas {
+			shard.Replicas = append(shard.Replicas, fmt.Sprintf("searcher-%04d", (i*benchReplicas+r+c)%benchTargets))
+		}
+		out.Shards = append(out.Shards, shard)
+	}
+	return out
+}
+
+// BenchmarkVerify measures what a daemon spends on the digest of a
+// configuration, and reports its size as exchanged.
+func BenchmarkVerify(b *testing.B) {
+	for _, collections := range []int{1, 4, 16} {
+		b.Run(fmt.Sprintf("collections=%d", collections), func(b *testing.B) {
+			cfg := large(collections)
+			encoded, err := proto.Marshal(cfg)
+			if err != nil {
+				b.Fatal(err)
+			}
+			packed := bytes.Buffer{}
+			w := gzip.NewWriter(&packed)
+			if _, err := w.Write(encoded); err != nil {
+				b.Fatal(err)
+			}
+			if err := w.Close(); err != nil {
+				b.Fatal(err)
+			}
+			digest, err := Digest(cfg)
+			if err != nil {
+				b.Fatal(err)
+			}
+			accepted := &config.Accepted{
+				Head:   &config.Head{Digest: digest},
+				Config: cfg,
+			}
+			b.ResetTimer()
+			for range b.N {
+				if !Verify(accepted) {
+					b.Fatal("not intact")
+				}
+			}
+			b.ReportMetric(float64(len(encoded)), "bytes")
+			b.ReportMetric(float64(packed.Len()), "gzipped")
+		})
+	}
+}
