--- a/entryd/pkg/coordinator/coordinator.go
+++ b/entryd/pkg/coordinator/coordinator.go
@@ -232,7 +232,7 @@
 		}
 		out.Missing = append(out.Missing, &peer.Missing{
 			Shard:  id,
-			Reason: s.query.Reason(i),
+			Reason: s.reason(i),
 		})
 	}
 	c.counts.Hedges.Add(int64(out.Stats.Hedges))
@@ -266,6 +266,15 @@
 	return n
 }
 
+// Silent reports whether the daemon at an address has left sub-plans unanswered
+// while others answered.
+func (c *Coordinator) Silent(address string) bool {
+	c.mu.RLock()
+	n := c.peers[address]
+	c.mu.RUnlock()
+	return n != nil && n.gauge.Suspected()
+}
+
 // Close ends the links to other daemons.
 func (c *Coordinator) Close() {
 	c.mu.Lock()
--- a/entryd/pkg/coordinator/search.go
+++ b/entryd/pkg/coordinator/search.go
@@ -33,6 +33,7 @@
 	cancel context.CancelFunc
 	asked  []string
 	peer   *neighbour
+	local  bool
 	ticket estimator.Ticket
 	heard  bool
 	sent   uint32
@@ -51,6 +52,9 @@
 	merged   *merger.Merger
 	events   batcher.Queue[event]
 	subplans map[uint64]*subplan
+	// reported tells for each shard whether a gatherer that was asked for it
+	// has given a sign of life.
+	reported []bool
 	log      []Plan
 	attempts []*peer.Attempt
 	crashed  []string
@@ -68,6 +72,7 @@
 		start:    c.Clock.Now(),
 		merged:   merger.New(snapshot, int(r.Query.GetLimit())),
 		subplans: map[uint64]*subplan{},
+		reported: make([]bool, snapshot.Len()),
 	}
 	terms := router.Terms{
 		Deadline: r.Deadline,
@@ -96,6 +101,16 @@
 	return int(r.Fingerprint%uint64(snapshot.Len())) + 1
 }
 
+// reason tells why a shard is missing. A shard whose gatherers gave no sign of
+// life was not late for want of capacity.
+func (s *search) reason(unit int) peer.Reason {
+	r := s.query.Reason(unit)
+	if r == peer.Reason_REASON_LATE && !s.reported[unit] {
+		return peer.Reason_REASON_UNREACHABLE
+	}
+	return r
+}
+
 // quarantined reports whether targets were kept from the request.
 func (s *search) quarantined() bool {
 	for i := range s.snapshot.Len() {
@@ -172,7 +187,10 @@
 	}
 	task := s.task(ctx, a)
 	p.asked = targetsOf(task)
-	if a.Path.Daemon.ID == s.root.ID {
+	p.peer = s.root.neighbour(a.Path.Daemon.Address)
+	p.ticket = p.peer.gauge.Send(s.root.Clock.Now())
+	p.local = a.Path.Daemon.ID == s.root.ID
+	if p.local {
 		go s.root.Gatherer.Run(ctx, a.Nonce, task, func(partial *peer.Partial) {
 			s.events.Put(event{
 				nonce:   a.Nonce,
@@ -181,8 +199,6 @@
 		})
 		return
 	}
-	p.peer = s.root.neighbour(a.Path.Daemon.Address)
-	p.ticket = p.peer.gauge.Send(s.root.Clock.Now())
 	p.peer.link.Send(a.Nonce, &peer.Task{
 		Nonce: a.Nonce,
 		Body: &peer.Task_Gather{
@@ -255,6 +271,9 @@
 	s.crashed = append(s.crashed, e.partial.GetCrashed()...)
 	s.root.slow.update(p.asked, e.partial.GetSlow(), now)
 	p.hear(now)
+	for _, u := range p.units {
+		s.reported[u] = true
+	}
 	s.sent += int(e.partial.GetSent()) - int(p.sent)
 	p.sent = e.partial.GetSent()
 	if e.partial.GetLast() {
@@ -266,7 +285,7 @@
 
 // hear records the time to the first sign of life of the gatherer.
 func (p *subplan) hear(now time.Time) {
-	if p.peer != nil && !p.heard {
+	if !p.heard {
 		p.heard = true
 		p.peer.gauge.Answer(now, p.ticket, estimator.Report{})
 	}
@@ -331,10 +350,9 @@
 		s.log[p.order].Error = err.Error()
 	}
 	p.cancel()
-	if p.peer == nil {
-		return
+	if !p.local {
+		p.peer.link.Forget(nonce)
 	}
-	p.peer.link.Forget(nonce)
 	switch {
 	case p.heard:
 	case err == nil:
@@ -358,12 +376,12 @@
 		// The gatherer has not reported: each unit was sent at least once.
 		s.sent += len(p.units)
 	}
-	if p.peer == nil {
-		return
-	}
 	if !p.heard {
 		p.peer.gauge.Drop()
 	}
+	if p.local {
+		return
+	}
 	p.peer.link.Forget(nonce)
 	p.peer.link.Post(&peer.Task{
 		Nonce: nonce,
--- a/entryd/pkg/forwarder/forwarder.go
+++ b/entryd/pkg/forwarder/forwarder.go
@@ -52,6 +52,8 @@
 	Departures Departures
 	Connector  Connector
 	Local      Local
+	// Silent reports whether a daemon has fallen silent. Nil means never.
+	Silent func(address string) bool
 }
 
 // Forward has one target run a mutation. It tries other gatherers and replicas
@@ -83,6 +85,20 @@
 	return out, err
 }
 
+// ordered puts the daemons that have fallen silent last.
+func (f *Forwarder) ordered(daemons []placer.Daemon) []placer.Daemon {
+	out := make([]placer.Daemon, 0, len(daemons))
+	var silent []placer.Daemon
+	for _, d := range daemons {
+		if f.Silent != nil && d.ID != f.ID && f.Silent(d.Address) {
+			silent = append(silent, d)
+			continue
+		}
+		out = append(out, d)
+	}
+	return append(out, silent...)
+}
+
 // ran reports whether a target may have run the mutation.
 func ran(out *target.Outcome, err error) bool {
 	if err != nil {
@@ -99,7 +115,7 @@
 	}
 	var out *target.Outcome
 	err := eris.Wrapf(ErrNotRun, "route: no daemon gathers for target %s", t.GetId())
-	for _, d := range f.Placement.Gatherers(t.GetDatacentre(), group) {
+	for _, d := range f.ordered(f.Placement.Gatherers(t.GetDatacentre(), group)) {
 		if out, err = f.send(ctx, d, in); ran(out, err) || err == nil {
 			return out, err
 		}
--- a/entryd/pkg/gatherer/gatherer.go
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -81,7 +82,7 @@
 
 // New returns a gatherer.
 func New(o Options) *Gatherer {
-	return &Gatherer{
+	g := &Gatherer{
 		origin:     o.Clock.Now(),
 		id:         o.ID,
 		configs:    o.Configs,
@@ -95,6 +96,9 @@
 		lanes:      map[string]*lane{},
 		drained:    make(chan struct{}),
 	}
+	// Nonces of two lives of a daemon, or of two daemons, do not meet.
+	g.nonce.Store(rand.Uint64())
+	return g
 }
 
 // Counts returns the gatherer's counters.
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -11,6 +11,7 @@
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
 	"plantaincleat/tier/pkg/batcher"
+	"plantaincleat/tier/pkg/digester"
 	"plantaincleat/tier/pkg/indexer"
 )
 
@@ -34,6 +35,7 @@
 	nonce    uint64
 	task     *peer.Gather
 	trace    string
+	digest   uint64
 	start    time.Time
 	deadline time.Time
 
@@ -59,6 +61,7 @@
 		nonce:    nonce,
 		task:     task,
 		trace:    trace,
+		digest:   digester.Query(task.GetQuery()),
 		start:    now,
 		deadline: now.Add(time.Duration(task.GetRemaining())*time.Microsecond - returnMargin),
 		flights:  map[uint64]*flight{},
@@ -240,17 +243,20 @@
 		if a.GetStatus() == target.Status_STATUS_SHED {
 			counts.Sheds.Add(1)
 		}
-		return reasons[a.GetStatus()]
+		if reason, ok := reasons[a.GetStatus()]; ok {
+			return reason
+		}
+		return peer.Reason_REASON_FAILED
 	}
 	shard := j.wanted[f.unit].GetShard()
-	if a.GetTarget() != f.lane.id || a.GetShard() != shard {
+	if a.GetTarget() != f.lane.id || a.GetShard() != shard || (a.GetQuery() != 0 && a.GetQuery() != j.digest) {
 		counts.Crossed.Add(1)
-		return peer.Reason_REASON_FAILED
+		return peer.Reason_REASON_UNREACHABLE
 	}
 	if err := j.merged.Merge(a.GetSnapshot(), []string{shard}, a.GetRecords()); err != nil {
 		counts.Crossed.Add(1)
 		f.attempt.Error = err.Error()
-		return peer.Reason_REASON_FAILED
+		return peer.Reason_REASON_UNREACHABLE
 	}
 	j.fresh = append(j.fresh, shard)
 	return peer.Reason_REASON_UNSPECIFIED
--- a/entryd/pkg/handler/handler.go
+++ b/entryd/pkg/handler/handler.go
@@ -24,7 +24,9 @@
 
 // Mutation is one admitted non-idempotent request.
 type Mutation struct {
-	Key         string
+	Key string
+	// Attempt numbers the sends of the key from 1. Zero is not numbered.
+	Attempt     uint32
 	Collection  string
 	Version     string
 	Record      *target.Record
--- a/entryd/pkg/handler/mutate.go
+++ b/entryd/pkg/handler/mutate.go
@@ -57,9 +57,9 @@
 	if err != nil {
 		return nil, err
 	}
-	key := r.Header.Get(headerRequestKey)
+	key := r.Header.Get(HeaderRequestKey)
 	if key == "" {
-		return nil, malformed(headerRequestKey, "header is missing; send a UUIDv7 and repeat it in resends")
+		return nil, malformed(HeaderRequestKey, "header is missing; send a UUIDv7 and repeat it in resends")
 	}
 	var b mutateBody
 	if err := decode(w, r, &b); err != nil {
@@ -80,8 +80,13 @@
 	if err != nil {
 		return nil, err
 	}
+	number, err := attempt(r)
+	if err != nil {
+		return nil, err
+	}
 	return &Mutation{
 		Key:        key,
+		Attempt:    number,
 		Collection: b.Collection,
 		Version:    b.Version,
 		Record: &target.Record{
--- a/entryd/pkg/handler/parse.go
+++ b/entryd/pkg/handler/parse.go
@@ -21,7 +21,10 @@
 	headerInstitution = "Institution"
 	headerDeadline    = "Deadline"
 	headerRequestID   = "Request-Id"
-	headerRequestKey  = "Request-Key"
+	headerAttempt     = "Request-Attempt"
+
+	// HeaderRequestKey carries a mutation's key.
+	HeaderRequestKey = "Request-Key"
 
 	// maxBodyBytes bounds a request's body.
 	maxBodyBytes = 64 << 10
@@ -133,6 +136,19 @@
 	return false
 }
 
+// attempt returns the caller's number of this send, 0 for none.
+func attempt(r *http.Request) (uint32, error) {
+	text := r.Header.Get(headerAttempt)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 32)
+	if err != nil || n == 0 {
+		return 0, malformed(headerAttempt, "not a whole number from 1")
+	}
+	return uint32(n), nil
+}
+
 // deadline returns the time left for a request in milliseconds, from its
 // header, its class or the default.
 func deadline(r *http.Request, class *config.Class) (time.Duration, error) {
--- a/entryd/pkg/handler/refusal.go
+++ b/entryd/pkg/handler/refusal.go
@@ -133,16 +133,17 @@
 	err   error
 	kind  Kind
 	field string
+	run   Run
 }{
-	{indexer.ErrCollection, KindUnknown, "collection"},
-	{indexer.ErrVersion, KindUnknown, "version"},
-	{indexer.ErrInstitution, KindCredentials, headerInstitution},
-	{indexer.ErrClass, KindUnknown, "class"},
-	{indexer.ErrSnapshot, KindGone, "cursor"},
-	{coordinator.ErrSnapshotGone, KindGone, "cursor"},
-	{coordinator.ErrQuarantined, KindQuarantined, ""},
-	{pager.ErrMalformed, KindMalformed, "cursor"},
-	{pager.ErrQuery, KindMalformed, "cursor"},
+	{indexer.ErrCollection, KindUnknown, "collection", RunNo},
+	{indexer.ErrVersion, KindUnknown, "version", RunNo},
+	{indexer.ErrInstitution, KindCredentials, headerInstitution, RunNo},
+	{indexer.ErrClass, KindUnknown, "class", RunNo},
+	{indexer.ErrSnapshot, KindGone, "cursor", RunNo},
+	{coordinator.ErrSnapshotGone, KindGone, "cursor", RunNo},
+	{coordinator.ErrQuarantined, KindQuarantined, "", RunUnknown},
+	{pager.ErrMalformed, KindMalformed, "cursor", RunNo},
+	{pager.ErrQuery, KindMalformed, "cursor", RunNo},
 }
 
 func classify(err error) *Refusal {
@@ -156,7 +157,7 @@
 				Kind:    d.kind,
 				Field:   d.field,
 				Message: err.Error(),
-				Run:     RunNo,
+				Run:     d.run,
 			}
 		}
 	}
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -82,7 +82,7 @@
 	closed  bool
 	reason  peer.Reason
 	pending int
-	hedged  bool
+	rounds  int
 }
 
 type attempt[P comparable] struct {
@@ -174,7 +174,7 @@
 	}
 	q.drop(a)
 	q.retry(again, now)
-	if !last && !a.hedgeAt.IsZero() {
+	if !last {
 		a.hedgeAt = now
 		q.hedge(now)
 	}
@@ -216,7 +216,7 @@
 		next = g
 	}
 	for _, a := range q.attempts {
-		if !a.hedgeAt.IsZero() && a.hedgeAt.Before(next) {
+		if a.hedgeAt.Before(next) {
 			next = a.hedgeAt
 		}
 	}
@@ -389,7 +389,7 @@
 	}
 	var granted []int
 	for _, u := range units {
-		if !q.spare(u, now) || q.units[u].reason == peer.Reason_REASON_QUARANTINED {
+		if !q.again(u, now) {
 			q.closeIfIdle(u, q.units[u].reason)
 			continue
 		}
@@ -423,8 +423,8 @@
 }
 
 // hedge sends the open units of overdue attempts on a second path. Hedges are
-// charged to the budget. Leaving a failed path is free: it happens once for a
-// unit, and later units avoid the path.
+// charged to the budget. Leaving a failed path is free: it happens once for each
+// path of a unit, and later units avoid the path.
 func (q *Query[P]) hedge(now time.Time) {
 	var hedges, retries []int
 	for _, a := range q.overdue(now) {
@@ -433,7 +433,7 @@
 			continue
 		}
 		for _, u := range a.units {
-			if !a.open[u] || q.units[u].hedged || !q.spare(u, now) {
+			if !a.open[u] || q.backed(a, u, now) || !q.spare(u, now) {
 				continue
 			}
 			switch {
@@ -441,10 +441,7 @@
 				retries = append(retries, u)
 			case q.budget.Hedge(1, now):
 				hedges = append(hedges, u)
-			default:
-				continue
 			}
-			q.units[u].hedged = true
 		}
 	}
 	q.retries += len(retries)
@@ -452,21 +449,64 @@
 	q.send(hedges, now, true)
 }
 
+// backed reports whether a unit waits on another path that has not failed.
+func (q *Query[P]) backed(a *attempt[P], u int, now time.Time) bool {
+	if q.units[u].pending < 2 {
+		return false
+	}
+	for _, other := range q.attempts {
+		if other != a && other.open[u] && !q.chooser.Failed(other.path, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// recheck is the time after which an overdue attempt is looked at again.
+const recheck = 10 * time.Millisecond
+
 // overdue returns the attempts whose hedge delay has passed, oldest nonce
-// first, and marks them as handled.
+// first.
 func (q *Query[P]) overdue(now time.Time) []*attempt[P] {
 	var due []*attempt[P]
 	for _, a := range q.attempts {
-		if a.hedgeAt.IsZero() || a.hedgeAt.After(now) {
+		if a.hedgeAt.After(now) {
 			continue
 		}
-		a.hedgeAt = time.Time{}
+		a.hedgeAt = now.Add(recheck)
 		due = append(due, a)
 	}
 	slices.SortFunc(due, func(a, b *attempt[P]) int { return cmp.Compare(a.nonce, b.nonce) })
 	return due
 }
 
+// maxRounds is how often the paths of a unit are tried, while the attempts used
+// no capacity.
+const maxRounds = 2
+
+// again reports whether a unit has a path to be retried on. Once all paths were
+// tried, they are tried once more if the failures may pass.
+func (q *Query[P]) again(u int, now time.Time) bool {
+	s := &q.units[u]
+	if s.reason == peer.Reason_REASON_QUARANTINED {
+		return false
+	}
+	if q.spare(u, now) {
+		return true
+	}
+	if s.rounds+1 >= maxRounds || !passing[s.reason] {
+		return false
+	}
+	s.rounds++
+	q.tried[u] = q.tried[u][:0]
+	return q.spare(u, now)
+}
+
+// passing holds the reasons that may not hold for the next attempt.
+var passing = map[peer.Reason]bool{
+	peer.Reason_REASON_UNREACHABLE: true,
+}
+
 // spare reports whether a unit has a path that was not tried.
 func (q *Query[P]) spare(u int, now time.Time) bool {
 	_, ok := q.chooser.Choose(u, q.tried[u], now)
@@ -527,11 +567,12 @@
 	peer.Reason_REASON_UNSPECIFIED: 0,
 	peer.Reason_REASON_UNREACHABLE: 1,
 	peer.Reason_REASON_LEAVING:     2,
-	peer.Reason_REASON_FAILED:      3,
-	peer.Reason_REASON_SHED:        4,
-	peer.Reason_REASON_BUDGET:      5,
-	peer.Reason_REASON_DROPPED:     6,
-	peer.Reason_REASON_QUARANTINED: 7,
+	peer.Reason_REASON_LATE:        3,
+	peer.Reason_REASON_FAILED:      4,
+	peer.Reason_REASON_SHED:        5,
+	peer.Reason_REASON_BUDGET:      6,
+	peer.Reason_REASON_DROPPED:     7,
+	peer.Reason_REASON_QUARANTINED: 8,
 }
 
 func worse(a, b peer.Reason) peer.Reason {
--- a/entryd/pkg/router/router_test.go
+++ b/entryd/pkg/router/router_test.go
@@ -271,3 +271,53 @@
 		}
 	})
 }
+
+// TestFailuresOneAfterAnother loses two paths in turn before the third answers.
+func TestFailuresOneAfterAnother(t *testing.T) {
+	f := twoPaths()
+	f.paths = []string{"a", "b", "c"}
+	q := newQuery(1, waitForAll(), f, &purse{
+		hedges: 1,
+	})
+	q.Start(epoch)
+	second := q.Tick(at(10 * time.Millisecond))
+	if len(second) != 1 || second[0].Path != "b" {
+		t.Fatalf("Tick() = %+v, want a hedge on b", second)
+	}
+	f.failed["a"], f.failed["b"] = true, true
+	third := q.Tick(at(20 * time.Millisecond))
+	if len(third) != 1 || third[0].Path != "c" || third[0].Hedge {
+		t.Errorf("Tick() = %+v, want a retry on c", third)
+	}
+}
+
+// TestPassingFailureIsTriedTwice asks all paths a second time after failures
+// that used no capacity, and no third time.
+func TestPassingFailureIsTriedTwice(t *testing.T) {
+	q := newQuery(1, waitForAll(), twoPaths(), &purse{})
+	actions := q.Start(epoch)
+	var paths []string
+	for len(actions) == 1 && !actions[0].Cancel {
+		paths = append(paths, actions[0].Path)
+		actions = q.Lost(actions[0].Nonce, peer.Reason_REASON_UNREACHABLE, at(time.Millisecond))
+	}
+	if want := []string{"a", "b", "a", "b"}; !slices.Equal(paths, want) {
+		t.Errorf("paths %v, want %v", paths, want)
+	}
+}
+
+// TestMissingUnitHasReason covers a unit that every path called late.
+func TestMissingUnitHasReason(t *testing.T) {
+	q := newQuery(1, waitForAll(), &fixed{
+		paths: []string{"a"},
+		delay: time.Second,
+	}, &purse{})
+	first := q.Start(epoch)
+	q.Answer(first[0].Nonce, nil, []Lack{{
+		Unit:   0,
+		Reason: peer.Reason_REASON_LATE,
+	}}, true, at(time.Millisecond))
+	if !q.Done() || q.Reason(0) != peer.Reason_REASON_LATE {
+		t.Errorf("Done() = %v, Reason(0) = %v, want true, REASON_LATE", q.Done(), q.Reason(0))
+	}
+}
--- a/entryd/pkg/starter/mutator.go
+++ b/entryd/pkg/starter/mutator.go
@@ -5,63 +5,132 @@
 	"errors"
 	"time"
 
+	"plantaincleat/entryd/pkg/claimer"
+	"plantaincleat/entryd/pkg/dispatcher"
 	"plantaincleat/entryd/pkg/forwarder"
 	"plantaincleat/entryd/pkg/handler"
 	"plantaincleat/tier/gen/target"
 )
 
-// retryPause is the Retry-After of a mutation that was not run.
-const retryPause = time.Second
+// buildMutations makes the path of a mutation.
+func (d *Daemon) buildMutations() {
+	d.keeper = claimer.New(d.store, d.clock, claimer.Config{
+		Writer: d.cfg.GetId() + "@" + d.clock.Now().UTC().Format(time.RFC3339Nano),
+	})
+	claims := &claimer.Client{
+		ID:    d.cfg.GetId(),
+		Local: d.keeper,
+		Members: &keepers{
+			daemon: d,
+		},
+		Connector: d.dialer,
+		Clock:     d.clock,
+	}
+	route := &forwarder.Forwarder{
+		ID:         d.cfg.GetId(),
+		Configs:    d.configs,
+		Placement:  &d.placement,
+		Departures: d.drainer,
+		Connector:  d.dialer,
+		Local:      d.gatherer,
+		Silent:     func(address string) bool { return d.coordinator.Silent(address) },
+	}
+	d.dispatcher = dispatcher.New(claims, &handOver{
+		forwarder: route,
+	}, d.clock)
+}
 
-// mutator adapts the forwarder to callers.
-type mutator struct {
+// keepers lists the daemons that may keep claims: those that are live and have
+// not fallen silent.
+type keepers struct {
+	daemon *Daemon
+}
+
+// Daemons implements claimer.Members.
+func (k *keepers) Daemons() []claimer.Daemon {
+	var out []claimer.Daemon
+	view := k.daemon.gossip.View()
+	for _, m := range view.Members() {
+		if m.ID() == view.Self().ID() || (m.Live() && !k.daemon.coordinator.Silent(m.Address())) {
+			out = append(out, claimer.Daemon{
+				ID:      m.ID(),
+				Address: m.Address(),
+			})
+		}
+	}
+	return out
+}
+
+// handOver lets the dispatcher reach targets through the forwarder.
+type handOver struct {
 	forwarder *forwarder.Forwarder
 }
 
-func (d *Daemon) newMutator() handler.Mutator {
-	return &mutator{
-		forwarder: &forwarder.Forwarder{
-			ID:         d.cfg.GetId(),
-			Configs:    d.configs,
-			Placement:  &d.placement,
-			Departures: d.drainer,
-			Connector:  d.dialer,
-			Local:      d.gatherer,
-		},
+// Mutate implements dispatcher.Mutator.
+func (h *handOver) Mutate(ctx context.Context, m *target.Mutation) (*target.Outcome, error) {
+	out, err := h.forwarder.Forward(ctx, m)
+	if errors.Is(err, forwarder.ErrNotRun) {
+		return nil, errors.Join(dispatcher.ErrNotSent, err)
 	}
+	return out, err
+}
+
+// mutator serves callers' mutations.
+type mutator struct {
+	dispatcher *dispatcher.Dispatcher
+}
+
+// resultKinds maps what became of an attempt to refusals.
+var resultKinds = map[dispatcher.Kind]struct {
+	kind handler.Kind
+	run  handler.Run
+}{
+	dispatcher.KindUnknown: {
+		kind: handler.KindOutcome,
+		run:  handler.RunUnknown,
+	},
+	dispatcher.KindNotRun: {
+		kind: handler.KindUnavailable,
+		run:  handler.RunNo,
+	},
+	dispatcher.KindMismatch: {
+		kind: handler.KindMismatch,
+		run:  handler.RunNo,
+	},
+	dispatcher.KindExpired: {
+		kind: handler.KindExpired,
+		run:  handler.RunUnknown,
+	},
+	dispatcher.KindRefused: {
+		kind: handler.KindMalformed,
+		run:  handler.RunNo,
+	},
 }
 
 // Mutate implements handler.Mutator.
 func (m *mutator) Mutate(ctx context.Context, in *handler.Mutation) (*target.Outcome, error) {
-	ctx, cancel := context.WithDeadline(ctx, in.Deadline)
-	defer cancel()
-	out, err := m.forwarder.Forward(ctx, &target.Mutation{
-		Key:        in.Key,
-		Collection: in.Collection,
-		Version:    in.Version,
-		Record:     in.Record,
-		Remaining:  time.Until(in.Deadline).Microseconds(),
+	r := m.dispatcher.Do(ctx, dispatcher.Request{
+		Key:         in.Key,
+		Attempt:     in.Attempt,
+		Fingerprint: in.Fingerprint,
+		Deadline:    in.Deadline,
+		Mutation: &target.Mutation{
+			Collection: in.Collection,
+			Version:    in.Version,
+			Record:     in.Record,
+		},
 	})
-	switch {
-	case errors.Is(err, forwarder.ErrNotRun):
-		return nil, notRun(err.Error())
-	case err != nil:
-		return nil, &handler.Refusal{
-			Kind:    handler.KindOutcome,
-			Message: err.Error(),
-			Run:     handler.RunUnknown,
-		}
-	case out.GetStatus() != target.Status_STATUS_DONE:
-		return nil, notRun(out.GetDetail())
+	if r.Kind == dispatcher.KindDone {
+		return r.Outcome, nil
 	}
-	return out, nil
-}
-
-func notRun(message string) *handler.Refusal {
-	return &handler.Refusal{
-		Kind:       handler.KindUnavailable,
-		Message:    message,
-		Run:        handler.RunNo,
-		RetryAfter: retryPause,
+	refusal := &handler.Refusal{
+		Kind:       resultKinds[r.Kind].kind,
+		Run:        resultKinds[r.Kind].run,
+		Message:    r.Reason,
+		RetryAfter: r.RetryAfter,
+	}
+	if r.Kind == dispatcher.KindRefused {
+		refusal.Field = handler.HeaderRequestKey
 	}
+	return nil, refusal
 }
--- a/entryd/pkg/starter/placement.go
+++ b/entryd/pkg/starter/placement.go
@@ -16,7 +16,7 @@
 	var live, revision uint64
 	for {
 		view, ix := d.gossip.View(), d.configs.Index()
-		if view.Live() != live || ix.Revision() != revision {
+		if ix.Revision() > 0 && (view.Live() != live || ix.Revision() != revision) {
 			live, revision = view.Live(), ix.Revision()
 			d.placement.Store(placer.New(placer.Input{
 				Self:    d.cfg.GetId(),
--- a/entryd/pkg/starter/report.go
+++ b/entryd/pkg/starter/report.go
@@ -21,7 +21,7 @@
 		ID:         d.cfg.GetId(),
 		DataCentre: d.cfg.GetDatacentre(),
 		Revision:   ix.Revision(),
-		Ready:      ix.Revision() > 0,
+		Ready:      d.ready(),
 		Stale:      neverConfirmed,
 		Leaving:    append([]string{}, d.drainer.List()...),
 	}
@@ -44,6 +44,12 @@
 	return s
 }
 
+// ready reports whether the daemon can answer queries: it has a configuration,
+// knows the fleet, and has placed the shards on it.
+func (d *Daemon) ready() bool {
+	return d.configs.Index().Revision() > 0 && d.gossip.Awake() && d.placement.Version() > 0
+}
+
 var published atomic.Bool
 
 // publish registers the daemon's metrics. Only the first daemon of a process
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -17,8 +17,10 @@
 
 	"plantaincleat/entryd/pkg/administrator"
 	"plantaincleat/entryd/pkg/adopter"
+	"plantaincleat/entryd/pkg/claimer"
 	"plantaincleat/entryd/pkg/coordinator"
 	"plantaincleat/entryd/pkg/dialer"
+	"plantaincleat/entryd/pkg/dispatcher"
 	"plantaincleat/entryd/pkg/drainer"
 	"plantaincleat/entryd/pkg/gatherer"
 	"plantaincleat/entryd/pkg/gossiper"
@@ -58,6 +60,8 @@
 	placement   placer.Holder
 	admission   *admission
 	quarantine  *quarantiner.Quarantiner
+	keeper      *claimer.Keeper
+	dispatcher  *dispatcher.Dispatcher
 	drainer     *drainer.Drainer
 	gatherer    *gatherer.Gatherer
 	coordinator *coordinator.Coordinator
@@ -139,6 +143,7 @@
 		OnLoss:     d.publishQuarantine,
 	})
 	gathering.saturated = d.gatherer.Saturated
+	d.buildMutations()
 	d.coordinator = coordinator.New(coordinator.Options{
 		ID:         d.cfg.GetId(),
 		DataCentre: d.cfg.GetDatacentre(),
@@ -156,7 +161,9 @@
 		DataCentre: d.cfg.GetDatacentre(),
 		Configs:    d.configs,
 		Searcher:   d.coordinator,
-		Mutator:    d.newMutator(),
+		Mutator: &mutator{
+			dispatcher: d.dispatcher,
+		},
 		Admitter:   d.admission,
 		Quarantine: d.quarantine,
 		Clock:      d.clock,
@@ -191,6 +198,7 @@
 		Gatherer: d.gatherer,
 		Gossiper: d.gossip,
 		Fetcher:  d.adopter,
+		Claimer:  d.keeper,
 		Mutator:  d.gatherer,
 	})
 	d.web = newHTTPServer(d.handler)
@@ -216,6 +224,9 @@
 	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
 	d.wg.Go(func() { d.drainer.Run(d.ctx) })
 	d.wg.Go(func() { d.place(d.ctx) })
+	if l := d.newLister(); l != nil {
+		d.wg.Go(func() { l.Run(d.ctx) })
+	}
 	d.wg.Go(func() { d.followQuarantine(d.ctx) })
 	d.wg.Go(func() { d.admission.run(d.ctx) })
 	d.wg.Go(func() { d.gatherer.Watch(d.ctx) })
@@ -250,8 +261,9 @@
 	if err := d.web.Shutdown(ctx); err != nil {
 		_ = d.web.Close()
 	}
+	cut := int64(d.dispatcher.Drain(ctx))
 	d.gatherer.Drain(ctx)
-	cut := d.gatherer.Running()
+	cut += d.gatherer.Running()
 	d.end(ctx)
 	slog.Info("stopped", "cut", cut)
 	return cut
@@ -269,6 +281,7 @@
 	case <-ctx.Done():
 		d.peers.Stop()
 	}
+	d.keeper.Close()
 	d.cancel()
 	_ = d.adminS.Close()
 	d.coordinator.Close()
--- a/loadgen/pkg/profiler/plan.go
+++ b/loadgen/pkg/profiler/plan.go
@@ -237,6 +237,7 @@
 		class := &config.Class{
 			Name:     c.Name,
 			Floor:    c.Floor,
+			Canary:   c.Canary,
 			Deadline: durationpb.New(c.Deadline),
 		}
 		if c.Goal > 0 {
--- a/loadgen/pkg/profiler/profiler.go
+++ b/loadgen/pkg/profiler/profiler.go
@@ -40,6 +40,8 @@
 	// Goal is the time after which an answer at the floor is returned. Zero
 	// means that an answer waits for full coverage.
 	Goal time.Duration
+	// Canary asks one shard first for queries that have not completed before.
+	Canary bool
 	// Deadline is sent with each request.
 	Deadline time.Duration
 	// Limit is the number of records wanted in a page.
