--- a/entryd/pkg/forwarder/forwarder.go
+++ b/entryd/pkg/forwarder/forwarder.go
@@ -134,16 +134,6 @@
 	return placer.Name(ids)
 }
 
-// choose returns the first replica that takes work.
-func (f *Forwarder) choose(shard *indexer.Shard) *config.Target {
-	for _, t := range shard.Replicas() {
-		if !f.Departures.Leaving(t.GetId()) {
-			return t
-		}
-	}
-	return nil
-}
-
 func (f *Forwarder) send(ctx context.Context, d placer.Daemon, in *peer.MutateRequest) (*target.Outcome, error) {
 	if d.ID == f.ID {
 		return f.Local.Mutate(ctx, in)
