Harness of separate processes, and reads under faults

The programs are built once and run on a free block of loopback ports; a mutant of the daemon is built with an overlay. Reads under kills, pauses, a cut data centre, mixed-up answers and a change of shards are compared with the reference.

--- /dev/null
+++ b/prover/pkg/deployer/builder.go
@@ -0,0 +1,122 @@
+// Package deployer runs the programs of the project as separate processes on
+// loopback addresses, for tests that cause failures: it kills, pauses and
+// restarts them, cuts links between data centres, and switches the faults of
+// the stand-ins.
+package deployer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	fileMode      = 0o644
+	directoryMode = 0o755
+)
+
+// Mutant is a fault put into a source file, to show that a test finds it.
+type Mutant struct {
+	// File is relative to the root of the workspace.
+	File string
+	// Old must stand exactly once in the file. It is replaced by New.
+	Old string
+	New string
+}
+
+// Programs are the paths of the built programs.
+type Programs struct {
+	Entryd      string
+	Standin     string
+	Plantainctl string
+}
+
+// Build builds the programs of the workspace into a directory.
+func Build(ctx context.Context, directory string) (Programs, error) {
+	p := Programs{
+		Entryd:      filepath.Join(directory, "entryd"),
+		Standin:     filepath.Join(directory, "standin"),
+		Plantainctl: filepath.Join(directory, "plantainctl"),
+	}
+	root, err := workspace(ctx)
+	if err != nil {
+		return Programs{}, err
+	}
+	return p, run(ctx, root, "go", "build", "-o", directory+"/",
+		"./entryd/cmd/entryd", "./standin/cmd/standin", "./plantainctl/cmd/plantainctl")
+}
+
+// Mutate returns the programs with a daemon that contains the faults. It
+// builds the daemon into a directory; the source files stay as they are.
+func (p Programs) Mutate(ctx context.Context, directory string, mutants ...Mutant) (Programs, error) {
+	root, err := workspace(ctx)
+	if err != nil {
+		return Programs{}, err
+	}
+	replace, err := writeMutants(root, directory, mutants)
+	if err != nil {
+		return Programs{}, err
+	}
+	b, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return Programs{}, eris.Wrap(err, "encode overlay")
+	}
+	overlay := filepath.Join(directory, "overlay.json")
+	if err := os.WriteFile(overlay, b, fileMode); err != nil {
+		return Programs{}, eris.Wrap(err, "write overlay")
+	}
+	p.Entryd = filepath.Join(directory, "entryd")
+	return p, run(ctx, root, "go", "build", "-overlay", overlay, "-o", p.Entryd, "./entryd/cmd/entryd")
+}
+
+// writeMutants writes the changed files and returns their names by the names
+// of the files that they stand for.
+func writeMutants(root, directory string, mutants []Mutant) (map[string]string, error) {
+	replace := make(map[string]string)
+	for _, m := range mutants {
+		name := filepath.Join(root, m.File)
+		source := name
+		if changed, ok := replace[name]; ok {
+			source = changed
+		}
+		b, err := os.ReadFile(source)
+		if err != nil {
+			return nil, eris.Wrapf(err, "mutant of %s", m.File)
+		}
+		if n := strings.Count(string(b), m.Old); n != 1 {
+			return nil, eris.Errorf("mutant of %s: %q stands there %d times, want 1", m.File, m.Old, n)
+		}
+		out := filepath.Join(directory, strings.ReplaceAll(m.File, "/", "_"))
+		if err := os.WriteFile(out, bytes.Replace(b, []byte(m.Old), []byte(m.New), 1), fileMode); err != nil {
+			return nil, eris.Wrapf(err, "mutant of %s", m.File)
+		}
+		replace[name] = out
+	}
+	return replace, nil
+}
+
+// workspace returns the directory of the go.work file.
+func workspace(ctx context.Context) (string, error) {
+	out, err := exec.CommandContext(ctx, "go", "env", "GOWORK").Output()
+	if err != nil {
+		return "", eris.Wrap(err, "go env GOWORK")
+	}
+	file := strings.TrimSpace(string(out))
+	if file == "" || file == "off" {
+		return "", eris.New("there is no go.work file")
+	}
+	return filepath.Dir(file), nil
+}
+
+func run(ctx context.Context, directory, name string, args ...string) error {
+	cmd := exec.CommandContext(ctx, name, args...)
+	cmd.Dir = directory
+	out, err := cmd.CombinedOutput()
+	return eris.Wrapf(err, "%s %s: %s", name, strings.Join(args, " "), out)
+}
--- /dev/null
+++ b/prover/pkg/deployer/ports.go
@@ -0,0 +1,31 @@
+package deployer
+
+import (
+	"fmt"
+	"net"
+	"os"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// Ports lie below those that Linux hands out to outgoing connections.
+	firstPort = 22000
+	lastPort  = 32000
+	// block is the number of ports of one deployment; the last one is its lock.
+	block = 400
+)
+
+// claimPorts returns the first port of a block that no other deployment on
+// this machine uses, and the listener that holds the block.
+func claimPorts() (int, net.Listener, error) {
+	const blocks = (lastPort - firstPort) / block
+	for i := range blocks {
+		base := firstPort + (os.Getpid()+i)%blocks*block
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+block-1))
+		if err == nil {
+			return base, l, nil
+		}
+	}
+	return 0, nil, eris.Errorf("all blocks of ports from %d to %d are in use", firstPort, lastPort)
+}
--- /dev/null
+++ b/prover/pkg/prover/search_test.go
@@ -0,0 +1,198 @@
+package prover
+
+import (
+	"testing"
+
+	"plantaincleat/loadgen/pkg/profiler"
+	"plantaincleat/loadgen/pkg/recorder"
+	"plantaincleat/prover/pkg/deployer"
+	"plantaincleat/standin/pkg/searcher"
+	"plantaincleat/tier/gen/config"
+)
+
+// before and after are the snapshots around a switch that divides every shard
+// in two.
+func before() []profiler.Snapshot {
+	return []profiler.Snapshot{{
+		ID:    "s1",
+		Split: 1,
+	}}
+}
+
+func after() []profiler.Snapshot {
+	return append(before(), profiler.Snapshot{
+		ID:    "s2",
+		Split: 2,
+	})
+}
+
+// mixUp are answers that come crossed, twice, late, and over the connections of
+// other callers.
+func mixUp() searcher.Faults {
+	return searcher.Faults{
+		Cross:     0.1,
+		Stray:     0.1,
+		Duplicate: 0.1,
+		Late:      0.1,
+		Lag:       60,
+	}
+}
+
+// wrongStamp are searches of the snapshot before the current one.
+func wrongStamp() searcher.Faults {
+	f := mixUp()
+	f.Stamp = "s1"
+	return f
+}
+
+// foreign are answers with the records of another shard.
+func foreign() searcher.Faults {
+	f := mixUp()
+	f.Foreign = 0.3
+	return f
+}
+
+// faulty are targets of different instances, so that each of their shards has
+// another replica.
+func stamping() []string { return []string{"entrants-00a", "courses-00a", "cards-00a"} }
+
+func crossing() []string { return []string{"entrants-01a", "courses-01a", "results-00a"} }
+
+// TestAnswersUnderFaults reads from all daemons while one is killed, one is
+// paused, a data centre is cut off, targets mix up their answers and the
+// snapshot changes to one with other shards. Every answer must come from one
+// snapshot, state the coverage of exactly its records, and hold the whole
+// answer to its own request.
+func TestAnswersUnderFaults(t *testing.T) {
+	d := deployer.New(t, options(t, programs))
+	next := d.NewConfig(after())
+	load := d.StartLoad(deployer.LoadOptions{
+		Classes: reads(),
+		Rate:    100,
+		Seed:    1,
+		Configs: []*config.Config{d.Config(), next},
+	})
+	d.FaultTargets(mixUp())
+	d.FaultTargets(foreign(), crossing()...)
+	for range rounds() {
+		disturb(d)
+	}
+	cutDuringSwitch(d, next)
+	d.FaultTargets(wrongStamp(), stamping()...)
+	disturb(d)
+	d.FaultTargets(searcher.Faults{})
+	d.Pause(calm)
+	check(t, load.Stop())
+}
+
+// disturb pauses one daemon and kills another, which then comes back.
+func disturb(d *deployer.Deployment) {
+	paused, killed := d.Daemons()[1], d.Daemons()[3]
+	d.Pause(calm)
+	paused.Freeze()
+	d.Pause(calm)
+	killed.Kill()
+	d.Pause(calm)
+	paused.Resume()
+	killed.Start()
+	d.Pause(calm)
+}
+
+// cutDuringSwitch changes the snapshot while a data centre is cut off, and
+// waits until it is in force everywhere.
+func cutDuringSwitch(d *deployer.Deployment, next *config.Config) {
+	d.HoldTargets(after())
+	d.Cut(3, true)
+	revision := d.Apply(next)
+	d.Pause(calm)
+	d.Pause(calm)
+	d.Heal()
+	d.Until("the new snapshot is in force everywhere", func() bool { return inForce(d, revision) })
+}
+
+// inForce reports whether a revision, or a higher one, is in force in every
+// daemon.
+func inForce(d *deployer.Deployment, revision uint64) bool {
+	for _, m := range d.Daemons() {
+		if m.Revision() < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func check(t *testing.T, r *recorder.Report) {
+	t.Helper()
+	show(t, r)
+	if n := violations(r); n > 0 {
+		t.Errorf("%d answers are at fault: %v", n, r.Violations())
+	}
+	// A run in which most requests fail would show nothing.
+	if c := r.Steps[0].Total; 2*c.Answered < c.Sent {
+		t.Errorf("only %d of %d requests were answered", c.Answered, c.Sent)
+	}
+}
+
+// searchMutants are daemons without one of the checks.
+func searchMutants() []struct {
+	name   string
+	mutant deployer.Mutant
+} {
+	return []struct {
+		name   string
+		mutant deployer.Mutant
+	}{
+		{
+			name: "stamp",
+			mutant: deployer.Mutant{
+				File: "entryd/pkg/merger/merger.go",
+				Old:  "if snapshot != m.snapshot.ID() {",
+				New:  "if false && snapshot != m.snapshot.ID() {",
+			},
+		},
+		{
+			name: "range",
+			mutant: deployer.Mutant{
+				File: "entryd/pkg/merger/merger.go",
+				Old:  "slices.BinarySearch(units, at); !ok {",
+				New:  "slices.BinarySearch(units, at); false && !ok {",
+			},
+		},
+		{
+			name: "coverage",
+			mutant: deployer.Mutant{
+				File: "entryd/pkg/coordinator/coordinator.go",
+				Old:  "if s.merged.Covered(i) {",
+				New:  "if s.merged.Covered(i) || s.query.Reason(i) != 0 {",
+			},
+		},
+	}
+}
+
+// TestSearchMutantsAreFound shows that the verification finds answers at fault:
+// each daemon without one of the checks must give some.
+func TestSearchMutantsAreFound(t *testing.T) {
+	for _, m := range searchMutants() {
+		t.Run(m.name, func(t *testing.T) {
+			o := options(t, mutate(t, m.mutant))
+			o.Daemons = 3
+			o.Snapshots = after()
+			d := deployer.New(t, o)
+			load := d.StartLoad(deployer.LoadOptions{
+				Classes: reads(),
+				Rate:    60,
+				Seed:    1,
+			})
+			d.FaultTargets(mixUp())
+			d.FaultTargets(foreign(), crossing()...)
+			d.FaultTargets(wrongStamp(), stamping()...)
+			d.FaultTargets(searcher.Faults{Shed: 0.9}, "entrants-02a", "entrants-02b")
+			d.Pause(3 * calm)
+			r := load.Stop()
+			show(t, r)
+			if violations(r) == 0 {
+				t.Error("no answer was found at fault")
+			}
+		})
+	}
+}
