Share the budgets of the two tiers, and hold hedges back under overload

Root and gatherer each had the whole fraction for the same sub-requests, so that extras could come to twice the policy's. They now share one budget, to which each adds half. The root hedges nothing within a second of an overload.

--- a/entryd/pkg/admitter/admitter.go
+++ b/entryd/pkg/admitter/admitter.go
@@ -33,6 +33,9 @@
 	// adds up to as much again.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 30 * time.Second
+	// saturatedPeriod is the time after a request had to wait or was refused
+	// for overload in which the daemon counts as saturated.
+	saturatedPeriod = time.Second
 	// overloadRetry is that time for an overload at which demand is just
 	// above what is admitted.
 	overloadRetry = time.Second
@@ -129,6 +132,8 @@
 	entered  meter
 	left     meter
 	refused  [KindDeadline + 1]int64
+	// full is the last time at which a request met the daemon's limit.
+	full time.Time
 }
 
 // New returns an Admitter without institutions.
@@ -250,6 +255,7 @@
 		a.admit(now, ticket)
 		return ticket, nil
 	}
+	a.full = now
 	if !a.enqueue(now, ticket) {
 		t.bucket.refund()
 		return nil, a.refuse(now, KindOverload, 0)
@@ -277,6 +283,14 @@
 	return a.dispatch(now)
 }
 
+// Saturated reports whether a request had to wait or was refused for overload
+// within the last second. Nothing extra is to be sent then.
+func (a *Admitter) Saturated(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.full.IsZero() && now.Sub(a.full) < saturatedPeriod
+}
+
 // Tick returns the decisions that are due by the passing of time. It is to be
 // called when the wait of a request ends.
 func (a *Admitter) Tick(now time.Time) []Decision {
--- a/entryd/pkg/admitter/admitter_test.go
+++ b/entryd/pkg/admitter/admitter_test.go
@@ -153,6 +153,9 @@
 		_, err = offer("kahikatea", time.Second)
 	}
 	queued--
+	if !a.Saturated(now) || a.Saturated(now.Add(saturatedPeriod)) {
+		t.Error("want saturation for a second")
+	}
 	if kind(err) != KindOverload || queued != a.max {
 		t.Errorf("after %d: %v", queued, err)
 	}
--- a/entryd/pkg/starter/admission.go
+++ b/entryd/pkg/starter/admission.go
@@ -45,6 +45,9 @@
 	a.admitter.Configure(a.clock.Now(), institutions)
 }
 
+// saturated reports whether the daemon runs as much as it admits.
+func (a *admission) saturated() bool { return a.admitter.Saturated(a.clock.Now()) }
+
 // run exchanges demands until ctx ends.
 func (a *admission) run(ctx context.Context) {
 	for {
--- a/entryd/pkg/starter/budget.go
+++ b/entryd/pkg/starter/budget.go
@@ -7,25 +7,37 @@
 	"plantaincleat/tier/gen/config"
 )
 
-// budget implements router.Budget over the two token budgets of one tier.
+// tiers is the number of tiers, root and gatherer, that count the same
+// sub-request. Each earns its part of the fraction for it.
+const tiers = 2
+
+// budget implements router.Budget for one tier over the token budgets that it
+// shares with the other one.
 type budget struct {
 	hedge     *budgeter.Budget
 	retry     *budgeter.Budget
 	saturated func() bool
 }
 
-func newBudget() *budget {
-	return &budget{
-		hedge:     budgeter.New(budgeter.DefaultHedge),
-		retry:     budgeter.New(budgeter.DefaultRetry),
+// newBudgets returns the budgets of the two tiers.
+func newBudgets() (gathering, rooting *budget) {
+	gathering = &budget{
+		hedge:     budgeter.New(budgeter.DefaultHedge / tiers),
+		retry:     budgeter.New(budgeter.DefaultRetry / tiers),
+		saturated: func() bool { return false },
+	}
+	rooting = &budget{
+		hedge:     gathering.hedge,
+		retry:     gathering.retry,
 		saturated: func() bool { return false },
 	}
+	return gathering, rooting
 }
 
-// set applies the fractions of a policy. Zero takes the default.
+// set applies the fractions of a policy to both tiers. Zero takes the default.
 func (b *budget) set(p *config.Policy) {
-	b.hedge.SetFraction(orDefault(p.GetHedge(), budgeter.DefaultHedge))
-	b.retry.SetFraction(orDefault(p.GetRetry(), budgeter.DefaultRetry))
+	b.hedge.SetFraction(orDefault(p.GetHedge(), budgeter.DefaultHedge) / tiers)
+	b.retry.SetFraction(orDefault(p.GetRetry(), budgeter.DefaultRetry) / tiers)
 }
 
 func orDefault(v, fallback float64) float64 {
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -123,7 +123,7 @@
 
 // buildQueries makes the path of a query.
 func (d *Daemon) buildQueries() {
-	gathering, rooting := newBudget(), newBudget()
+	gathering, rooting := newBudgets()
 	d.quarantine = quarantiner.New(quarantiner.Settings{
 		Canary: true,
 	})
@@ -150,6 +150,7 @@
 		Budget:     rooting,
 	})
 	d.admission = newAdmission(d.cfg.GetId(), d.gossip, d.clock)
+	rooting.saturated = d.admission.saturated
 	record := recorder.New[*handler.Explanation](explanations)
 	d.handler = handler.New(handler.Options{
 		ID:         d.cfg.GetId(),
@@ -167,7 +168,6 @@
 	d.admin.Handle("DELETE /quarantine/{fingerprint}", d.clearQuarantine)
 	d.configs.onChange = append(d.configs.onChange, func(ix *indexer.Index) {
 		gathering.set(ix.Policy())
-		rooting.set(ix.Policy())
 		if p := ix.Policy().GetQuarantine().AsDuration(); p > 0 {
 			d.quarantine.SetPeriod(p)
 		}
