Give suspicions ranks in the epoch, and wire them through the queries

Gossip joins the targets of two notices of one epoch. Two suspicions of one request by two daemons then read as a quarantine, of an innocent request as well; and a charge reached the others as a quarantine of 30 s. The epoch now carries the rank of the state, and the number of targets says nothing.

Sub-plans and partials carry the suspicion. A query ends as quarantined when its request is charged, and does not spread to further shards after it has crashed the targets of its canary shard.

--- a/entryd/pkg/coordinator/search.go
+++ b/entryd/pkg/coordinator/search.go
@@ -54,6 +54,11 @@
 	log      []Plan
 	attempts []*peer.Attempt
 	crashed  []string
+	// first is one more than the shard that was asked first, or zero.
+	first int
+	// refused tells that the request must not run, and halted that it is not
+	// spread any further.
+	refused, halted bool
 	// sent counts the sub-requests to targets.
 	sent    int
 	dropped bool
@@ -68,13 +73,14 @@
 		start:    c.Clock.Now(),
 		merged:   merger.New(snapshot, int(r.Query.GetLimit())),
 		subplans: map[uint64]*subplan{},
+		first:    canary(r, snapshot),
 	}
 	terms := router.Terms{
 		Deadline: r.Deadline,
 		Goal:     r.Goal,
 		Floor:    r.Floor,
 		Hedging:  !r.Suspected,
-		First:    canary(r, snapshot),
+		First:    s.first,
 	}
 	ch := &chooser{
 		root:    c,
@@ -98,6 +104,9 @@
 
 // quarantined reports whether targets were kept from the request.
 func (s *search) quarantined() bool {
+	if s.refused {
+		return true
+	}
 	for i := range s.snapshot.Len() {
 		if s.query.Reason(i) == peer.Reason_REASON_QUARANTINED {
 			return true
@@ -117,7 +126,7 @@
 	timer := clock.NewTimer(s.query.Wake().Sub(clock.Now()))
 	defer timer.Stop()
 	ready := s.events.Ready()
-	for !s.query.Done() && !s.dropped {
+	for !s.query.Done() && !s.dropped && !s.refused && !s.halted {
 		timer.Reset(max(s.query.Wake().Sub(clock.Now()), 0))
 		select {
 		case <-ready:
@@ -135,6 +144,13 @@
 }
 
 func (s *search) apply(actions []router.Action[Path]) {
+	if s.refused {
+		return
+	}
+	if s.halts(actions) {
+		s.halted = true
+		return
+	}
 	for _, a := range actions {
 		if a.Cancel {
 			s.withdraw(a.Nonce)
@@ -219,6 +235,7 @@
 			Targets: replicasIn(shard.Replicas(), a.Path.DataCentre),
 		})
 	}
+	s.suspect(g)
 	return g
 }
 
@@ -253,6 +270,7 @@
 	}
 	s.attempts = append(s.attempts, e.partial.GetAttempts()...)
 	s.crashed = append(s.crashed, e.partial.GetCrashed()...)
+	s.learn(e.partial.GetSuspicion(), now)
 	s.root.slow.update(p.asked, e.partial.GetSlow(), now)
 	p.hear(now)
 	s.sent += int(e.partial.GetSent()) - int(p.sent)
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -63,6 +63,7 @@
 		deadline: now.Add(time.Duration(task.GetRemaining())*time.Microsecond - returnMargin),
 		flights:  map[uint64]*flight{},
 	}
+	j.learn(now)
 	j.index()
 	j.merged = j.newMerger()
 	terms := router.Terms{
@@ -297,16 +298,17 @@
 		return
 	}
 	p := &peer.Partial{
-		Nonce:    j.nonce,
-		Daemon:   j.gatherer.id,
-		Snapshot: j.snapshot.ID(),
-		Covered:  j.fresh,
-		Missing:  j.missing,
-		Records:  j.merged.Records(),
-		Last:     done,
-		Sent:     uint32(j.query.Sent()),
-		Crashed:  j.crashed,
-		Slow:     j.slow(now),
+		Nonce:     j.nonce,
+		Daemon:    j.gatherer.id,
+		Snapshot:  j.snapshot.ID(),
+		Covered:   j.fresh,
+		Missing:   j.missing,
+		Records:   j.merged.Records(),
+		Last:      done,
+		Sent:      uint32(j.query.Sent()),
+		Crashed:   j.crashed,
+		Slow:      j.slow(now),
+		Suspicion: j.suspicion(now),
 	}
 	if done {
 		p.Attempts = j.attempts
--- a/entryd/pkg/quarantiner/entries.go
+++ b/entryd/pkg/quarantiner/entries.go
@@ -27,7 +27,7 @@
 // were lost about that time.
 func (q *Quarantiner) judge(e *entry) {
 	if q.lost(e.charged.Add(-settle), e.charged.Add(settle)) >= manyLosses {
-		e.epoch++
+		e.generation++
 		e.targets = e.targets[:1]
 		q.set(e, suspected)
 		return
--- a/entryd/pkg/quarantiner/entry.go
+++ b/entryd/pkg/quarantiner/entry.go
@@ -1,8 +1,7 @@
 package quarantiner
 
 import (
-	"cmp"
-	"strings"
+	"slices"
 	"time"
 
 	"plantaincleat/tier/gen/peer"
@@ -30,11 +29,12 @@
 type entry struct {
 	fingerprint uint64
 	institution string
-	epoch       uint64
-	state       state
-	targets     []string
-	shard       string
-	expires     time.Time
+	// generation counts clearances and dropped charges.
+	generation uint64
+	state      state
+	targets    []string
+	shard      string
+	expires    time.Time
 	// charged is the time of the second loss, or of the notice of it, in state
 	// charged. judged is when the charge ends.
 	charged, judged time.Time
@@ -47,57 +47,80 @@
 	return e.state >= suspected
 }
 
+// rank returns the state's place among those of one generation in gossip.
+func (s state) rank() uint64 {
+	switch s {
+	case cleared:
+		return 0
+	case exonerated, suspected:
+		return 1
+	case charged:
+		return 2
+	}
+	return 3
+}
+
+// states are the states by rank.
+var states = [...]state{cleared, suspected, charged, quarantined}
+
+// stateOf returns the generation and the state that a notice describes.
+func stateOf(n *peer.Quarantine) (generation uint64, s state) {
+	ranks := uint64(len(states))
+	return n.GetEpoch() / ranks, states[n.GetEpoch()%ranks]
+}
+
+// valid reports whether a notice can be taken.
+func valid(n *peer.Quarantine) bool {
+	_, s := stateOf(n)
+	return n.GetFingerprint() != 0 && n.GetCleared() == (s == cleared) && (s == cleared || len(n.GetTargets()) > 0)
+}
+
 // notice returns the entry as gossiped.
 func (e *entry) notice() *peer.Quarantine {
-	n := &peer.Quarantine{
+	return &peer.Quarantine{
 		Fingerprint: e.fingerprint,
 		Expires:     e.expires.UnixMilli(),
-		Epoch:       e.epoch,
+		Epoch:       e.generation*uint64(len(states)) + e.state.rank(),
 		Cleared:     e.state == cleared,
+		Targets:     e.targets,
 		Institution: e.institution,
+		Shard:       e.shard,
 	}
-	switch e.state {
-	case quarantined:
-		n.Targets = e.targets
-	case charged:
-		n.Targets = e.targets
-		n.Shard = e.shard
-		n.Charged = true
-	case suspected:
-		n.Targets = e.targets[:1]
-		n.Shard = e.shard
-	}
-	return n
 }
 
-// stateOf returns the state that a notice describes.
-func stateOf(n *peer.Quarantine) state {
+// yields reports whether a notice replaces the entry. Of one generation the
+// higher rank holds. A suspicion that has ended here comes back with a later
+// one only.
+func (e *entry) yields(n *peer.Quarantine) bool {
+	generation, s := stateOf(n)
 	switch {
-	case n.GetCleared():
-		return cleared
-	case n.GetCharged():
-		return charged
-	case len(n.GetTargets()) > 1:
-		return quarantined
+	case generation != e.generation:
+		return generation > e.generation
+	case s.rank() != e.state.rank():
+		return s.rank() > e.state.rank()
 	}
-	return suspected
+	return e.state == exonerated && n.GetExpires() > e.expires.UnixMilli()
 }
 
-// compare orders notices of one fingerprint: the greater one holds. It is a
-// total order on content, so that daemons agree whatever the order of arrival.
-func compare(x, y *peer.Quarantine) int {
-	steps := []int{
-		cmp.Compare(x.GetEpoch(), y.GetEpoch()),
-		cmp.Compare(stateOf(x), stateOf(y)),
-		cmp.Compare(x.GetExpires(), y.GetExpires()),
-		strings.Compare(strings.Join(x.GetTargets(), " "), strings.Join(y.GetTargets(), " ")),
-		strings.Compare(x.GetShard(), y.GetShard()),
-		strings.Compare(x.GetInstitution(), y.GetInstitution()),
+// join takes what a notice of the same rank adds, and reports whether it did.
+func (e *entry) join(n *peer.Quarantine) bool {
+	generation, s := stateOf(n)
+	if generation != e.generation || s != e.state || n.GetExpires() <= e.expires.UnixMilli() {
+		return false
 	}
-	for _, s := range steps {
-		if s != 0 {
-			return s
-		}
+	e.expires = time.UnixMilli(n.GetExpires())
+	return true
+}
+
+// take replaces the entry by a notice.
+func (e *entry) take(n *peer.Quarantine) {
+	generation, s := stateOf(n)
+	e.generation = generation
+	e.institution = n.GetInstitution()
+	e.shard = n.GetShard()
+	e.expires = time.UnixMilli(n.GetExpires())
+	e.targets = slices.Clone(n.GetTargets())
+	if s == suspected {
+		e.targets = e.targets[:1]
 	}
-	return 0
 }
--- a/entryd/pkg/quarantiner/quarantiner.go
+++ b/entryd/pkg/quarantiner/quarantiner.go
@@ -186,43 +186,30 @@
 // Merge takes a notice from another daemon and reports whether it changed
 // anything.
 func (q *Quarantiner) Merge(now time.Time, n *peer.Quarantine) bool {
-	expires := time.UnixMilli(n.GetExpires())
-	invalid := n.GetFingerprint() == 0 || !n.GetCleared() && len(n.GetTargets()) == 0
-	if invalid || !now.Before(expires) {
+	if !valid(n) || !now.Before(time.UnixMilli(n.GetExpires())) {
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.find(now, n.GetFingerprint())
 	if e != nil && !e.yields(n) {
-		return false
+		return e.join(n)
 	}
 	if e == nil {
 		if e = q.insert(now, n.GetFingerprint()); e == nil {
 			return false
 		}
 	}
-	e.epoch = n.GetEpoch()
-	e.institution = n.GetInstitution()
-	e.targets = slices.Clone(n.GetTargets())
-	e.shard = n.GetShard()
-	e.expires = expires
-	q.set(e, stateOf(n))
-	if e.state == charged {
+	e.take(n)
+	_, s := stateOf(n)
+	q.set(e, s)
+	if s == charged {
 		// The daemon that made the charge judges first.
 		e.charged, e.judged = now, now.Add(2*settle)
 	}
 	return true
 }
 
-// yields reports whether a notice replaces the entry.
-func (e *entry) yields(n *peer.Quarantine) bool {
-	if n.GetEpoch() == e.epoch && stateOf(n) == suspected && e.state == exonerated {
-		return n.GetExpires() > e.expires.UnixMilli()
-	}
-	return compare(n, e.notice()) > 0
-}
-
 // Notice returns what is known of a request that is suspected, charged or
 // quarantined, and nil for any other.
 func (q *Quarantiner) Notice(now time.Time, fingerprint uint64) *peer.Quarantine {
@@ -281,7 +268,7 @@
 	if e == nil || !e.effective() {
 		return false
 	}
-	e.epoch++
+	e.generation++
 	e.targets, e.shard = nil, ""
 	e.expires = now.Add(time.Duration(q.period.Load()))
 	q.set(e, cleared)
