Move the canary to another shard after a loss

Cause: the second run of a request that had crashed one replica went to the other replica of the same shard, so that the shard was lost to everybody until a target was back. Ruled out: suspicion and quarantine (two crashes, no innocent refused). Refused connections were counted as sub-requests sent.

--- a/entryd/pkg/coordinator/search.go
+++ b/entryd/pkg/coordinator/search.go
@@ -58,8 +58,6 @@
 	log      []Plan
 	attempts []*peer.Attempt
 	crashed  []string
-	// first is one more than the shard that was asked first, or zero.
-	first int
 	// refused tells that the request must not run, and halted that it is not
 	// spread any further.
 	refused, halted bool
@@ -78,14 +76,13 @@
 		merged:   merger.New(snapshot, int(r.Query.GetLimit())),
 		subplans: map[uint64]*subplan{},
 		reported: make([]bool, snapshot.Len()),
-		first:    canary(r, snapshot),
 	}
 	terms := router.Terms{
 		Deadline: r.Deadline,
 		Goal:     r.Goal,
 		Floor:    r.Floor,
 		Hedging:  !r.Suspected,
-		First:    s.first,
+		First:    canary(r, snapshot),
 	}
 	ch := &chooser{
 		root:    c,
@@ -248,13 +245,23 @@
 			Shard:   shard.ID(),
 			From:    shard.From(),
 			To:      shard.To(),
-			Targets: replicasIn(shard.Replicas(), a.Path.DataCentre),
+			Targets: s.targets(shard, a.Path.DataCentre),
 		})
 	}
 	s.suspect(g)
 	return g
 }
 
+// targets returns the replicas of a shard that a sub-plan may ask: one while the
+// query asks one shard only, so that it can crash no more.
+func (s *search) targets(shard *indexer.Shard, dataCentre string) []string {
+	ids := replicasIn(shard.Replicas(), dataCentre)
+	if s.query.Holding() {
+		ids = ids[:1]
+	}
+	return ids
+}
+
 func replicasIn(replicas []*config.Target, dataCentre string) []string {
 	var ids []string
 	for _, t := range replicas {
--- a/entryd/pkg/coordinator/suspicion.go
+++ b/entryd/pkg/coordinator/suspicion.go
@@ -34,10 +34,11 @@
 // targets of the shard that was asked first. The query then ends without its
 // other shards.
 func (s *search) halts(actions []router.Action[Path]) bool {
-	if s.first == 0 || len(s.crashed) == 0 || s.merged.Covered(s.first-1) {
+	first := s.query.First()
+	if first == 0 || len(s.crashed) == 0 || s.merged.Covered(first-1) {
 		return false
 	}
 	return slices.ContainsFunc(actions, func(a router.Action[Path]) bool {
-		return !a.Cancel && !slices.Contains(a.Units, s.first-1)
+		return !a.Cancel && !slices.Contains(a.Units, first-1)
 	})
 }
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -51,7 +51,9 @@
 	reported []bool
 	attempts []*peer.Attempt
 	crashed  []string
-	flushed  time.Time
+	// sent counts the sub-requests that left for a target.
+	sent    int
+	flushed time.Time
 }
 
 func newJob(g *Gatherer, nonce uint64, task *peer.Gather, trace string) *job {
@@ -277,8 +279,9 @@
 func (j *job) conclude(f *flight, status target.Status, r reply) {
 	f.attempt.Status = status
 	f.attempt.End = j.gatherer.clock.Since(j.start).Microseconds()
-	if !r.sent.IsZero() {
+	if !r.sent.IsZero() && !errors.Is(r.err, exchanger.ErrNotSent) {
 		f.attempt.Sent = max(r.sent.Sub(j.start).Microseconds(), 1)
+		j.sent++
 	}
 	if r.err != nil {
 		f.attempt.Error = r.err.Error()
@@ -311,7 +314,7 @@
 		Missing:   j.missing,
 		Records:   j.merged.Records(),
 		Last:      done,
-		Sent:      uint32(j.query.Sent()),
+		Sent:      uint32(j.sent),
 		Crashed:   j.crashed,
 		Slow:      j.slow(now),
 		Suspicion: j.suspicion(now),
--- a/entryd/pkg/router/router_test.go
+++ b/entryd/pkg/router/router_test.go
@@ -321,3 +321,35 @@
 		t.Errorf("Done() = %v, Reason(0) = %v, want true, REASON_LATE", q.Done(), q.Reason(0))
 	}
 }
+
+// TestFirstUnitMovesOnce sends another unit first after the first one failed,
+// and the rest only once a first unit was answered.
+func TestFirstUnitMovesOnce(t *testing.T) {
+	terms := waitForAll()
+	terms.First = 1
+	q := newQuery(4, terms, twoPaths(), &purse{
+		hedges: 9,
+	})
+	first := q.Start(epoch)
+	if len(first) != 1 || !slices.Equal(first[0].Units, []int{0}) {
+		t.Fatalf("Start() = %+v, want unit 0 alone", first)
+	}
+	if got := q.Tick(at(20 * time.Millisecond)); len(got) != 0 {
+		t.Fatalf("Tick() = %+v, want no hedge of a first unit", got)
+	}
+	moved := q.Lost(first[0].Nonce, peer.Reason_REASON_UNREACHABLE, at(time.Millisecond))
+	if len(moved) != 1 || len(moved[0].Units) != 1 || moved[0].Units[0] == 0 {
+		t.Fatalf("Lost() = %+v, want one other unit", moved)
+	}
+	rest := q.Answer(moved[0].Nonce, moved[0].Units, nil, true, at(2*time.Millisecond))
+	units := 0
+	for _, a := range rest {
+		units += len(a.Units)
+		if slices.Contains(a.Units, 0) && a.Path == first[0].Path {
+			t.Errorf("unit 0 is sent again on %q, which failed", a.Path)
+		}
+	}
+	if units != 3 {
+		t.Errorf("Answer() sends %d units, want 3", units)
+	}
+}
