--- a/entryd/pkg/claimer/bucket.go
+++ b/entryd/pkg/claimer/bucket.go
@@ -79,9 +79,11 @@
 	busy     bool
 	stale    bool
 	down     bool
-	ready    time.Time
-	written  uint64
-	answers  []Answer
+	// ready is the earliest time of the next call, due its time without bursts.
+	ready   time.Time
+	due     time.Time
+	written uint64
+	answers []Answer
 }
 
 // NewBucket returns the machine of a bucket that was not read yet.
@@ -236,7 +238,7 @@
 	case len(b.queue) == 0:
 		return Call{}
 	}
-	b.ready = now.Add(b.cfg.Interval)
+	b.pace(now)
 	return b.tail()
 }
 
@@ -255,13 +257,23 @@
 
 func (b *Bucket) commit(now time.Time) Call {
 	b.busy = true
-	b.ready = now.Add(b.cfg.Interval)
+	b.pace(now)
 	return Call{
 		Kind: CallCommit,
 		Txn:  b.writing.txn,
 	}
 }
 
+// pace delays the next call so that calls start every Interval on average, and
+// at most Burst of them ahead of that: the generic cell rate algorithm.
+func (b *Bucket) pace(now time.Time) {
+	if b.due.Before(now) {
+		b.due = now
+	}
+	b.due = b.due.Add(b.cfg.Interval)
+	b.ready = b.due.Add(-time.Duration(b.cfg.Burst) * b.cfg.Interval)
+}
+
 // cover marks the claims that the next answer of the store will be newer than.
 func (b *Bucket) cover() {
 	for _, p := range b.queue {
--- a/entryd/pkg/claimer/config.go
+++ b/entryd/pkg/claimer/config.go
@@ -7,6 +7,7 @@
 	// DefaultInterval bounds the writes of all buckets to Buckets/Interval,
 	// 267 a second, whatever the number of daemons and mutations.
 	DefaultInterval  = 60 * time.Millisecond
+	defaultBurst     = 3
 	defaultPause     = 250 * time.Millisecond
 	defaultPatience  = 2 * time.Second
 	defaultRetention = 10 * time.Minute
@@ -20,8 +21,10 @@
 
 // Config bounds the work of a keeper. Zero fields mean the defaults.
 type Config struct {
-	// Interval is the least time between the starts of two writes to a bucket.
+	// Interval is the mean time between the starts of two writes to a bucket
+	// under load. Burst of them may start earlier after a pause.
 	Interval time.Duration
+	Burst    int
 	// Pause is the time before a failed call is repeated. Meanwhile claims are
 	// answered VERDICT_UNAVAILABLE at once.
 	Pause time.Duration
@@ -48,6 +51,7 @@
 
 func (c Config) withDefaults() Config {
 	orDefault(&c.Interval, DefaultInterval)
+	orDefault(&c.Burst, defaultBurst)
 	orDefault(&c.Pause, defaultPause)
 	orDefault(&c.Patience, defaultPatience)
 	orDefault(&c.Retention, defaultRetention)
--- a/entryd/pkg/claimer/keeper.go
+++ b/entryd/pkg/claimer/keeper.go
@@ -111,7 +111,6 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.closed {
-		w.answer <- Answer{Verdict: peer.Verdict_VERDICT_UNAVAILABLE}
 		return w
 	}
 	w.worker = k.workers[bucket]
@@ -131,9 +130,9 @@
 	select {
 	case a = <-w.answer:
 	case <-ctx.Done():
-		a.Verdict = w.worker.cancel(w)
+		a.Verdict = w.cancel()
 	case <-k.done:
-		a.Verdict = w.worker.cancel(w)
+		a.Verdict = w.cancel()
 	}
 	return &peer.ClaimResult{
 		Key:     w.claim.GetKey(),
@@ -142,6 +141,14 @@
 	}
 }
 
+// cancel withdraws the claim. A claim without a worker came after Close.
+func (w *wait) cancel() peer.Verdict {
+	if w.worker == nil {
+		return peer.Verdict_VERDICT_UNAVAILABLE
+	}
+	return w.worker.cancel(w)
+}
+
 // worker runs the machine of one bucket.
 type worker struct {
 	keeper *Keeper
