--- a/entryd/pkg/admitter/admitter.go
+++ b/entryd/pkg/admitter/admitter.go
@@ -33,6 +33,9 @@
 	// adds up to as much again.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 30 * time.Second
+	// saturatedPeriod is the time after a request had to wait or was refused
+	// for overload in which the daemon counts as saturated.
+	saturatedPeriod = time.Second
 	// overloadRetry is that time for an overload at which demand is just
 	// above what is admitted.
 	overloadRetry = time.Second
@@ -41,14 +44,14 @@
 // ErrInstitution reports a request of an institution without terms.
 var ErrInstitution = errors.New("admit: unknown institution")
 
-// Result tells how an admitted request ended.
-type Result int
+// Outcome tells how an admitted request ended.
+type Outcome int
 
-// Results of a request.
+// Outcomes of a request.
 const (
 	// Failed says nothing about the load: cancelled by the caller, or
 	// partial because targets were lost, silent or leaving.
-	Failed Result = iota
+	Failed Outcome = iota
 	// Completed is an answer with all that was asked for.
 	Completed
 	// Overloaded is an answer that was late or partial because targets shed
@@ -56,6 +59,14 @@
 	Overloaded
 )
 
+// Result is what the admission learns from a request.
+type Result struct {
+	Outcome Outcome
+	// Waited is the longest time that a sub-request waited here for a place
+	// at a target before it was first sent.
+	Waited time.Duration
+}
+
 // Settings configure an Admitter. Zero fields take defaults.
 type Settings struct {
 	// Daemon is the name of this daemon in gossip.
@@ -121,6 +132,8 @@
 	entered  meter
 	left     meter
 	refused  [KindDeadline + 1]int64
+	// full is the last time at which a request met the daemon's limit.
+	full time.Time
 }
 
 // New returns an Admitter without institutions.
@@ -238,10 +251,11 @@
 		class:    c,
 		deadline: now.Add(r.Remaining),
 	}
-	if a.queued == 0 && a.governor.flight < a.governor.allowed(now) {
+	if a.queued == 0 && a.governor.flight < a.governor.allowed() {
 		a.admit(now, ticket)
 		return ticket, nil
 	}
+	a.full = now
 	if !a.enqueue(now, ticket) {
 		t.bucket.refund()
 		return nil, a.refuse(now, KindOverload, 0)
@@ -262,16 +276,21 @@
 	latency := now.Sub(t.admitted)
 	t.terms.flight--
 	a.left.add(now)
-	if r != Failed {
+	if r.Outcome != Failed {
 		t.class.add(now, latency)
 	}
-	a.governor.leave(now, &t.class.base, latency, r)
-	if a.governor.rotates(now) {
-		a.rotate()
-	}
+	a.governor.leave(now, latency, r)
 	return a.dispatch(now)
 }
 
+// Saturated reports whether a request had to wait or was refused for overload
+// within the last second. Nothing extra is to be sent then.
+func (a *Admitter) Saturated(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.full.IsZero() && now.Sub(a.full) < saturatedPeriod
+}
+
 // Tick returns the decisions that are due by the passing of time. It is to be
 // called when the wait of a request ends.
 func (a *Admitter) Tick(now time.Time) []Decision {
@@ -280,15 +299,6 @@
 	return a.dispatch(now)
 }
 
-// rotate begins a period of base latencies.
-func (a *Admitter) rotate() {
-	for _, t := range a.order {
-		for _, c := range t.classes {
-			c.base.rotate()
-		}
-	}
-}
-
 // check finds the reason to refuse a request, with the time until that reason
 // passes, or a zero kind.
 func (a *Admitter) check(now time.Time, t *terms, c *class, r Request) (Kind, time.Duration) {
--- a/entryd/pkg/coordinator/coordinator.go
+++ b/entryd/pkg/coordinator/coordinator.go
@@ -73,6 +73,9 @@
 	// Crashed are the targets whose connection was lost while they ran the
 	// request.
 	Crashed []string
+	// Waited is the longest time that a first attempt waited for a place at a
+	// target.
+	Waited time.Duration
 	// Restarts counts the snapshots that were given up for a newer one.
 	Restarts int
 }
@@ -130,6 +133,7 @@
 	nonce  atomic.Uint64
 	plans  atomic.Pointer[planCache]
 	group  estimator.Group
+	slow   slowTargets
 
 	mu    sync.RWMutex
 	peers map[string]*neighbour
@@ -188,6 +192,21 @@
 	}
 }
 
+// waited returns the longest wait of an attempt, hedges excluded.
+func waited(attempts []*peer.Attempt) time.Duration {
+	longest := int64(0)
+	for _, a := range attempts {
+		until := a.GetSent()
+		if until == 0 {
+			until = a.GetEnd()
+		}
+		if !a.GetHedge() {
+			longest = max(longest, until-a.GetStart())
+		}
+	}
+	return time.Duration(longest) * time.Microsecond
+}
+
 func (c *Coordinator) result(s *search, restarts int) *Result {
 	out := &Result{
 		Revision: s.index.Revision(),
@@ -196,6 +215,7 @@
 		Attempts: s.attempts,
 		Plans:    s.plans(),
 		Crashed:  s.crashed,
+		Waited:   waited(s.attempts),
 		Restarts: restarts,
 		Stats: Stats{
 			Needed:  s.snapshot.Len(),
@@ -212,7 +232,7 @@
 		}
 		out.Missing = append(out.Missing, &peer.Missing{
 			Shard:  id,
-			Reason: s.query.Reason(i),
+			Reason: s.reason(i),
 		})
 	}
 	c.counts.Hedges.Add(int64(out.Stats.Hedges))
@@ -246,6 +266,15 @@
 	return n
 }
 
+// Silent reports whether the daemon at an address has left sub-plans unanswered
+// while others answered.
+func (c *Coordinator) Silent(address string) bool {
+	c.mu.RLock()
+	n := c.peers[address]
+	c.mu.RUnlock()
+	return n != nil && n.gauge.Suspected()
+}
+
 // Close ends the links to other daemons.
 func (c *Coordinator) Close() {
 	c.mu.Lock()
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -11,6 +11,7 @@
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
 	"plantaincleat/tier/pkg/batcher"
+	"plantaincleat/tier/pkg/digester"
 	"plantaincleat/tier/pkg/indexer"
 )
 
@@ -34,6 +35,7 @@
 	nonce    uint64
 	task     *peer.Gather
 	trace    string
+	digest   uint64
 	start    time.Time
 	deadline time.Time
 
@@ -59,6 +61,7 @@
 		nonce:    nonce,
 		task:     task,
 		trace:    trace,
+		digest:   digester.Query(task.GetQuery()),
 		start:    now,
 		deadline: now.Add(time.Duration(task.GetRemaining())*time.Microsecond - returnMargin),
 		flights:  map[uint64]*flight{},
@@ -119,7 +122,6 @@
 			return
 		}
 	}
-	j.gatherer.pace.add(j.gatherer.clock.Since(j.start))
 }
 
 // wait returns the time until the query or the next flush is due.
@@ -138,8 +140,10 @@
 		if a.Cancel {
 			if f := j.flights[a.Nonce]; f != nil {
 				delete(j.flights, a.Nonce)
-				f.lane.withdraw(a.Nonce, j.late())
-				j.conclude(f, target.Status_STATUS_CANCELLED, nil)
+				sent := f.lane.withdraw(a.Nonce, j.late())
+				j.conclude(f, target.Status_STATUS_CANCELLED, reply{
+					sent: sent,
+				})
 			}
 			continue
 		}
@@ -216,7 +220,7 @@
 func (j *job) judge(f *flight, r reply) peer.Reason {
 	counts := &j.gatherer.counts
 	if r.err != nil {
-		j.conclude(f, target.Status_STATUS_UNSPECIFIED, r.err)
+		j.conclude(f, target.Status_STATUS_UNSPECIFIED, r)
 		switch {
 		case errors.Is(r.err, errWaiting):
 			counts.Sheds.Add(1)
@@ -231,7 +235,7 @@
 		return peer.Reason_REASON_UNREACHABLE
 	}
 	a := r.answer
-	j.conclude(f, a.GetStatus(), nil)
+	j.conclude(f, a.GetStatus(), r)
 	if a.GetLoad().GetLeaving() {
 		j.gatherer.departures.Announce(f.lane.id, a.GetIncarnation())
 	}
@@ -239,17 +243,20 @@
 		if a.GetStatus() == target.Status_STATUS_SHED {
 			counts.Sheds.Add(1)
 		}
-		return reasons[a.GetStatus()]
+		if reason, ok := reasons[a.GetStatus()]; ok {
+			return reason
+		}
+		return peer.Reason_REASON_FAILED
 	}
 	shard := j.wanted[f.unit].GetShard()
-	if a.GetTarget() != f.lane.id || a.GetShard() != shard {
+	if a.GetTarget() != f.lane.id || a.GetShard() != shard || (a.GetQuery() != 0 && a.GetQuery() != j.digest) {
 		counts.Crossed.Add(1)
-		return peer.Reason_REASON_FAILED
+		return peer.Reason_REASON_UNREACHABLE
 	}
 	if err := j.merged.Merge(a.GetSnapshot(), []string{shard}, a.GetRecords()); err != nil {
 		counts.Crossed.Add(1)
 		f.attempt.Error = err.Error()
-		return peer.Reason_REASON_FAILED
+		return peer.Reason_REASON_UNREACHABLE
 	}
 	j.fresh = append(j.fresh, shard)
 	return peer.Reason_REASON_UNSPECIFIED
@@ -266,11 +273,14 @@
 	target.Status_STATUS_EXPIRED:     peer.Reason_REASON_LATE,
 }
 
-func (j *job) conclude(f *flight, status target.Status, err error) {
+func (j *job) conclude(f *flight, status target.Status, r reply) {
 	f.attempt.Status = status
 	f.attempt.End = j.gatherer.clock.Since(j.start).Microseconds()
-	if err != nil {
-		f.attempt.Error = err.Error()
+	if !r.sent.IsZero() {
+		f.attempt.Sent = max(r.sent.Sub(j.start).Microseconds(), 1)
+	}
+	if r.err != nil {
+		f.attempt.Error = r.err.Error()
 	}
 }
 
@@ -302,6 +312,7 @@
 		Last:     done,
 		Sent:     uint32(j.query.Sent()),
 		Crashed:  j.crashed,
+		Slow:     j.slow(now),
 	}
 	if done {
 		p.Attempts = j.attempts
@@ -312,6 +323,36 @@
 	emit(p)
 }
 
+// slowFactor times the time after which a sub-request counts as late is the
+// expected finish from which a target is reported as slow.
+const slowFactor = 1.5
+
+// slow lists the wanted targets that would answer late.
+func (j *job) slow(now time.Time) []*peer.Slow {
+	limit := time.Duration(slowFactor * float64(j.gatherer.pace.late()))
+	var out []*peer.Slow
+	seen := map[string]bool{}
+	for _, w := range j.wanted {
+		for _, id := range w.GetTargets() {
+			if seen[id] {
+				continue
+			}
+			seen[id] = true
+			l := j.gatherer.lane(id)
+			if l == nil {
+				continue
+			}
+			if d := l.expected(now); d > limit {
+				out = append(out, &peer.Slow{
+					Target: id,
+					Finish: d.Microseconds(),
+				})
+			}
+		}
+	}
+	return out
+}
+
 func (j *job) collectMissing() {
 	for i := range j.reported {
 		if j.reported[i] || j.query.Covered(i) || !j.query.Closed(i) && !j.query.Done() {
--- a/entryd/pkg/gossiper/machine.go
+++ b/entryd/pkg/gossiper/machine.go
@@ -22,92 +22,6 @@
 	"plantaincleat/tier/gen/peer"
 )
 
-// Config sets up a Machine. Zero durations and counts take the defaults.
-type Config struct {
-	Self Identity
-	// Seeds are addresses to join through.
-	Seeds []string
-	// Source drives every random choice.
-	Source rand.Source
-	// Period lies between two rounds.
-	Period time.Duration
-	// Suspicion is how long a suspected member has to refute. A gap of this
-	// length between two inputs counts as a freeze.
-	Suspicion time.Duration
-	// Retry lies between two attempts to reach a dead member or a seed.
-	Retry time.Duration
-	// Repair is the least time between two full exchanges that repair a
-	// difference between tables.
-	Repair time.Duration
-	// Outage is how long a data centre may fail to answer before it counts as
-	// unreachable.
-	Outage time.Duration
-	// Forget is how long dead members are kept.
-	Forget time.Duration
-	// Expiry is how long a demand holds without renewal.
-	Expiry time.Duration
-	// Proxies is the number of indirect probes. Negative means none.
-	Proxies int
-	// Fanout is the number of immediate exchanges upon news.
-	Fanout int
-}
-
-// Defaults of Config.
-const (
-	DefaultPeriod    = 250 * time.Millisecond
-	DefaultSuspicion = 2 * time.Second
-	DefaultRetry     = 2 * time.Second
-	DefaultRepair    = 5 * time.Second
-	DefaultOutage    = 3 * time.Second
-	DefaultForget    = 15 * time.Minute
-	DefaultExpiry    = 30 * time.Second
-	DefaultProxies   = 3
-	DefaultFanout    = 3
-)
-
-const (
-	// representatives is the number of daemons per data centre that exchange
-	// views with other data centres.
-	representatives = 2
-	// recordBytes bounds the member records in one message, save full ones.
-	recordBytes = 1000
-	// noticeBytes bounds the notices in one message.
-	noticeBytes = 1000
-	// demandBytes bounds the demands in one message.
-	demandBytes = 400
-	// repairAfter is the number of exchanges in a row with unequal hashes after
-	// which the whole tables are exchanged.
-	repairAfter = 3
-	// newsPause is the least time between two bursts of news.
-	newsPause = 50 * time.Millisecond
-	// newsBurst is the number of bursts that may follow without a longer pause.
-	newsBurst = 6
-	// newsRefill is the time after which one more burst is allowed.
-	newsRefill = 500 * time.Millisecond
-	// renewal is the time between two repetitions of links and sums.
-	renewal = 10 * time.Second
-)
-
-func (c Config) withDefaults() Config {
-	setDefault(&c.Period, DefaultPeriod)
-	setDefault(&c.Suspicion, DefaultSuspicion)
-	setDefault(&c.Retry, DefaultRetry)
-	setDefault(&c.Repair, DefaultRepair)
-	setDefault(&c.Outage, DefaultOutage)
-	setDefault(&c.Forget, DefaultForget)
-	setDefault(&c.Expiry, DefaultExpiry)
-	setDefault(&c.Proxies, DefaultProxies)
-	setDefault(&c.Fanout, DefaultFanout)
-	return c
-}
-
-func setDefault[T comparable](v *T, value T) {
-	var zero T
-	if *v == zero {
-		*v = value
-	}
-}
-
 // Machine is the state of one daemon's membership. It is not safe for
 // concurrent use.
 type Machine struct {
@@ -131,6 +45,7 @@
 	nextRetry time.Time
 	nextFull  time.Time
 	nextRenew time.Time
+	nextSum   time.Time
 
 	// refreshing is true from start or wake until the table is fresh.
 	refreshing bool
@@ -161,7 +76,6 @@
 const (
 	ChangeMembers Change = 1 << iota
 	ChangeNotices
-	ChangeDemands
 )
 
 // New returns a Machine that starts at now. The incarnation is now in Unix
@@ -186,7 +100,7 @@
 		calls:      make(map[uint64]*call),
 		tokens:     newsBurst,
 		refilled:   now,
-		changed:    ChangeMembers | ChangeNotices | ChangeDemands,
+		changed:    ChangeMembers | ChangeNotices,
 	}
 	m.put(Member{
 		id:          cfg.Self.ID,
@@ -359,9 +273,7 @@
 	if m.facts.expire(now) {
 		m.changed |= ChangeNotices
 	}
-	if m.demands.expire(now, m.cfg.Expiry) {
-		m.changed |= ChangeDemands
-	}
+	m.demands.expire(now, m.cfg.Expiry)
 }
 
 // announce asks for an immediate exchange with a few others.
--- a/entryd/pkg/gossiper/view.go
+++ b/entryd/pkg/gossiper/view.go
@@ -14,6 +14,8 @@
 	index   map[string]int
 	live    uint64
 	mark    uint64
+	// delegate tells whether this daemon is a representative.
+	delegate bool
 }
 
 // View returns the state of the fleet.
@@ -25,6 +27,8 @@
 		within:  make(map[string][]Member),
 		index:   make(map[string]int, len(all)),
 		mark:    m.mark,
+
+		delegate: m.isRepresentative(),
 	}
 	reached := make(map[string]bool)
 	for _, dc := range m.table.indexed().datacentres {
@@ -70,6 +74,10 @@
 // alike.
 func (v *View) Live() uint64 { return v.live }
 
+// Representative reports whether this daemon is one of the few of its data
+// centre that talk to others on behalf of all.
+func (v *View) Representative() bool { return v.delegate }
+
 // Mark is the highest configuration revision that any daemon is known to have
 // adopted.
 func (v *View) Mark() uint64 { return v.mark }
@@ -95,10 +103,12 @@
 // changed.
 func (m *Machine) Notices() []*peer.Notice { return m.facts.list() }
 
-// Demands returns the latest demand of each daemon of this data centre, and of
-// each other data centre the sum under the name "@" and the data centre. They
-// must not be changed.
-func (m *Machine) Demands() []*peer.Demand { return m.demands.list(m.cfg.Self.DataCentre) }
+// Demands returns the latest demand of each daemon. Of other data centres only
+// the sums are known; their members appear with even parts of them. The
+// demands must not be changed.
+func (m *Machine) Demands() []*peer.Demand {
+	return m.demands.list(m.cfg.Self.DataCentre, m.table.indexed().within)
+}
 
 // Changes returns which parts have changed since it was last called.
 func (m *Machine) Changes() Change {
--- a/entryd/pkg/quarantiner/quarantiner_test.go
+++ b/entryd/pkg/quarantiner/quarantiner_test.go
@@ -22,23 +22,39 @@
 	poison      bool
 	target      int
 	run         Run
+	notice      *peer.Quarantine
 	left        int
 	denied      bool
 	done        bool
 }
 
-// fleet simulates one daemon over targets, each shard on a target and the next
-// two ones.
+// fleet simulates daemons over targets, each shard on a target and the next two
+// ones. The targets are divided among the daemons.
 type fleet struct {
-	q        *Quarantiner
+	daemons  []*Quarantiner
 	now      time.Time
 	down     []int
 	requests []*request
 	crashes  int
 }
 
+func (f *fleet) daemon(i int) *Quarantiner {
+	return f.daemons[i%len(f.daemons)]
+}
+
 func (f *fleet) target(i int) *Target {
-	return f.q.Target(fmt.Sprint("target", i))
+	return f.daemon(i).Target(fmt.Sprint("target", i))
+}
+
+// gossip gives each daemon the notices of the others.
+func (f *fleet) gossip() {
+	for _, from := range f.daemons {
+		for _, n := range from.Notices(f.now) {
+			for _, to := range f.daemons {
+				to.Merge(f.now, n)
+			}
+		}
+	}
 }
 
 // tick advances by a millisecond: places waiting requests, runs the others.
@@ -69,6 +85,9 @@
 		if f.down[i] > 0 {
 			continue
 		}
+		if r.notice != nil {
+			f.daemon(i).Merge(f.now, r.notice)
+		}
 		run, verdict := f.target(i).Begin(f.now, r.fingerprint, "corrib", fmt.Sprint(r.shard))
 		switch verdict {
 		case Denied:
@@ -85,10 +104,15 @@
 func (f *fleet) crash(i int) {
 	f.crashes++
 	f.down[i] = 20
-	f.target(i).Lost(f.now)
+	for _, r := range f.requests {
+		if r.target == i && !r.done {
+			f.target(i).Lost(f.now, r.run)
+		}
+	}
 	for _, r := range f.requests {
 		if r.target == i && !r.done {
 			f.target(i).End(r.run, false)
+			r.notice = f.daemon(i).Notice(f.now, r.fingerprint)
 			r.target = -1
 			r.left = 3
 		}
@@ -98,10 +122,13 @@
 func TestPoisonIsNamedAndInnocentsRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{
-			q:    New(Settings{}),
 			now:  start,
 			down: make([]int, rapid.IntRange(4, 8).Draw(t, "targets")),
 		}
+		for range rapid.IntRange(1, 3).Draw(t, "daemons") {
+			f.daemons = append(f.daemons, New(Settings{}))
+		}
+		interval := rapid.SampledFrom([]int{1, 50, 200}).Draw(t, "interval")
 		poisons := rapid.IntRange(1, 2).Draw(t, "poisons")
 		gap := rapid.SampledFrom([]int{0, 1, 60}).Draw(t, "gap")
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
@@ -128,6 +155,9 @@
 				})
 			}
 			f.tick()
+			if tick%interval == 0 {
+				f.gossip()
+			}
 		}
 		if f.crashes > 2*poisons {
 			t.Fatalf("%d crashes by %d poisons", f.crashes, poisons)
@@ -137,8 +167,10 @@
 				t.Fatalf("request %+v", *r)
 			}
 		}
-		if got := len(f.q.List(f.now)); got != poisons {
-			t.Fatalf("%d quarantined, %d poisons", got, poisons)
+		for _, q := range f.daemons {
+			if got := len(q.List(f.now)); got != poisons {
+				t.Fatalf("%d quarantined, %d poisons", got, poisons)
+			}
 		}
 	})
 }
@@ -148,38 +180,71 @@
 func TestManyLossesQuarantineNothing(t *testing.T) {
 	q := New(Settings{})
 	a, b := q.Target("a"), q.Target("b")
-	a.Begin(start, 7, "corrib", "s")
-	a.Lost(start)
+	crash(a, start)
 	if _, v := a.Begin(start, 7, "corrib", "s"); v != Avoid {
 		t.Errorf("verdict %v on the suspected target", v)
 	}
-	if _, v := b.Begin(start, 7, "corrib", "s"); v != Go {
+	if v := crash(b, start); v != Go {
 		t.Fatalf("verdict %v on another target", v)
 	}
-	b.Lost(start)
 	for i := range 3 {
-		q.Target(fmt.Sprint(i)).Lost(start.Add(100 * time.Millisecond))
+		other := q.Target(fmt.Sprint(i))
+		run, _ := other.Begin(start, uint64(100+i), "corrib", "s")
+		other.Lost(start.Add(100*time.Millisecond), run)
 	}
-	if _, v := q.Target("c").Begin(start.Add(200*time.Millisecond), 7, "corrib", "s"); v != Busy {
+	amid := start.Add(200 * time.Millisecond)
+	if _, v := q.Target("c").Begin(amid, 7, "corrib", "s"); v != Denied {
 		t.Errorf("verdict %v amid the losses", v)
 	}
+	other := New(Settings{})
+	other.Merge(amid, q.Notice(amid, 7))
 	later := start.Add(time.Second)
 	run, v := q.Target("c").Begin(later, 7, "corrib", "s")
 	if v != Go || len(q.List(later)) > 0 {
 		t.Fatalf("verdict %v after the losses, quarantined %v", v, q.List(later))
 	}
+	other.Merge(later, q.Notice(later, 7))
+	if p := other.Plan(later, 7); p.Mode != Canary {
+		t.Errorf("the other daemon: %+v", p)
+	}
 	q.Target("c").End(run, true)
 	if q.Suspected(later, 7) {
 		t.Error("suspected after it completed")
 	}
 }
 
+// crash runs fingerprint 7 on a target and loses the target.
+func crash(t *Target, now time.Time) Verdict {
+	run, verdict := t.Begin(now, 7, "corrib", "s")
+	if verdict == Go {
+		t.Lost(now, run)
+	}
+	return verdict
+}
+
+func TestLossIsCountedOnce(t *testing.T) {
+	q := New(Settings{})
+	a := q.Target("a")
+	run, _ := a.Begin(start, 7, "corrib", "s")
+	other, _ := a.Begin(start, 8, "corrib", "s")
+	a.Lost(start, run)
+	next, v := a.Begin(start, 9, "corrib", "s")
+	a.Lost(start, other)
+	a.End(other, true)
+	if v != Go || !q.Suspected(start, 7) || !q.Suspected(start, 8) || q.Suspected(start, 9) {
+		t.Error("a request sent after the loss was blamed")
+	}
+	a.End(next, true)
+	if len(a.runs) > 0 {
+		t.Errorf("still in flight: %v", a.runs)
+	}
+}
+
 // poison returns a Quarantiner that has quarantined fingerprint 7.
 func poison(now time.Time) *Quarantiner {
 	q := New(Settings{})
 	for _, id := range []string{"a", "b"} {
-		q.Target(id).Begin(now, 7, "corrib", "s")
-		q.Target(id).Lost(now)
+		crash(q.Target(id), now)
 	}
 	return q
 }
@@ -196,14 +261,12 @@
 	if p := q.Plan(now, 7); p.Mode != Free {
 		t.Errorf("known request: %+v", p)
 	}
-	q.Target("a").Begin(now, 7, "corrib", "s")
-	q.Target("a").Lost(now)
+	crash(q.Target("a"), now)
 	if p := q.Plan(now, 7); p.Mode != Canary || p.Shard != "s" || !p.Suspected {
 		t.Errorf("suspect: %+v", p)
 	}
-	q.Target("b").Begin(now, 7, "corrib", "s")
-	q.Target("b").Lost(now)
-	if p := q.Plan(now, 7); p.Mode != Canary || !p.Suspected {
+	crash(q.Target("b"), now)
+	if p := q.Plan(now, 7); p.Mode != Refused || !p.Expires.Equal(now.Add(settle)) {
 		t.Errorf("charged: %+v", p)
 	}
 	now = now.Add(settle)
@@ -235,8 +298,7 @@
 		t.Error("not cleared at the other daemon")
 	}
 	for _, id := range []string{"a", "b"} {
-		other.Target(id).Begin(now, 7, "corrib", "s")
-		other.Target(id).Lost(now)
+		crash(other.Target(id), now)
 	}
 	now = now.Add(settle)
 	for _, n := range other.Notices(now) {
@@ -254,6 +316,7 @@
 			Expires:     start.UnixMilli() + int64(rapid.IntRange(1, 3).Draw(t, "expires")),
 			Epoch:       uint64(rapid.IntRange(0, 2).Draw(t, "epoch")),
 			Cleared:     rapid.Bool().Draw(t, "cleared"),
+			Charged:     rapid.Bool().Draw(t, "charged"),
 			Targets:     rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b"}), 1, 2).Draw(t, "targets"),
 		}
 	})
--- a/entryd/pkg/quarantiner/target.go
+++ b/entryd/pkg/quarantiner/target.go
@@ -19,7 +19,8 @@
 	// Avoid asks to take another target: the request is suspected of having
 	// crashed this one.
 	Avoid
-	// Denied lets the request be sent nowhere: it is quarantined.
+	// Denied lets the request be sent nowhere: it is quarantined, or may be
+	// shortly.
 	Denied
 )
 
@@ -89,11 +90,11 @@
 		return t.start(now, r)
 	}
 	switch {
-	case e.state == quarantined:
+	case e.state >= charged:
 		return Run{}, Denied
 	case e.targets[0] == t.id:
 		return Run{}, Avoid
-	case e.state == charged, e.running != nil, q.lost(now.Add(-settle), now) >= manyLosses:
+	case e.running != nil, q.lost(now.Add(-settle), now) >= manyLosses:
 		return Run{}, Busy
 	}
 	return t.isolate(now, e, r)
@@ -180,15 +181,19 @@
 }
 
 // Lost records that the target closed its connection or came back with another
-// incarnation. It is not to be called when a connection was given up here, or
-// timed out: that says nothing about what the target ran. Such runs end with
-// End.
-func (t *Target) Lost(now time.Time) {
+// incarnation while a run was in flight. All runs then in flight end; a second
+// call for one of them does nothing. It is not to be called when a connection
+// was given up here, or timed out: that says nothing about what the target ran.
+// Such runs end with End.
+func (t *Target) Lost(now time.Time, r Run) {
 	q := t.quarantine
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	runs := t.clear(r.generation)
+	if len(runs) == 0 {
+		return
+	}
 	q.lose(now, t.id)
-	runs := t.clear()
 	if len(runs) == 1 && runs[0].alone {
 		q.charge(now, runs[0], t)
 		return
@@ -196,10 +201,13 @@
 	q.blame(now, runs, t)
 }
 
-// clear empties the target for a new incarnation.
-func (t *Target) clear() []Run {
+// clear ends the runs of a generation and begins another one.
+func (t *Target) clear(generation uint64) []Run {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if generation != t.generation {
+		return nil
+	}
 	runs := t.runs
 	t.runs = nil
 	t.generation++
@@ -223,7 +231,7 @@
 		return
 	}
 	e.targets = append(e.targets[:1:1], t.id)
-	e.charged = now
+	e.charged, e.judged = now, now.Add(settle)
 	e.expires = now.Add(suspicionPeriod)
 	q.set(e, charged)
 }
--- /dev/null
+++ b/standin/pkg/hostlister/hostlister_test.go
@@ -0,0 +1,138 @@
+package hostlister
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+func do(h http.Handler, method, path, body, tag string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if tag != "" {
+		r.Header.Set("If-None-Match", tag)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+func TestList(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	s, err := New(clock, []Host{{
+		ID:      "t1",
+		Address: "10.0.0.1:9000",
+		Role:    "target",
+		State:   "live",
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	steps := []struct {
+		name    string
+		method  string
+		path    string
+		body    string
+		status  int
+		advance time.Duration
+		read    int
+		has     string
+	}{
+		{
+			name:   "lag",
+			method: http.MethodPost,
+			path:   "/faults",
+			body:   `{"lag":5000}`,
+			status: http.StatusNoContent,
+			read:   http.StatusOK,
+			has:    `"live"`,
+		},
+		{
+			name:   "change within the lag",
+			method: http.MethodPost,
+			path:   "/state",
+			body:   `{"id":"t1","state":"leaving"}`,
+			status: http.StatusNoContent,
+			read:   http.StatusOK,
+			has:    `"live"`,
+		},
+		{
+			name:    "after the lag",
+			method:  http.MethodGet,
+			path:    "/hosts",
+			status:  http.StatusOK,
+			advance: 5 * time.Second,
+			read:    http.StatusOK,
+			has:     `"leaving"`,
+		},
+		{
+			name:   "unknown host",
+			method: http.MethodPost,
+			path:   "/state",
+			body:   `{"id":"t2","state":"leaving"}`,
+			status: http.StatusNotFound,
+			read:   http.StatusOK,
+		},
+		{
+			name:   "invalid host",
+			method: http.MethodPost,
+			path:   "/hosts",
+			body:   `[{"id":"t2"}]`,
+			status: http.StatusBadRequest,
+			read:   http.StatusOK,
+		},
+		{
+			name:   "outage",
+			method: http.MethodPost,
+			path:   "/faults",
+			body:   `{"outage":true}`,
+			status: http.StatusNoContent,
+			read:   http.StatusServiceUnavailable,
+		},
+		{
+			name:   "garbled",
+			method: http.MethodPost,
+			path:   "/faults",
+			body:   `{"garbled":true}`,
+			status: http.StatusNoContent,
+			read:   http.StatusOK,
+			has:    "<html>",
+		},
+		{
+			name:   "unknown fault",
+			method: http.MethodPost,
+			path:   "/faults",
+			body:   `{"fire":true}`,
+			status: http.StatusBadRequest,
+			read:   http.StatusOK,
+			has:    "<html>",
+		},
+	}
+	for _, c := range steps {
+		w := do(s.Admin(), c.method, c.path, c.body, "")
+		clock.Advance(c.advance)
+		r := do(s.Handler(), http.MethodGet, "/hosts", "", "")
+		if w.Code != c.status || r.Code != c.read || !strings.Contains(r.Body.String(), c.has) {
+			t.Errorf("%s: switch %d, list %d %s", c.name, w.Code, r.Code, r.Body)
+		}
+	}
+	s.SetFaults(Faults{})
+	tag := do(s.Handler(), http.MethodGet, "/hosts", "", "").Header().Get("ETag")
+	if got := do(s.Handler(), http.MethodGet, "/hosts", "", tag).Code; got != http.StatusNotModified {
+		t.Errorf("unchanged list answered with %d", got)
+	}
+	do(s.Admin(), http.MethodDelete, "/hosts/t1", "", "")
+	if got := do(s.Handler(), http.MethodGet, "/hosts", "", tag); got.Code != http.StatusOK || got.Body.String() != "[]\n" {
+		t.Errorf("list after the removal: %d %s", got.Code, got.Body)
+	}
+}
+
+func TestNewRefusesInvalid(t *testing.T) {
+	if _, err := New(clockwork.NewFakeClock(), make([]Host, 1)); !errors.Is(err, ErrInvalid) {
+		t.Errorf("error %v", err)
+	}
+}
