--- a/prover/pkg/deployer/faults.go
+++ b/prover/pkg/deployer/faults.go
@@ -19,6 +19,16 @@
 	d.post("http://"+d.local(kvAdminPort)+"/faults", f)
 }
 
+// KVCounts returns the calls of the key-value service since its start.
+func (d *Deployment) KVCounts() kvserver.Counts {
+	d.t.Helper()
+	var c kvserver.Counts
+	if err := d.get("http://"+d.local(kvAdminPort)+"/counts", &c); err != nil {
+		d.t.Fatal(err)
+	}
+	return c
+}
+
 // KillKV ends the key-value service, which loses its content.
 func (d *Deployment) KillKV() { d.kv.Kill() }
 
--- a/prover/pkg/deployer/operator.go
+++ b/prover/pkg/deployer/operator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"os/exec"
 	"strings"
 
@@ -95,6 +96,34 @@
 	return s.Revision
 }
 
+// Revisions returns the revisions that came into force, in order, as logged by
+// all processes of the daemon. Each start of a process is a zero.
+func (m *Daemon) Revisions() []uint64 {
+	m.deployment.t.Helper()
+	b, err := os.ReadFile(m.log)
+	if err != nil {
+		m.deployment.t.Fatal(err)
+	}
+	var out []uint64
+	for line := range bytes.Lines(b) {
+		var l struct {
+			Msg      string `json:"msg"`
+			Revision uint64 `json:"revision"`
+		}
+		// A line that was cut short by a kill is left out.
+		if json.Unmarshal(line, &l) != nil {
+			continue
+		}
+		switch l.Msg {
+		case "started":
+			out = append(out, 0)
+		case "configuration in force":
+			out = append(out, l.Revision)
+		}
+	}
+	return out
+}
+
 // Ready reports whether the daemon is ready for callers.
 func (m *Daemon) Ready() bool {
 	return m.deployment.get(m.readiness(), nil) == nil
--- a/prover/pkg/prover/search_test.go
+++ b/prover/pkg/prover/search_test.go
@@ -1,10 +1,12 @@
 package prover
 
 import (
+	"slices"
 	"testing"
 
 	"plantaincleat/loadgen/pkg/profiler"
 	"plantaincleat/loadgen/pkg/recorder"
+	"plantaincleat/loadgen/pkg/verifier"
 	"plantaincleat/prover/pkg/deployer"
 	"plantaincleat/standin/pkg/searcher"
 	"plantaincleat/tier/gen/config"
@@ -52,8 +54,8 @@
 	return f
 }
 
-// faulty are targets of different instances, so that each of their shards has
-// another replica.
+// stamping and crossing are targets of different instances, so that each of
+// their shards has another replica.
 func stamping() []string { return []string{"entrants-00a", "courses-00a", "cards-00a"} }
 
 func crossing() []string { return []string{"entrants-01a", "courses-01a", "results-00a"} }
@@ -133,66 +135,89 @@
 	}
 }
 
-// searchMutants are daemons without one of the checks.
-func searchMutants() []struct {
-	name   string
-	mutant deployer.Mutant
-} {
-	return []struct {
-		name   string
-		mutant deployer.Mutant
-	}{
+// searchMutant is a daemon without one of the checks.
+type searchMutant struct {
+	name    string
+	mutants []deployer.Mutant
+	// kinds are the faults of answers of which at least one must be found.
+	// None means that no fault may be found.
+	kinds []verifier.Kind
+}
+
+func searchMutants() []searchMutant {
+	return []searchMutant{
+		{
+			name: "none",
+		},
 		{
 			name: "stamp",
-			mutant: deployer.Mutant{
+			mutants: []deployer.Mutant{{
 				File: "entryd/pkg/merger/merger.go",
 				Old:  "if snapshot != m.snapshot.ID() {",
 				New:  "if false && snapshot != m.snapshot.ID() {",
-			},
+			}},
+			kinds: []verifier.Kind{verifier.Mixed},
 		},
 		{
 			name: "range",
-			mutant: deployer.Mutant{
+			mutants: []deployer.Mutant{{
 				File: "entryd/pkg/merger/merger.go",
 				Old:  "slices.BinarySearch(units, at); !ok {",
 				New:  "slices.BinarySearch(units, at); false && !ok {",
-			},
+			}},
+			kinds: []verifier.Kind{verifier.Coverage, verifier.Crossed},
 		},
 		{
 			name: "coverage",
-			mutant: deployer.Mutant{
+			mutants: []deployer.Mutant{{
 				File: "entryd/pkg/coordinator/coordinator.go",
 				Old:  "if s.merged.Covered(i) {",
 				New:  "if s.merged.Covered(i) || s.query.Reason(i) != 0 {",
-			},
+			}},
+			kinds: []verifier.Kind{verifier.Incomplete},
 		},
 	}
 }
 
-// TestSearchMutantsAreFound shows that the verification finds answers at fault:
-// each daemon without one of the checks must give some.
-func TestSearchMutantsAreFound(t *testing.T) {
+// TestSearchMutants shows that the verification finds answers at fault: each
+// daemon without one of the checks must give some, the sound one none.
+func TestSearchMutants(t *testing.T) {
 	for _, m := range searchMutants() {
 		t.Run(m.name, func(t *testing.T) {
-			o := options(t, mutate(t, m.mutant))
-			o.Daemons = 3
-			o.Snapshots = after()
-			d := deployer.New(t, o)
-			load := d.StartLoad(deployer.LoadOptions{
-				Classes: reads(),
-				Rate:    60,
-				Seed:    1,
-			})
-			d.FaultTargets(mixUp())
-			d.FaultTargets(foreign(), crossing()...)
-			d.FaultTargets(wrongStamp(), stamping()...)
-			d.FaultTargets(searcher.Faults{Shed: 0.9}, "entrants-02a", "entrants-02b")
-			d.Pause(3 * calm)
-			r := load.Stop()
-			show(t, r)
-			if violations(r) == 0 {
-				t.Error("no answer was found at fault")
+			p := programs
+			if m.mutants != nil {
+				p = mutate(t, m.mutants...)
+			}
+			found := readMixedUp(t, p)
+			if m.kinds == nil && len(found) > 0 {
+				t.Errorf("the sound daemon gave answers at fault: %v", found)
+			}
+			if m.kinds != nil && !slices.ContainsFunc(m.kinds, func(k verifier.Kind) bool { return found[string(k)] > 0 }) {
+				t.Errorf("no fault of the kinds %v was found", m.kinds)
 			}
 		})
 	}
 }
+
+// readMixedUp reads from targets that mix up their answers and returns the
+// faults that were found by kind.
+func readMixedUp(t *testing.T, p deployer.Programs) map[string]int64 {
+	t.Helper()
+	o := options(t, p)
+	o.Daemons = 3
+	o.Snapshots = after()
+	d := deployer.New(t, o)
+	load := d.StartLoad(deployer.LoadOptions{
+		Classes: reads(),
+		Rate:    60,
+		Seed:    1,
+	})
+	d.FaultTargets(mixUp())
+	d.FaultTargets(foreign(), crossing()...)
+	d.FaultTargets(wrongStamp(), stamping()...)
+	d.FaultTargets(searcher.Faults{Shed: 0.9}, "entrants-02a", "entrants-02b")
+	d.Pause(3 * calm)
+	r := load.Stop()
+	show(t, r)
+	return r.Violations()
+}
