--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -51,7 +51,9 @@
 	reported []bool
 	attempts []*peer.Attempt
 	crashed  []string
-	flushed  time.Time
+	// sent counts the sub-requests that left for a target.
+	sent    int
+	flushed time.Time
 }
 
 func newJob(g *Gatherer, nonce uint64, task *peer.Gather, trace string) *job {
@@ -66,6 +68,7 @@
 		deadline: now.Add(time.Duration(task.GetRemaining())*time.Microsecond - returnMargin),
 		flights:  map[uint64]*flight{},
 	}
+	j.learn(now)
 	j.index()
 	j.merged = j.newMerger()
 	terms := router.Terms{
@@ -276,8 +279,9 @@
 func (j *job) conclude(f *flight, status target.Status, r reply) {
 	f.attempt.Status = status
 	f.attempt.End = j.gatherer.clock.Since(j.start).Microseconds()
-	if !r.sent.IsZero() {
+	if !r.sent.IsZero() && !errors.Is(r.err, exchanger.ErrNotSent) {
 		f.attempt.Sent = max(r.sent.Sub(j.start).Microseconds(), 1)
+		j.sent++
 	}
 	if r.err != nil {
 		f.attempt.Error = r.err.Error()
@@ -303,16 +307,17 @@
 		return
 	}
 	p := &peer.Partial{
-		Nonce:    j.nonce,
-		Daemon:   j.gatherer.id,
-		Snapshot: j.snapshot.ID(),
-		Covered:  j.fresh,
-		Missing:  j.missing,
-		Records:  j.merged.Records(),
-		Last:     done,
-		Sent:     uint32(j.query.Sent()),
-		Crashed:  j.crashed,
-		Slow:     j.slow(now),
+		Nonce:     j.nonce,
+		Daemon:    j.gatherer.id,
+		Snapshot:  j.snapshot.ID(),
+		Covered:   j.fresh,
+		Missing:   j.missing,
+		Records:   j.merged.Records(),
+		Last:      done,
+		Sent:      uint32(j.sent),
+		Crashed:   j.crashed,
+		Slow:      j.slow(now),
+		Suspicion: j.suspicion(now),
 	}
 	if done {
 		p.Attempts = j.attempts
