Gossip under loss: repair by data centre, last call before a death

Random faults left data centres with different tables for good: the count of unequal hashes in a row was one for all partners, so that equal tables within the data centre reset it each time. It is now counted by data centre.

With lossy links members died falsely: a rumour told some 6 times by each of 10 daemons misses one of them now and then, which then lets the suspicion expire. Rumours are told twice as often, suspicions and refutations at once, and a suspect is asked itself once before it is declared dead.

--- a/entryd/pkg/gossiper/crossing.go
+++ b/entryd/pkg/gossiper/crossing.go
@@ -118,7 +118,7 @@
 	if r == nil {
 		return nil
 	}
-	return []Action{m.exchange(contactOf(r), m.repair(now))}
+	return []Action{m.exchange(contactOf(r), m.repair(r.datacentre, now))}
 }
 
 // renew repeats the verdicts on the other data centres.
--- a/entryd/pkg/gossiper/exchange.go
+++ b/entryd/pkg/gossiper/exchange.go
@@ -153,7 +153,7 @@
 	}
 	was := r.state
 	m.put(join(one, r.Member), now)
-	if dead(r.state) && !dead(was) {
+	if r.state != was {
 		m.announce(now)
 	}
 }
--- a/entryd/pkg/gossiper/machine.go
+++ b/entryd/pkg/gossiper/machine.go
@@ -58,8 +58,10 @@
 	// in which they are probed.
 	shuffled []string
 	// turn is the place of the next data centre to exchange with.
-	turn       int
-	mismatches int
+	turn int
+	// mismatches counts by data centre the exchanges in a row after which the
+	// tables differed.
+	mismatches map[string]int
 
 	news     bool
 	nextNews time.Time
@@ -89,6 +91,7 @@
 		facts:      newFacts(),
 		demands:    newDemands(),
 		links:      make(map[linkKey]*link),
+		mismatches: make(map[string]int),
 		remotes:    make(map[string]*remote),
 		last:       now,
 		heard:      now,
@@ -175,14 +178,15 @@
 	self.incarnation = max(self.incarnation, above) + 1
 	self.state = peer.State_STATE_ALIVE
 	m.put(self, now)
+	m.announce(now)
 }
 
 func (m *Machine) self() *record { return m.table.records[m.cfg.Self.ID] }
 
-// copies is the number of messages that carry a change: enough for a rumour to
-// reach all n members, about log2 n.
+// copies is the number of messages that carry a change, about 2 log2 n. A member
+// misses a rumour that each of the others tells c times with probability exp(-c).
 func (m *Machine) copies() int {
-	return bits.Len(uint(len(m.table.records))) + 1
+	return 2 * bits.Len(uint(len(m.table.records)))
 }
 
 func (m *Machine) put(member Member, now time.Time) {
@@ -200,7 +204,8 @@
 		return m.refresh(now)
 	}
 	m.expire(now)
-	out := m.probe(now)
+	out := m.lastCalls(now)
+	out = append(out, m.probe(now)...)
 	out = append(out, m.crossing(now)...)
 	out = append(out, m.retry(now)...)
 	return out
--- a/entryd/pkg/gossiper/machine_test.go
+++ b/entryd/pkg/gossiper/machine_test.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -114,6 +115,84 @@
 	}
 }
 
+// A record that the rumour has missed comes with the repair of tables.
+func TestMissedRumour(t *testing.T) {
+	w := fleet(2, 5, nil)
+	w.run(settle)
+	far := w.order[1].m
+	lost := far.neighbours()[0]
+	if lost.id == far.delegates("dc1")[0].id || lost.id == far.delegates("dc1")[1].id {
+		lost = far.neighbours()[1]
+	}
+	for _, n := range w.order {
+		if n.cfg.Self.DataCentre == "dc0" {
+			n.m.table.hash ^= lost.hash()
+			n.m.table.index = nil
+			delete(n.m.table.records, lost.id)
+		}
+	}
+	w.run(settle)
+	w.requireAlive(t, 10)
+}
+
+// One message in ten is lost, and nobody dies by it.
+func TestLoss(t *testing.T) {
+	w := fleet(3, 10, nil)
+	w.run(settle)
+	rng := rand.New(rand.NewPCG(1, 2))
+	w.lose = func() bool { return rng.IntN(10) == 0 }
+	for range 120 {
+		w.run(time.Second)
+		for _, n := range w.order {
+			for _, m := range n.m.View().Members() {
+				if dead(m.State()) {
+					t.Fatalf("%s takes %s for dead", n.cfg.Self.ID, m.ID())
+				}
+			}
+		}
+	}
+}
+
+// After any sequence of crashes, restarts, freezes and cuts the fleet finds
+// itself whole.
+func TestRandomFaults(t *testing.T) {
+	for seed := range uint64(8) {
+		w := fleet(3, 5, nil)
+		w.run(settle)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		for range 25 {
+			n := w.order[rng.IntN(len(w.order))]
+			island := w.order[rng.IntN(len(w.order))].cfg.Self
+			switch rng.IntN(5) {
+			case 0:
+				n.down = true
+			case 1:
+				n.frozen = !n.down
+			case 2:
+				w.cut = func(from, to Identity) bool {
+					return (from.DataCentre == island.DataCentre) != (to.DataCentre == island.DataCentre)
+				}
+			case 3:
+				w.cut = func(from, to Identity) bool { return from.ID < island.ID && to.ID > island.ID }
+			case 4:
+				w.mend(n)
+			}
+			w.run(time.Duration(rng.Int64N(int64(10 * time.Second))))
+		}
+		w.cut = func(_, _ Identity) bool { return false }
+		for _, n := range w.order {
+			w.mend(n)
+		}
+		w.run(time.Minute)
+		w.requireAlive(t, 15)
+		for _, n := range w.order {
+			if n.m.table.hash != w.order[0].m.table.hash || !n.m.Awake() {
+				t.Errorf("seed %d: %s has another table or is not awake", seed, n.cfg.Self.ID)
+			}
+		}
+	}
+}
+
 func TestLeave(t *testing.T) {
 	w := fleet(3, 10, nil)
 	w.run(settle)
--- a/entryd/pkg/gossiper/network_test.go
+++ b/entryd/pkg/gossiper/network_test.go
@@ -64,7 +64,9 @@
 	order []*node
 	cut   func(from, to Identity) bool
 	// deaf is the id of a daemon that cannot be called but can call.
-	deaf   string
+	deaf string
+	// lose decides whether a message is lost.
+	lose   func() bool
 	weighs bool
 }
 
@@ -73,6 +75,7 @@
 		now:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		nodes: make(map[string]*node),
 		cut:   func(_, _ Identity) bool { return false },
+		lose:  func() bool { return false },
 	}
 }
 
@@ -168,8 +171,18 @@
 	w.arm(n)
 }
 
+// mend ends the faults of a node.
+func (w *network) mend(n *node) {
+	if n.frozen {
+		w.thaw(n)
+	}
+	if n.down {
+		w.start(n.cfg)
+	}
+}
+
 func (w *network) open(from, to *node) bool {
-	return to != nil && !to.down && !to.frozen && !w.cut(from.cfg.Self, to.cfg.Self)
+	return to != nil && !to.down && !to.frozen && !w.cut(from.cfg.Self, to.cfg.Self) && !w.lose()
 }
 
 func (w *network) count(n *node, v *peer.Views) *peer.Views {
--- a/entryd/pkg/gossiper/probe.go
+++ b/entryd/pkg/gossiper/probe.go
@@ -94,7 +94,7 @@
 			r, ok := m.table.records[m.shuffled[0]]
 			m.shuffled = m.shuffled[1:]
 			if ok && r.present() && r.datacentre == m.cfg.Self.DataCentre {
-				return []Action{m.exchange(contactOf(r), m.repair(now))}
+				return []Action{m.exchange(contactOf(r), m.repair(r.datacentre, now))}
 			}
 		}
 		for _, r := range m.neighbours() {
@@ -105,12 +105,27 @@
 	return nil
 }
 
-// repair reports whether the next exchange should carry the whole table.
-func (m *Machine) repair(now time.Time) bool {
-	if m.mismatches < repairAfter || now.Before(m.nextFull) {
+// lastCalls asks the suspected members of this data centre themselves, once
+// half of their time to refute has passed. A refutation that this daemon has
+// missed comes with the answer.
+func (m *Machine) lastCalls(now time.Time) []Action {
+	var out []Action
+	for _, r := range m.neighbours() {
+		if r.state == peer.State_STATE_SUSPECT && !r.called && now.Sub(r.changed) >= m.cfg.Suspicion/2 {
+			r.called = true
+			out = append(out, m.exchange(contactOf(r), false))
+		}
+	}
+	return out
+}
+
+// repair reports whether the next exchange with a data centre should carry the
+// whole table.
+func (m *Machine) repair(datacentre string, now time.Time) bool {
+	if m.mismatches[datacentre] < repairAfter || now.Before(m.nextFull) {
 		return false
 	}
-	m.mismatches = 0
+	m.mismatches[datacentre] = 0
 	m.nextFull = now.Add(m.cfg.Repair + time.Duration(m.rng.Int64N(int64(m.cfg.Repair))))
 	return true
 }
@@ -170,14 +185,22 @@
 		m.refreshing = false
 		m.changed |= ChangeMembers
 	}
-	if reply.GetHash() == m.table.hash {
-		m.mismatches = 0
-	} else {
-		m.mismatches++
-	}
+	m.compare(reply)
 	return out
 }
 
+// compare counts the exchanges after which the tables differ.
+func (m *Machine) compare(reply *peer.Views) {
+	r, ok := m.table.records[reply.GetSender()]
+	switch {
+	case !ok:
+	case reply.GetHash() == m.table.hash:
+		m.mismatches[r.datacentre] = 0
+	default:
+		m.mismatches[r.datacentre]++
+	}
+}
+
 // failed starts the indirect probes of a member of this data centre.
 func (m *Machine) failed(now time.Time, id uint64, c *call) []Action {
 	r, known := m.table.records[c.id]
@@ -190,7 +213,7 @@
 		m.unanswered(r.datacentre, now)
 		return nil
 	}
-	if !r.present() {
+	if r.state != peer.State_STATE_ALIVE {
 		delete(m.calls, id)
 		return nil
 	}
@@ -265,4 +288,5 @@
 	member := r.Member
 	member.state = peer.State_STATE_SUSPECT
 	m.put(member, now)
+	m.announce(now)
 }
