--- a/entryd/pkg/gossiper/machine.go
+++ b/entryd/pkg/gossiper/machine.go
@@ -204,8 +204,7 @@
 		return m.refresh(now)
 	}
 	m.expire(now)
-	out := m.lastCalls(now)
-	out = append(out, m.probe(now)...)
+	out := m.probe(now)
 	out = append(out, m.crossing(now)...)
 	out = append(out, m.retry(now)...)
 	return out
--- a/entryd/pkg/gossiper/probe.go
+++ b/entryd/pkg/gossiper/probe.go
@@ -105,20 +105,6 @@
 	return nil
 }
 
-// lastCalls asks the suspected members of this data centre themselves, once
-// half of their time to refute has passed. A refutation that this daemon has
-// missed comes with the answer.
-func (m *Machine) lastCalls(now time.Time) []Action {
-	var out []Action
-	for _, r := range m.neighbours() {
-		if r.state == peer.State_STATE_SUSPECT && !r.called && now.Sub(r.changed) >= m.cfg.Suspicion/2 {
-			r.called = true
-			out = append(out, m.exchange(contactOf(r), false))
-		}
-	}
-	return out
-}
-
 // repair reports whether the next exchange with a data centre should carry the
 // whole table.
 func (m *Machine) repair(datacentre string, now time.Time) bool {
--- a/entryd/pkg/gossiper/table.go
+++ b/entryd/pkg/gossiper/table.go
@@ -19,8 +19,6 @@
 	queued bool
 	// changed is when the state last changed here.
 	changed time.Time
-	// called tells whether the member was asked itself since it is suspected.
-	called bool
 }
 
 // table holds all known members and the queue of changes to pass on.
@@ -50,7 +48,6 @@
 	}
 	if r.state != m.state || r.incarnation != m.incarnation {
 		r.changed = now
-		r.called = false
 	}
 	r.Member = m
 	if r.present() {
