--- a/entryd/pkg/budgeter/budgeter.go
+++ b/entryd/pkg/budgeter/budgeter.go
@@ -20,7 +20,7 @@
 	// DefaultRetry is the fraction of extra sub-requests for retries.
 	DefaultRetry = 0.1
 	// Burst is the number of tokens that a budget keeps at most.
-	Burst = 32
+	Burst = 16
 
 	// unit is one token in fixed-point arithmetic.
 	unit = 1 << 20
--- a/entryd/pkg/limiter/limiter_test.go
+++ b/entryd/pkg/limiter/limiter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -103,6 +104,27 @@
 	}
 }
 
+func TestConcurrentUse(t *testing.T) {
+	var g Group
+	l := g.New(Settings{
+		Slots: 3,
+	})
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for i := range 2000 {
+				if p, ok := l.Acquire(math.MaxInt); ok {
+					l.Release(p, Result(i%4), i%20)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if l.Flight() != 0 || g.Flight() != 0 || g.Limit() != l.Limit() {
+		t.Errorf("flight %d and %d, limit %d and %d", l.Flight(), g.Flight(), l.Limit(), g.Limit())
+	}
+}
+
 func TestSaturation(t *testing.T) {
 	var g Group
 	l := g.New(Settings{
--- a/entryd/pkg/quarantiner/quarantiner_test.go
+++ b/entryd/pkg/quarantiner/quarantiner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -368,6 +369,37 @@
 	}
 }
 
+func TestConcurrentUse(t *testing.T) {
+	q := New(Settings{})
+	var wg sync.WaitGroup
+	for n := range 8 {
+		wg.Go(func() {
+			for i := range 1000 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				target := q.Target(fmt.Sprint("target", (n+i)%3))
+				run, v := target.Begin(now, uint64(1+i%5), "corrib", "s")
+				switch {
+				case v != Go:
+				case i%100 == n:
+					target.Lost(now, run)
+				default:
+					target.End(run, true)
+				}
+				q.Notices(now)
+			}
+		})
+	}
+	wg.Wait()
+	for id, target := range q.targets {
+		if len(target.runs) != 0 || target.alone {
+			t.Errorf("%s: %d in flight, alone %v", id, len(target.runs), target.alone)
+		}
+	}
+	if q.Notices(start.Add(time.Hour)); q.effective.Load() != 0 {
+		t.Errorf("%d effective entries after an hour", q.effective.Load())
+	}
+}
+
 func TestFingerprint(t *testing.T) {
 	prints := []uint64{
 		Fingerprint("corrib", []byte("ab"), []byte("c")),
