Narrow a suspicion to its shard

A suspect that has completed alone on another shard was still isolated on every shard for 30 s on gatherers that do not hold the suspected one. An identical and innocent query over many shards would have run them one after the other.

--- a/entryd/pkg/quarantiner/entries.go
+++ b/entryd/pkg/quarantiner/entries.go
@@ -119,6 +119,7 @@
 		e.shard = r.shard
 		q.set(e, suspected)
 	}
+	e.narrow = false
 	e.expires = now.Add(suspicionPeriod)
 }
 
--- a/entryd/pkg/quarantiner/entry.go
+++ b/entryd/pkg/quarantiner/entry.go
@@ -38,6 +38,9 @@
 	// charged is the time of the second loss, or of the notice of it, in state
 	// charged. judged is when the charge ends.
 	charged, judged time.Time
+	// narrow tells that a suspect has completed alone on another shard. Only
+	// its runs on the suspected shard are then restrained here.
+	narrow bool
 	// running is the target on which a suspect runs alone.
 	running *Target
 }
@@ -47,6 +50,12 @@
 	return e.state >= suspected
 }
 
+// restrains reports whether a run on a shard is held back or isolated.
+func (e *entry) restrains(shard string) bool {
+	elsewhere := e.state == suspected && e.narrow && shard != e.shard
+	return e.effective() && !elsewhere
+}
+
 // rank returns the state's place among those of one generation in gossip.
 func (s state) rank() uint64 {
 	switch s {
@@ -119,6 +128,7 @@
 	e.institution = n.GetInstitution()
 	e.shard = n.GetShard()
 	e.expires = time.UnixMilli(n.GetExpires())
+	e.narrow = false
 	e.targets = slices.Clone(n.GetTargets())
 	if s == suspected {
 		e.targets = e.targets[:1]
--- a/entryd/pkg/quarantiner/quarantiner.go
+++ b/entryd/pkg/quarantiner/quarantiner.go
@@ -5,7 +5,8 @@
 // incarnation, is lost. Every request that was in flight there is suspected,
 // but for those that completed on the same shard before, if there are others.
 // A suspect runs next alone on another target, and on one target at a time. If
-// it completes, it is exonerated. If that target is lost too, the request is
+// it completes on the shard of the loss, it is exonerated; if on another one, it is
+// restrained on the shard of the loss only. If that target is lost too, the request is
 // quarantined, once it is clear that the loss was not one of many, as in a
 // network partition. So a request that shares a crash with its cause runs
 // again and is not refused.
--- a/entryd/pkg/quarantiner/quarantiner_test.go
+++ b/entryd/pkg/quarantiner/quarantiner_test.go
@@ -278,6 +278,36 @@
 	}
 }
 
+func TestSuspicionNarrowsToItsShard(t *testing.T) {
+	q := New(Settings{})
+	crash(q.Target("a"), start)
+	cases := []struct {
+		target, shard string
+		want          Verdict
+		suspected     bool
+	}{
+		{target: "b", shard: "u", want: Go, suspected: true},
+		{target: "busy", shard: "v", want: Go, suspected: true},
+		{target: "busy", shard: "s", want: Busy, suspected: true},
+		{target: "a", shard: "s", want: Avoid, suspected: true},
+		{target: "c", shard: "s", want: Go, suspected: false},
+		{target: "a", shard: "s", want: Go, suspected: false},
+	}
+	q.Target("busy").Begin(start, 1000, "corrib", "v")
+	for _, c := range cases {
+		run, v := q.Target(c.target).Begin(start, 7, "corrib", c.shard)
+		if v != c.want {
+			t.Errorf("%s on %s: verdict %v, want %v", c.shard, c.target, v, c.want)
+		}
+		if v == Go {
+			q.Target(c.target).End(run, true)
+		}
+		if got := q.Suspected(start, 7); got != c.suspected {
+			t.Errorf("after %s on %s: suspected %v", c.shard, c.target, got)
+		}
+	}
+}
+
 func TestClearanceOutlivesOldNotices(t *testing.T) {
 	now := start.Add(settle)
 	q := poison(start)
--- a/entryd/pkg/quarantiner/target.go
+++ b/entryd/pkg/quarantiner/target.go
@@ -86,7 +86,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.find(now, fingerprint)
-	if e == nil || !e.effective() {
+	if e == nil || !e.restrains(shard) {
 		return t.start(now, r)
 	}
 	switch {
@@ -155,8 +155,12 @@
 		return
 	}
 	e.running = nil
-	if completed && e.state == suspected && (e.shard == r.shard || e.shard == "") {
+	switch {
+	case !completed || e.state != suspected:
+	case e.shard == r.shard || e.shard == "":
 		q.set(e, exonerated)
+	default:
+		e.narrow = true
 	}
 }
 
