--- a/entryd/pkg/handler/explain.go
+++ b/entryd/pkg/handler/explain.go
@@ -45,8 +45,11 @@
 	Hedge  bool   `json:"hedge"`
 	Status string `json:"status"`
 	Start  int64  `json:"start"`
-	End    int64  `json:"end"`
-	Error  string `json:"error,omitempty"`
+	// Sent is when the request left for the target, zero if it did not. Until
+	// then it waited for a place.
+	Sent  int64  `json:"sent"`
+	End   int64  `json:"end"`
+	Error string `json:"error,omitempty"`
 }
 
 // record keeps the explanation of an answer and counts it.
@@ -89,6 +92,7 @@
 			Hedge:  at.GetHedge(),
 			Status: strings.ToLower(strings.TrimPrefix(at.GetStatus().String(), "STATUS_")),
 			Start:  at.GetStart(),
+			Sent:   at.GetSent(),
 			End:    at.GetEnd(),
 			Error:  at.GetError(),
 		})
--- a/entryd/pkg/quarantiner/quarantiner_test.go
+++ b/entryd/pkg/quarantiner/quarantiner_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -277,6 +278,36 @@
 	}
 }
 
+func TestSuspicionNarrowsToItsShard(t *testing.T) {
+	q := New(Settings{})
+	crash(q.Target("a"), start)
+	cases := []struct {
+		target, shard string
+		want          Verdict
+		suspected     bool
+	}{
+		{target: "b", shard: "u", want: Go, suspected: true},
+		{target: "busy", shard: "v", want: Go, suspected: true},
+		{target: "busy", shard: "s", want: Busy, suspected: true},
+		{target: "a", shard: "s", want: Avoid, suspected: true},
+		{target: "c", shard: "s", want: Go, suspected: false},
+		{target: "a", shard: "s", want: Go, suspected: false},
+	}
+	q.Target("busy").Begin(start, 1000, "corrib", "v")
+	for _, c := range cases {
+		run, v := q.Target(c.target).Begin(start, 7, "corrib", c.shard)
+		if v != c.want {
+			t.Errorf("%s on %s: verdict %v, want %v", c.shard, c.target, v, c.want)
+		}
+		if v == Go {
+			q.Target(c.target).End(run, true)
+		}
+		if got := q.Suspected(start, 7); got != c.suspected {
+			t.Errorf("after %s on %s: suspected %v", c.shard, c.target, got)
+		}
+	}
+}
+
 func TestClearanceOutlivesOldNotices(t *testing.T) {
 	now := start.Add(settle)
 	q := poison(start)
@@ -368,6 +399,37 @@
 	}
 }
 
+func TestConcurrentUse(t *testing.T) {
+	q := New(Settings{})
+	var wg sync.WaitGroup
+	for n := range 8 {
+		wg.Go(func() {
+			for i := range 1000 {
+				now := start.Add(time.Duration(i) * time.Millisecond)
+				target := q.Target(fmt.Sprint("target", (n+i)%3))
+				run, v := target.Begin(now, uint64(1+i%5), "corrib", "s")
+				switch {
+				case v != Go:
+				case i%100 == n:
+					target.Lost(now, run)
+				default:
+					target.End(run, true)
+				}
+				q.Notices(now)
+			}
+		})
+	}
+	wg.Wait()
+	for id, target := range q.targets {
+		if len(target.runs) != 0 || target.alone {
+			t.Errorf("%s: %d in flight, alone %v", id, len(target.runs), target.alone)
+		}
+	}
+	if q.Notices(start.Add(time.Hour)); q.effective.Load() != 0 {
+		t.Errorf("%d effective entries after an hour", q.effective.Load())
+	}
+}
+
 func TestFingerprint(t *testing.T) {
 	prints := []uint64{
 		Fingerprint("corrib", []byte("ab"), []byte("c")),
