Say not run of a mutation before its claim only to a first send

A resend that was refused because the daemon had no configuration yet, or for its credentials, was told that no target ran the request, although an earlier send may have been run.

--- a/entryd/pkg/handler/mutate.go
+++ b/entryd/pkg/handler/mutate.go
@@ -32,7 +32,7 @@
 	defer span.End()
 	m, err := h.parseMutation(w, r)
 	if err != nil {
-		h.refuse(w, r, err)
+		h.refuse(w, r, unclaimed(r, err))
 		return
 	}
 	out, err := h.Mutator.Mutate(ctx, m)
@@ -51,6 +51,18 @@
 	})
 }
 
+// unclaimed is the refusal of a mutation whose key was not claimed. Earlier
+// sends of the same request may have been run, unless it is the first one, or
+// one that cannot be run at any time.
+func unclaimed(r *http.Request, err error) error {
+	refusal := *classify(err)
+	never := refusal.Kind == KindMalformed || refusal.Kind == KindOversized
+	if !never && r.Header.Get(headerAttempt) != firstAttempt {
+		refusal.Run = RunUnknown
+	}
+	return &refusal
+}
+
 func (h *Handler) parseMutation(w http.ResponseWriter, r *http.Request) (*Mutation, error) {
 	ix := h.Configs.Index()
 	in, err := identify(ix, r)
--- a/entryd/pkg/handler/parse.go
+++ b/entryd/pkg/handler/parse.go
@@ -40,6 +40,8 @@
 	defaultDeadline = time.Second
 	// maxDeadline is the longest time that a caller may ask for.
 	maxDeadline = time.Minute
+	// firstAttempt is the Request-Attempt of a first send.
+	firstAttempt = "1"
 	// unreadyPause is the Retry-After of a daemon without a configuration.
 	unreadyPause = time.Second
 )
