--- a/entryd/pkg/starter/mutator.go
+++ b/entryd/pkg/starter/mutator.go
@@ -121,7 +121,7 @@
 		},
 	})
 	if r.Kind == dispatcher.KindDone {
-		return r.Outcome, nil
+		return finished(r.Outcome)
 	}
 	refusal := &handler.Refusal{
 		Kind:       resultKinds[r.Kind].kind,
@@ -134,3 +134,16 @@
 	}
 	return nil, refusal
 }
+
+// finished is the answer to a mutation whose outcome is known. A target that
+// failed while it ran the request may have done a part of it.
+func finished(out *target.Outcome) (*target.Outcome, error) {
+	if out.GetStatus() == target.Status_STATUS_DONE {
+		return out, nil
+	}
+	return nil, &handler.Refusal{
+		Kind:    handler.KindOutcome,
+		Run:     handler.RunUnknown,
+		Message: "target " + out.GetTarget() + " failed while it ran the request: " + out.GetDetail(),
+	}
+}
