--- a/entryd/pkg/claimer/client.go
+++ b/entryd/pkg/claimer/client.go
@@ -64,11 +64,12 @@
 		Claims: []*peer.Claim{claim},
 	}
 	unsure := false
-	for _, d := range c.keepers(key.Bucket()) {
+	keepers := c.keepers(key.Bucket())
+	for i, d := range keepers {
 		if ctx.Err() != nil {
 			break
 		}
-		result := c.try(ctx, d, in)
+		result := c.try(ctx, d, in, c.share(ctx, len(keepers)-i))
 		switch result.GetVerdict() {
 		case peer.Verdict_VERDICT_UNAVAILABLE:
 		case peer.Verdict_VERDICT_UNKNOWN, peer.Verdict_VERDICT_UNSPECIFIED:
@@ -90,10 +91,20 @@
 	}
 }
 
+// share is the time for the next of some tries, so that a keeper that does not
+// answer leaves time for the others.
+func (c *Client) share(ctx context.Context, tries int) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return tryTimeout
+	}
+	return min(tryTimeout, c.Clock.Until(deadline)/time.Duration(tries))
+}
+
 // try asks one keeper.
-func (c *Client) try(ctx context.Context, d Daemon, in *peer.ClaimRequest) *peer.ClaimResult {
+func (c *Client) try(ctx context.Context, d Daemon, in *peer.ClaimRequest, limit time.Duration) *peer.ClaimResult {
 	claim := in.GetClaims()[0]
-	ctx, cancel := clockwork.WithTimeout(ctx, c.Clock, tryTimeout)
+	ctx, cancel := clockwork.WithTimeout(ctx, c.Clock, limit)
 	defer cancel()
 	if d.ID == c.ID {
 		reply, err := c.Local.Claim(ctx, in)
--- a/entryd/pkg/claimer/keeper_test.go
+++ b/entryd/pkg/claimer/keeper_test.go
@@ -95,6 +95,33 @@
 	})
 }
 
+func TestClientAsksTheNextKeeperInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := New(&storer.Memory{}, clockwork.NewRealClock(), Config{})
+		defer k.Close()
+		c := newClient(k, "a", "b", "c", "d", "e", "f", "g")
+		c.Connector = silent{}
+		bucket := uint32(0)
+		for c.keepers(bucket)[0].ID == "self" {
+			bucket++
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		r := c.Claim(ctx, claimOf(take, keyAt(time.Now(), bucket, 0), "d", 1))
+		if r.GetVerdict() != granted {
+			t.Errorf("with silent keepers: %v, want granted by the own one", r.GetVerdict())
+		}
+	})
+}
+
+// silent daemons do not answer.
+type silent struct{}
+
+func (silent) Ready(ctx context.Context, _ string) (*grpc.ClientConn, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 func TestKeepersAreSpreadAndStable(t *testing.T) {
 	c := newClient(nil, "a", "b", "c", "d", "e", "f", "g")
 	first := make(map[string]int)
