--- a/entryd/pkg/claimer/ledger.go
+++ b/entryd/pkg/claimer/ledger.go
@@ -19,6 +19,8 @@
 
 // record is the folded state of one key.
 type record struct {
+	// key is shared with the spans.
+	key         string
 	stage       stage
 	holder      string
 	fingerprint uint64
@@ -98,25 +100,31 @@
 			continue
 		}
 		s.newest = max(s.newest, key.Time())
-		s.keys = append(s.keys, c.GetKey())
 		if key.Time() >= l.floor {
-			l.fold(c)
+			s.keys = append(s.keys, l.fold(c))
 		}
 	}
 	l.spans = append(l.spans, s)
 	l.head = e.GetSequence()
 }
 
-// fold applies one claim to the state of its key.
-func (l *Ledger) fold(c *peer.Claim) {
+// fold applies one claim to the state of its key and returns the key.
+func (l *Ledger) fold(c *peer.Claim) string {
 	r := l.records[c.GetKey()]
 	if r == nil {
-		r = &record{fingerprint: c.GetFingerprint()}
-		l.records[c.GetKey()] = r
+		r = &record{
+			key:         c.GetKey(),
+			fingerprint: c.GetFingerprint(),
+		}
+		l.records[r.key] = r
 	}
-	if r.fingerprint != c.GetFingerprint() {
-		return
+	if r.fingerprint == c.GetFingerprint() {
+		r.fold(c)
 	}
+	return r.key
+}
+
+func (r *record) fold(c *peer.Claim) {
 	switch c.GetKind() {
 	case peer.ClaimKind_CLAIM_KIND_TAKE:
 		if r.stage == stageFree && c.GetAttempt() >= r.closed {
@@ -128,6 +136,7 @@
 	case peer.ClaimKind_CLAIM_KIND_RECORD:
 		if r.stage == stageHeld && r.holder == c.GetDispatcher() {
 			r.stage = stageRecorded
+			r.holder = ""
 			r.outcome = c.GetOutcome()
 		}
 	}
--- a/entryd/pkg/dispatcher/runner.go
+++ b/entryd/pkg/dispatcher/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"expvar"
 	"sync"
 	"time"
@@ -135,6 +136,12 @@
 	reply   chan Result
 }
 
+// newID returns the name of a dispatcher.
+func newID() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[:])
+}
+
 // Do runs one attempt and returns when its answer is known, or at its deadline.
 // The end of ctx counts as the deadline.
 func (d *Dispatcher) Do(ctx context.Context, req Request) Result {
@@ -170,7 +177,7 @@
 		d:        d,
 		req:      req,
 		key:      key.String(),
-		id:       uuid.NewString(),
+		id:       newID(),
 		start:    d.clock.Now(),
 		deadline: req.Deadline,
 		attempt:  a,
