--- a/entryd/pkg/claimer/bucket.go
+++ b/entryd/pkg/claimer/bucket.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
 	"plantaincleat/tier/pkg/storer"
@@ -127,11 +129,11 @@
 	return b.step(now)
 }
 
-// screen judges a claim by its key alone.
+// screen judges a claim by itself, without the log.
 func (b *Bucket) screen(now time.Time, c *peer.Claim) peer.Verdict {
 	key, err := ParseKey(c.GetKey())
 	switch {
-	case err != nil || key.String() != c.GetKey() || key.Bucket() != b.id || c.GetDispatcher() == "":
+	case err != nil || key.String() != c.GetKey() || key.Bucket() != b.id || c.GetDispatcher() == "" || proto.Size(c) > MaxClaim:
 		return peer.Verdict_VERDICT_REFUSED
 	case c.GetKind() != peer.ClaimKind_CLAIM_KIND_TAKE:
 		return peer.Verdict_VERDICT_UNSPECIFIED
--- a/entryd/pkg/claimer/bucket_test.go
+++ b/entryd/pkg/claimer/bucket_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -326,6 +327,8 @@
 }
 
 func TestBucketScreensKeys(t *testing.T) {
+	large := claimOf(recording, keyAt(epoch, 0, 0), "d", 1)
+	large.Outcome.Detail = strings.Repeat("x", MaxClaim)
 	tests := []struct {
 		name  string
 		claim *peer.Claim
@@ -341,6 +344,11 @@
 			claim: claimOf(take, keyAt(epoch.Add(time.Minute), 0, 0), "d", 1),
 			want:  refused,
 		},
+		{
+			name:  "too large",
+			claim: large,
+			want:  refused,
+		},
 		{
 			name:  "of another bucket",
 			claim: claimOf(take, keyAt(epoch, 1, 0), "d", 1),
--- a/entryd/pkg/claimer/claimer.go
+++ b/entryd/pkg/claimer/claimer.go
@@ -33,6 +33,10 @@
 // stored format: daemons that disagree on it would claim a key twice.
 const Buckets = 16
 
+// MaxClaim bounds the size of one claim in bytes, so that an entry stays within
+// the value limit of the key-value service. A larger one is refused.
+const MaxClaim = 16 << 10
+
 // prefix is where the logs stand in the key-value service.
 const prefix = "plantaincleat/claims/"
 
--- a/entryd/pkg/dispatcher/protocol_test.go
+++ b/entryd/pkg/dispatcher/protocol_test.go
@@ -5,8 +5,10 @@
 	"flag"
 	"math/rand/v2"
 	"os"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/google/uuid"
 	"google.golang.org/protobuf/proto"
@@ -126,13 +128,18 @@
 	}
 }
 
-func TestRecordedOutcomeIsWhole(t *testing.T) {
+func TestRecordableFitsAClaim(t *testing.T) {
 	out := &target.Outcome{
 		Key:    "k",
 		Status: target.Status_STATUS_FAILED,
-		Detail: "duplicate",
+		Detail: strings.Repeat("é", claimer.MaxClaim),
 		Load:   &target.Load{Queue: 3},
 	}
+	got := recordable(out)
+	if size := proto.Size(got); size > claimer.MaxClaim/2+64 || !utf8.ValidString(got.GetDetail()) || got.Load != nil {
+		t.Errorf("recordable() has %d bytes, load %v", size, got.Load)
+	}
+	out.Detail = "duplicate"
 	want := proto.CloneOf(out)
 	want.Load = nil
 	if got := recordable(out); !proto.Equal(got, want) {
--- a/entryd/pkg/dispatcher/runner.go
+++ b/entryd/pkg/dispatcher/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"expvar"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	// linger is how long after the deadline an outcome is still awaited, so
 	// that it can be recorded for a resend.
 	linger = 30 * time.Second
+	// maxDetail bounds the detail of a recorded outcome in bytes.
+	maxDetail = 8 << 10
 	// followTimeout bounds one try of a release or record.
 	followTimeout = 5 * time.Second
 	// firstPause and lastPause bound the growing pause between such tries.
@@ -248,10 +251,14 @@
 	return c
 }
 
-// recordable is the part of an outcome that is kept for resends.
+// recordable is the part of an outcome that is kept for resends: a longer detail
+// is cut.
 func recordable(out *target.Outcome) *target.Outcome {
 	c := proto.CloneOf(out)
 	c.Load = nil
+	if len(c.GetDetail()) > maxDetail {
+		c.Detail = strings.ToValidUTF8(c.GetDetail()[:maxDetail], "")
+	}
 	return c
 }
 
