--- a/entryd/pkg/coordinator/search.go
+++ b/entryd/pkg/coordinator/search.go
@@ -58,6 +58,9 @@
 	log      []Plan
 	attempts []*peer.Attempt
 	crashed  []string
+	// refused tells that the request must not run, and halted that it is not
+	// spread any further.
+	refused, halted bool
 	// sent counts the sub-requests to targets.
 	sent    int
 	dropped bool
@@ -113,6 +116,9 @@
 
 // quarantined reports whether targets were kept from the request.
 func (s *search) quarantined() bool {
+	if s.refused {
+		return true
+	}
 	for i := range s.snapshot.Len() {
 		if s.query.Reason(i) == peer.Reason_REASON_QUARANTINED {
 			return true
@@ -132,7 +138,7 @@
 	timer := clock.NewTimer(s.query.Wake().Sub(clock.Now()))
 	defer timer.Stop()
 	ready := s.events.Ready()
-	for !s.query.Done() && !s.dropped {
+	for !s.query.Done() && !s.dropped && !s.refused && !s.halted {
 		timer.Reset(max(s.query.Wake().Sub(clock.Now()), 0))
 		select {
 		case <-ready:
@@ -150,6 +156,13 @@
 }
 
 func (s *search) apply(actions []router.Action[Path]) {
+	if s.refused {
+		return
+	}
+	if s.halts(actions) {
+		s.halted = true
+		return
+	}
 	for _, a := range actions {
 		if a.Cancel {
 			s.withdraw(a.Nonce)
@@ -232,12 +245,23 @@
 			Shard:   shard.ID(),
 			From:    shard.From(),
 			To:      shard.To(),
-			Targets: replicasIn(shard.Replicas(), a.Path.DataCentre),
+			Targets: s.targets(shard, a.Path.DataCentre),
 		})
 	}
+	s.suspect(g)
 	return g
 }
 
+// targets returns the replicas of a shard that a sub-plan may ask: one while the
+// query asks one shard only, so that it can crash no more.
+func (s *search) targets(shard *indexer.Shard, dataCentre string) []string {
+	ids := replicasIn(shard.Replicas(), dataCentre)
+	if s.query.Holding() {
+		ids = ids[:1]
+	}
+	return ids
+}
+
 func replicasIn(replicas []*config.Target, dataCentre string) []string {
 	var ids []string
 	for _, t := range replicas {
@@ -269,6 +293,7 @@
 	}
 	s.attempts = append(s.attempts, e.partial.GetAttempts()...)
 	s.crashed = append(s.crashed, e.partial.GetCrashed()...)
+	s.learn(e.partial.GetSuspicion(), now)
 	s.root.slow.update(p.asked, e.partial.GetSlow(), now)
 	p.hear(now)
 	for _, u := range p.units {
