--- a/prover/pkg/prover/mutation_test.go
+++ b/prover/pkg/prover/mutation_test.go
@@ -57,10 +57,12 @@
 	number uint32
 }
 
-// learnt is its output. outcome is the target that ran the request.
+// learnt is its output. outcome is the target that ran the request, kind that
+// of a refusal.
 type learnt struct {
 	fate    fate
 	outcome string
+	kind    string
 }
 
 // register is the specified state of one key.
@@ -246,8 +248,12 @@
 			outcome: a.Outcome.Target,
 		}
 	case a.Error.Run == "no":
-		return learnt{fate: fateNotRun}
+		return learnt{
+			fate: fateNotRun,
+			kind: a.Error.Kind,
+		}
 	}
+	unknown.kind = a.Error.Kind
 	return unknown
 }
 
