--- a/prover/pkg/prover/mutation_test.go
+++ b/prover/pkg/prover/mutation_test.go
@@ -34,8 +34,8 @@
 	// is shorter than the deadline, so that sends overlap.
 	impatience       = 150 * time.Millisecond
 	mutationPatience = 2 * time.Second
-	// settling is the time after which no mutation is under way any more.
-	settling = 4 * time.Second
+	// lastEffect is the time after which no mutation is under way any more.
+	lastEffect = 4 * time.Second
 	// checkLimit bounds the check of a history.
 	checkLimit = 2 * time.Minute
 )
@@ -263,7 +263,7 @@
 	t.Helper()
 	m.cancel()
 	m.callers.Wait()
-	d.Pause(settling)
+	d.Pause(lastEffect)
 	runs := make(map[string][]searcher.Execution)
 	for _, e := range d.Executions() {
 		runs[e.Key] = append(runs[e.Key], e)
