--- a/entryd/pkg/claimer/keeper.go
+++ b/entryd/pkg/claimer/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"fmt"
 	"sync"
 	"time"
 
@@ -38,6 +39,12 @@
 	Lost expvar.Int
 }
 
+// String returns the numbers as JSON. It implements expvar.Var.
+func (c *Counts) String() string {
+	return fmt.Sprintf(`{"claims":%v,"writes":%v,"reads":%v,"conflicts":%v,"lost":%v}`,
+		&c.Claims, &c.Writes, &c.Reads, &c.Conflicts, &c.Lost)
+}
+
 // Keeper writes the claims of any bucket. It is safe for concurrent use.
 type Keeper struct {
 	store  storer.Store
--- a/entryd/pkg/dispatcher/runner.go
+++ b/entryd/pkg/dispatcher/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"expvar"
+	"fmt"
 	"strings"
 	"sync"
 	"time"
@@ -48,6 +49,12 @@
 	Dropped expvar.Int
 }
 
+// String returns the numbers as JSON. It implements expvar.Var.
+func (c *Counts) String() string {
+	return fmt.Sprintf(`{"done":%v,"replayed":%v,"notrun":%v,"unknown":%v,"other":%v,"dispatched":%v,"dropped":%v}`,
+		&c.Done, &c.Replayed, &c.NotRun, &c.Unknown, &c.Other, &c.Dispatched, &c.Dropped)
+}
+
 // Dispatcher runs attempts. It is safe for concurrent use.
 type Dispatcher struct {
 	claims  Claims
