--- a/prover/pkg/deployer/operator.go
+++ b/prover/pkg/deployer/operator.go
@@ -150,19 +150,23 @@
 // ready reports whether every daemon is ready and knows the whole fleet.
 func (d *Deployment) ready() bool {
 	for _, m := range d.daemons {
-		s, err := m.Status()
-		if err != nil || !m.Ready() || live(s) < len(d.daemons) {
+		if !m.Ready() || m.Live() < len(d.daemons) {
 			return false
 		}
 	}
 	return true
 }
 
-// live counts the members that a daemon sees as alive, itself included.
-func live(s administrator.Status) int {
+// Live returns the number of daemons that the daemon takes for alive, itself
+// included.
+func (m *Daemon) Live() int {
+	s, err := m.Status()
+	if err != nil {
+		return 0
+	}
 	n := 0
-	for _, m := range s.Members {
-		if m.State == "alive" {
+	for _, member := range s.Members {
+		if member.State == "alive" {
 			n++
 		}
 	}
--- a/prover/pkg/prover/crash_test.go
+++ b/prover/pkg/prover/crash_test.go
@@ -126,6 +126,25 @@
 	clearQuarantine(t, d, c)
 }
 
+// TestQuarantineMutantIsFound shows that further crashes are seen: the daemon
+// lets quarantined requests run.
+func TestQuarantineMutantIsFound(t *testing.T) {
+	o := options(t, mutate(t, deployer.Mutant{
+		File: "entryd/pkg/quarantiner/quarantiner.go",
+		Old:  "\tif e.state == quarantined {\n\t\treturn Plan{\n",
+		New:  "\tif false {\n\t\treturn Plan{\n",
+	}))
+	o.Restart = 500 * time.Millisecond
+	o.Edit = canaries
+	d := deployer.New(t, o)
+	if resendUntilQuarantined(t, d, newCaller(t, d)) {
+		t.Error("the request was refused as quarantined")
+	}
+	if n := crashes(d); n <= maxCrashes {
+		t.Errorf("only %d targets crashed", n)
+	}
+}
+
 // clearQuarantine has the operator list and clear the one quarantine, after the
 // targets have been mended.
 func clearQuarantine(t *testing.T, d *deployer.Deployment, c *caller.Caller) {
--- a/prover/pkg/prover/search_test.go
+++ b/prover/pkg/prover/search_test.go
@@ -167,6 +167,15 @@
 			}},
 			kinds: []verifier.Kind{verifier.Coverage, verifier.Crossed},
 		},
+		{
+			name: "query",
+			mutants: []deployer.Mutant{{
+				File: "entryd/pkg/gatherer/job.go",
+				Old:  "(a.GetQuery() != 0 && a.GetQuery() != j.digest)",
+				New:  "(false && a.GetQuery() != j.digest)",
+			}},
+			kinds: []verifier.Kind{verifier.Crossed},
+		},
 		{
 			name: "coverage",
 			mutants: []deployer.Mutant{{
