--- a/prover/pkg/prover/mutation_test.go
+++ b/prover/pkg/prover/mutation_test.go
@@ -1,416 +1,369 @@
 package prover
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"math"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/anishathalye/porcupine"
-	"github.com/google/uuid"
 
-	"plantaincleat/loadgen/pkg/profiler"
 	"plantaincleat/prover/pkg/deployer"
 	"plantaincleat/standin/pkg/kvserver"
 	"plantaincleat/standin/pkg/searcher"
 )
 
-const (
-	mutators = 16
-	// sendsPerKey bounds the sends of one request key.
-	sendsPerKey = 4
-	// mutationDeadline is what the daemons are told, in milliseconds.
-	mutationDeadline = 800
-	// impatience and mutationPatience are how long a caller waits; the former
-	// is shorter than the deadline, so that sends overlap.
-	impatience       = 150 * time.Millisecond
-	mutationPatience = 2 * time.Second
-	// lastEffect is the time after which no mutation is under way any more.
-	lastEffect = 4 * time.Second
-	// checkLimit bounds the check of a history.
-	checkLimit = 2 * time.Minute
-)
-
-// fate is what a caller learnt of one send.
-type fate string
-
-const (
-	fateDone    fate = "done"
-	fateNotRun  fate = "not run"
-	fateUnknown fate = "unknown"
-	// fateRead is no send: the target's log, read after the last one.
-	fateRead fate = "read"
-)
-
-// send is the input of an operation.
-type send struct {
-	key    string
-	number uint32
-}
-
-// learnt is its output. outcome is the target that ran the request, kind that
-// of a refusal.
-type learnt struct {
-	fate    fate
+// keyState is the state of one request key.
+type keyState struct {
+	ran bool
+	// outcome is empty until it is known.
 	outcome string
-	kind    string
+	// closed is the highest order of the sends that were answered as not run:
+	// neither they nor earlier ones run any more.
+	closed int
 }
 
-// register is the specified state of one key.
-type register struct {
-	ran     bool
-	number  uint32
-	outcome string
-	closed  uint32
+// reading is the number of runs of a key in the targets' journal.
+type reading struct {
+	runs int
 }
 
-// step returns the states that may follow an operation.
-func (s register) step(in send, out learnt) []any {
-	ran := register{
-		ran:     true,
-		number:  in.number,
-		outcome: out.outcome,
-		closed:  s.closed,
+// mutations is a register for one key that is written at most once.
+func mutations() porcupine.Model {
+	m := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{keyState{}} },
+		Step: func(state, input, _ any) []any {
+			s := state.(keyState)
+			if r, ok := input.(reading); ok {
+				if r.runs > 1 || s.ran != (r.runs == 1) {
+					return nil
+				}
+				return []any{s}
+			}
+			return s.step(input.(send))
+		},
 	}
-	free := !s.ran && in.number >= s.closed
-	switch out.fate {
-	case fateRead:
-		if s.ran != (out.outcome != "") || s.ran && s.outcome != "" && s.outcome != out.outcome {
-			return nil
-		}
-	case fateDone:
-		if free {
-			return []any{ran}
-		}
-		if !s.ran || s.outcome != "" && s.outcome != out.outcome {
+	return m.ToModel()
+}
+
+// step returns the states after a send.
+func (s keyState) step(one send) []any {
+	ran := s
+	ran.ran = true
+	switch one.verdict {
+	case done:
+		if s.ran && s.outcome != "" && s.outcome != one.outcome || !s.ran && one.order <= s.closed {
 			return nil
 		}
-		s.outcome = out.outcome
-	case fateNotRun:
-		if s.ran && s.number <= in.number {
+		ran.outcome = one.outcome
+		return []any{ran}
+	case notRun:
+		if s.ran {
 			return nil
 		}
-		s.closed = max(s.closed, in.number+1)
-	case fateUnknown:
-		if free {
-			return []any{s, ran}
-		}
+		s.closed = max(s.closed, one.order)
+		return []any{s}
 	}
-	return []any{s}
-}
-
-// mutationSpec lets a key be run at most once, by a send above all that were
-// answered "not run".
-func mutationSpec() porcupine.Model {
-	model := porcupine.NondeterministicModel{
-		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
-			byKey := make(map[string][]porcupine.Operation)
-			for _, o := range history {
-				byKey[o.Input.(send).key] = append(byKey[o.Input.(send).key], o)
-			}
-			var parts [][]porcupine.Operation
-			for _, p := range byKey {
-				parts = append(parts, p)
-			}
-			return parts
-		},
-		Init: func() []any { return []any{register{}} },
-		Step: func(state, in, out any) []any { return state.(register).step(in.(send), out.(learnt)) },
+	if s.ran || one.order <= s.closed {
+		return []any{s}
 	}
-	return model.ToModel()
+	return []any{s, ran}
 }
 
-// mutations is a history under way.
-type mutations struct {
-	daemons []*deployer.Daemon
-	client  *http.Client
-	name    string
-	stamp   atomic.Int64
-	mu      sync.Mutex
-	history []porcupine.Operation
-	fates   map[fate]int
-	cancel  context.CancelFunc
-	callers sync.WaitGroup
-}
-
-// startMutations lets callers send mutations, and again, through all daemons.
-func startMutations(d *deployer.Deployment, seed uint64) *mutations {
-	ctx, cancel := context.WithCancel(context.Background())
-	m := &mutations{
-		daemons: d.Daemons(),
-		client:  &http.Client{},
-		name:    d.Profile().Name,
-		fates:   make(map[fate]int),
-		cancel:  cancel,
+// histories returns the history of each key, with the reading of the journal
+// at its end. Sends of unknown end may take effect until then.
+func histories(sends []send, executions []searcher.Execution, end time.Duration) map[string][]porcupine.Operation {
+	runs := make(map[string]int)
+	for _, e := range executions {
+		runs[e.Key]++
 	}
-	for i := range uint64(mutators) {
-		m.callers.Go(func() {
-			r := rand.New(rand.NewPCG(seed, i))
-			for ctx.Err() == nil {
-				m.request(r)
-			}
+	out := make(map[string][]porcupine.Operation)
+	for _, one := range sends {
+		op := porcupine.Operation{
+			ClientId: len(out[one.key]),
+			Input:    one,
+			Call:     int64(one.call),
+			Return:   int64(one.end),
+		}
+		if one.verdict == unknown {
+			op.Return = int64(end)
+		}
+		out[one.key] = append(out[one.key], op)
+	}
+	for key, ops := range out {
+		out[key] = append(ops, porcupine.Operation{
+			ClientId: len(ops),
+			Input:    reading{runs: runs[key]},
+			Call:     int64(end) + 1,
+			Return:   int64(end) + 2,
 		})
 	}
-	return m
+	return out
 }
 
-// request sends one key until it was run, or too often.
-func (m *mutations) request(r *rand.Rand) {
-	id, _ := uuid.NewV7()
-	numbered := r.IntN(4) > 0
-	for number := uint32(1); number <= sendsPerKey; number++ {
-		in := send{key: id.String()}
-		if numbered {
-			in.number = number
-		}
-		patience := mutationPatience
-		if r.IntN(3) == 0 {
-			patience = impatience
-		}
-		out := m.send(in, m.daemons[r.IntN(len(m.daemons))], patience)
-		if out.fate == fateDone && r.IntN(4) > 0 {
-			return
-		}
-		time.Sleep(time.Duration(r.IntN(100)) * time.Millisecond)
+// forgetful are the faults of the answers of targets to mutations.
+func forgetful() searcher.Faults {
+	return searcher.Faults{
+		Lose: 0.15,
+		Shed: 0.1,
+		Late: 0.1,
+		Lag:  100,
 	}
 }
 
-// send makes one operation of the history.
-func (m *mutations) send(in send, d *deployer.Daemon, patience time.Duration) learnt {
-	op := porcupine.Operation{
-		Input: in,
-		Call:  m.stamp.Add(1),
+// disturbStore loses and delays answers of the key-value service, and has it
+// out for a while, until the stop.
+func disturbStore(d *deployer.Deployment, stop <-chan struct{}) {
+	faults := []kvserver.Faults{
+		{Lost: 5},
+		{Late: 3, Landing: kvserver.Duration(2 * time.Second)},
+		{Outage: true},
+		{Delay: kvserver.Duration(50 * time.Millisecond)},
+		{},
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	out := m.post(ctx, in, d.URL())
-	op.Output = out
-	op.Return = m.stamp.Add(1)
-	if out.fate == fateUnknown {
-		// It may take effect at any later time.
-		op.Return = math.MaxInt64
+	for i := 0; ; i++ {
+		d.FaultKV(faults[i%len(faults)])
+		select {
+		case <-stop:
+			d.FaultKV(kvserver.Faults{})
+			return
+		case <-time.After(calm / 2):
+		}
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.history = append(m.history, op)
-	m.fates[out.fate]++
-	return out
 }
 
-// answer is the body of an answer or refusal.
-type answer struct {
-	Outcome struct {
-		Target string `json:"target"`
-	} `json:"outcome"`
-	Error struct {
-		Kind string `json:"kind"`
-		Run  string `json:"run"`
-	} `json:"error"`
+// mutateUnderFaults sends mutations while daemons are killed and paused, a data
+// centre is cut off and answers are lost, and returns the keys whose history
+// breaks a promise, each with its history.
+func mutateUnderFaults(t *testing.T, p deployer.Programs, seed uint64) []string {
+	t.Helper()
+	d := deployer.New(t, options(t, p))
+	s := newSender(d)
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { s.run(ctx, seed) })
+	wg.Go(func() { disturbStore(d, stop) })
+	d.FaultTargets(forgetful())
+	for range rounds() {
+		disturb(d)
+		d.Cut(3, false)
+		d.Daemons()[0].Freeze()
+		d.Pause(2 * calm)
+		d.Daemons()[0].Resume()
+		d.Heal()
+		d.Pause(calm)
+	}
+	close(stop)
+	cancel()
+	wg.Wait()
+	d.FaultTargets(searcher.Faults{})
+	d.Whole()
+	s.settle()
+	return broken(t, s.sends, d.Executions(), time.Since(s.start))
 }
 
-func (m *mutations) post(ctx context.Context, in send, url string) learnt {
-	unknown := learnt{fate: fateUnknown}
-	body := fmt.Sprintf(`{"collection":"entrants","version":%q,"key":%q,"text":"entry"}`, profiler.Version, "p-"+in.key)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/mutate", bytes.NewReader([]byte(body)))
-	if err != nil {
-		return unknown
-	}
-	r.GetBody = nil
-	r.Header.Set("Institution", m.name)
-	r.Header.Set("Request-Key", in.key)
-	r.Header.Set("Deadline", strconv.Itoa(mutationDeadline))
-	if in.number > 0 {
-		r.Header.Set("Request-Attempt", strconv.FormatUint(uint64(in.number), 10))
-	}
-	resp, err := m.client.Do(r)
-	if err != nil {
-		return unknown
-	}
-	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(resp.Body)
-	var a answer
-	if err != nil || json.Unmarshal(b, &a) != nil {
-		return unknown
-	}
-	switch {
-	case resp.StatusCode == http.StatusOK:
-		return learnt{
-			fate:    fateDone,
-			outcome: a.Outcome.Target,
+// settle sends each key whose end is unknown once more, and lets work that is
+// under way end.
+func (s *sender) settle() {
+	last := make(map[string]send)
+	for _, one := range s.sends {
+		if kept, ok := last[one.key]; !ok || kept.verdict != done && (one.verdict == done || one.order > kept.order) {
+			last[one.key] = one
 		}
-	case a.Error.Run == "no":
-		return learnt{
-			fate: fateNotRun,
-			kind: a.Error.Kind,
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for _, one := range last {
+		if one.verdict == unknown {
+			s.send(one.key, one.record, one.order+1, one.number > 0, rng.IntN(fleet))
 		}
 	}
-	unknown.kind = a.Error.Kind
-	return unknown
+	s.d.Pause(2 * calm)
 }
 
-// stop ends the callers, reads the log of the targets and returns what is wrong
-// with the history, or "".
-func (m *mutations) stop(t *testing.T, d *deployer.Deployment) string {
+// broken checks every key.
+func broken(t *testing.T, sends []send, executions []searcher.Execution, end time.Duration) []string {
 	t.Helper()
-	m.cancel()
-	m.callers.Wait()
-	d.Pause(lastEffect)
-	runs := make(map[string][]searcher.Execution)
-	for _, e := range d.Executions() {
-		runs[e.Key] = append(runs[e.Key], e)
+	verdicts := make(map[verdict]int)
+	for _, one := range sends {
+		verdicts[one.verdict]++
 	}
-	t.Logf("%d sends, %d keys were run, %v", len(m.history), len(runs), m.fates)
-	keys := make(map[string]bool)
-	for _, op := range m.history {
-		keys[op.Input.(send).key] = true
+	t.Logf("%d sends: %v; %d runs", len(sends), verdicts, len(executions))
+	if verdicts[done] == 0 {
+		t.Error("no mutation was answered as done")
 	}
-	for key := range keys {
-		if len(runs[key]) > 1 {
-			return fmt.Sprintf("key %s was run %d times: %+v", key, len(runs[key]), runs[key])
-		}
-		out := learnt{fate: fateRead}
-		if len(runs[key]) == 1 {
-			out.outcome = runs[key][0].Target
+	var out []string
+	model := mutations()
+	for key, ops := range histories(sends, executions, end) {
+		if !porcupine.CheckOperations(model, ops) {
+			out = append(out, key+describe(ops, executions))
 		}
-		m.history = append(m.history, porcupine.Operation{
-			Input:  send{key: key},
-			Output: out,
-			Call:   m.stamp.Add(1),
-			Return: m.stamp.Add(1),
-		})
-	}
-	if porcupine.CheckOperationsTimeout(mutationSpec(), m.history, checkLimit) != porcupine.Ok {
-		return "history of a key is not linearizable: " + m.broken()
 	}
-	return ""
+	return out
 }
 
-// broken describes the first key whose history is not linearizable.
-func (m *mutations) broken() string {
-	for _, part := range mutationSpec().Partition(m.history) {
-		if !porcupine.CheckOperations(mutationSpec(), part) {
-			s := ""
-			for _, op := range part {
-				s += fmt.Sprintf("[%d %d] %+v %+v; ", op.Call, op.Return, op.Input, op.Output)
+// describe shows the history of one key.
+func describe(ops []porcupine.Operation, executions []searcher.Execution) string {
+	var b strings.Builder
+	for _, op := range ops {
+		switch in := op.Input.(type) {
+		case send:
+			fmt.Fprintf(&b, "\n  %v to %v: send %d (number %d) to %s: %s %s%s", in.call, in.end, in.order, in.number, in.daemon, in.verdict, in.outcome, in.refusal)
+			for _, e := range executions {
+				if e.Key == in.key && op.ClientId == 0 {
+					fmt.Fprintf(&b, "\n  run at %s at %v", e.Target, time.Unix(0, e.Time).UTC())
+				}
 			}
-			return s
+		case reading:
+			fmt.Fprintf(&b, "\n  %d runs", in.runs)
 		}
 	}
-	return ""
-}
-
-// lossy is a key-value service that loses answers and applies writes late.
-func lossy() kvserver.Faults {
-	return kvserver.Faults{
-		Delay:   kvserver.Duration(20 * time.Millisecond),
-		Lost:    15,
-		Late:    15,
-		Landing: kvserver.Duration(700 * time.Millisecond),
-	}
-}
-
-// tear causes the faults, two at a time.
-func tear(d *deployer.Deployment) {
-	frozen, killed := d.Daemons()[1], d.Daemons()[4]
-	d.FaultKV(lossy())
-	d.Pause(calm)
-	frozen.Freeze()
-	d.FaultKV(lossy())
-	d.Pause(2 * calm)
-	killed.Kill()
-	frozen.Resume()
-	d.Pause(calm)
-	d.FaultKV(kvserver.Faults{Outage: true})
-	killed.Start()
-	d.Pause(calm)
-	d.FaultKV(lossy())
-	d.Cut(2, false)
-	d.Pause(3 * calm)
-	d.Cut(3, true)
-	d.Pause(2 * calm)
-	d.FaultKV(kvserver.Faults{})
-	d.Heal()
-	d.Pause(calm)
-}
-
-// unreliable targets refuse some mutations and lose the outcomes of others.
-func unreliable() searcher.Faults {
-	return searcher.Faults{
-		Shed: 0.1,
-		Lose: 0.1,
-	}
-}
-
-func mutateUnderFaults(t *testing.T, p deployer.Programs, count int) string {
-	t.Helper()
-	d := deployer.New(t, options(t, p))
-	d.FaultTargets(unreliable())
-	m := startMutations(d, 1)
-	for range count {
-		tear(d)
-	}
-	return m.stop(t, d)
+	return b.String()
 }
 
-// TestMutationsRunAtMostOnce sends and resends mutations through all daemons
-// while daemons are killed and paused, data centres are cut off from each other
-// and from the key-value service, and that loses answers, applies writes late
-// and is out. No key may be run twice, none that was answered "not run" may be
-// run, and an outcome may not change.
+// TestMutationsRunAtMostOnce sends mutations again and again through different
+// daemons, under faults. None may run twice, none may run that was answered as
+// not run, and the outcome of a key must stay the same.
 func TestMutationsRunAtMostOnce(t *testing.T) {
-	if wrong := mutateUnderFaults(t, programs, rounds()); wrong != "" {
-		t.Error(wrong)
+	for _, key := range mutateUnderFaults(t, programs, 5) {
+		t.Errorf("key %s", key)
 	}
 }
 
-// TestMutationMutantsAreFound shows that the check finds daemons without one of
-// the mechanisms.
+// TestMutationMutantsAreFound shows that broken promises are seen.
 func TestMutationMutantsAreFound(t *testing.T) {
 	tests := []struct {
 		name   string
 		mutant deployer.Mutant
+		mutate func(t *testing.T, p deployer.Programs, seed uint64) []string
 	}{
 		{
-			name: "fence",
+			name: "claim skipped",
 			mutant: deployer.Mutant{
-				File: "entryd/pkg/claimer/keeper.go",
-				Old:  "r, err := k.store.Commit(ctx, c.Txn)",
-				New:  "c.Txn.Conditions = nil\n\t\tr, err := k.store.Commit(ctx, c.Txn)",
+				File: "entryd/pkg/dispatcher/runner.go",
+				Old:  "result := r.d.claims.Claim(ctx, r.claim(peer.ClaimKind_CLAIM_KIND_TAKE))",
+				New:  "result := &peer.ClaimResult{Verdict: peer.Verdict_VERDICT_GRANTED}",
 			},
+			mutate: mutateOnBothSides,
 		},
 		{
-			name: "dispatch without a claim",
+			name: "append without fence",
 			mutant: deployer.Mutant{
-				File: "entryd/pkg/dispatcher/attempt.go",
-				Old:  "case peer.Verdict_VERDICT_GRANTED:\n\t\treturn a.granted(now)",
-				New:  "case peer.Verdict_VERDICT_GRANTED, peer.Verdict_VERDICT_UNKNOWN:\n\t\treturn a.granted(now)",
+				File: "entryd/pkg/claimer/write.go",
+				Old:  "\t\t\t{\n\t\t\t\tKey:      path,\n\t\t\t\tModified: 0,\n\t\t\t},\n",
 			},
+			mutate: mutateOnBothSides,
 		},
 		{
-			name: "resend not run without proof",
+			name: "not run without release",
 			mutant: deployer.Mutant{
 				File: "entryd/pkg/dispatcher/attempt.go",
-				Old:  "if a.number == 1 {\n\t\tr.Kind = KindNotRun",
-				New:  "if a.number > 0 {\n\t\tr.Kind = KindNotRun",
+				Old:  "\t\tReason:     reason,\n\t}\n\tif a.number == 1 {",
+				New:  "\t\tReason:     reason,\n\t}\n\tif true {",
 			},
+			mutate: mutateUnderFaults,
 		},
 	}
-	for _, tc := range tests {
-		t.Run(tc.name, func(t *testing.T) {
-			wrong := mutateUnderFaults(t, mutate(t, tc.mutant), 1)
-			if wrong == "" {
-				t.Error("no fault was found")
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			keys := test.mutate(t, mutate(t, test.mutant), 6)
+			t.Logf("%d keys break a promise", len(keys))
+			if len(keys) == 0 {
+				t.Error("no key breaks a promise")
+				return
 			}
-			t.Log(wrong)
+			t.Log(keys[0])
 		})
 	}
 }
+
+// pairs is the number of mutations that each caller sends to both sides of a
+// cut.
+const pairs = 12
+
+// mutateOnBothSides cuts off a data centre, though not from the key-value
+// service, waits until the daemons of each side take the others for dead, so
+// that both sides keep the same claims, and sends each mutation to both sides at
+// once.
+func mutateOnBothSides(t *testing.T, p deployer.Programs, seed uint64) []string {
+	t.Helper()
+	d := deployer.New(t, options(t, p))
+	d.Cut(3, false)
+	d.Until("the sides take each other for dead", func() bool { return d.Daemons()[2].Live() == 2 && d.Daemons()[0].Live() == 4 })
+	s := newSender(d)
+	var wg sync.WaitGroup
+	for i := range senders {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			for range pairs {
+				s.pair(rng)
+			}
+		})
+	}
+	wg.Wait()
+	d.Heal()
+	d.Whole()
+	s.settle()
+	return broken(t, s.sends, d.Executions(), time.Since(s.start))
+}
+
+// pair sends one mutation through a daemon of each side of the cut at once.
+func (s *sender) pair(rng *rand.Rand) {
+	key := newKey(rng)
+	record := fmt.Sprintf("%04x.%s", rng.IntN(1<<16), key[:8])
+	sides := []int{rng.IntN(2), 2}
+	var wg sync.WaitGroup
+	for i, daemon := range sides {
+		daemon += 3 * rng.IntN(2)
+		wg.Go(func() { s.send(key, record, i+1, true, daemon) })
+	}
+	wg.Wait()
+}
+
+// TestBothSidesKeepClaims has two daemons keep the same claims, on both sides of
+// a cut. No mutation may run on both sides.
+func TestBothSidesKeepClaims(t *testing.T) {
+	for _, key := range mutateOnBothSides(t, programs, 6) {
+		t.Errorf("key %s", key)
+	}
+}
+
+// TestResendToDaemonWithoutConfiguration sends a mutation whose answer is lost
+// after its run, and sends it again to a daemon that was started in a data
+// centre that is cut off. That daemon knows nothing of the first send, so it
+// must not say that the request was not run.
+func TestResendToDaemonWithoutConfiguration(t *testing.T) {
+	d := deployer.New(t, options(t, programs))
+	s := newSender(d)
+	d.FaultTargets(searcher.Faults{Lose: 1})
+	rng := rand.New(rand.NewPCG(7, 7))
+	numbered, plain := newKey(rng), newKey(rng)
+	for _, key := range []string{numbered, plain} {
+		if v := s.send(key, "8000.1", 1, key == numbered, 0); v != unknown {
+			t.Fatalf("the first send was answered as %s", v)
+		}
+	}
+	if n := len(d.Executions()); n != 2 {
+		t.Fatalf("%d runs, want 2", n)
+	}
+	cutOff := []*deployer.Daemon{d.Daemons()[2], d.Daemons()[5]}
+	for _, m := range cutOff {
+		m.Kill()
+	}
+	d.Cut(3, true)
+	for _, m := range cutOff {
+		m.Start()
+		d.Until("the daemon serves operators", func() bool {
+			_, err := m.Status()
+			return err == nil
+		})
+	}
+	for _, key := range []string{numbered, plain} {
+		if v := s.send(key, "8000.1", 2, key == numbered, 2); v == notRun {
+			t.Errorf("key %s ran, but its resend was answered as not run: %s", key, s.sends[len(s.sends)-1].refusal)
+		}
+	}
+}
