--- a/entryd/pkg/adopter/runner_test.go
+++ b/entryd/pkg/adopter/runner_test.go
@@ -26,26 +26,32 @@
 
 var all = []string{"wlg", "akl", "chc"}
 
+// TestChangeReachesAll also checks that the calls to the store do not grow
+// with the fleet.
 func TestChangeReachesAll(t *testing.T) {
-	scenario(t, func(n *network) {
-		n.fleet(10)
-		pass(2 * time.Second)
-		n.expect(0, all...)
-		before := n.store.Counts()
-		n.propose("a")
-		pass(2 * time.Second)
-		n.expect(1, all...)
-		pass(8 * time.Second)
-		n.expectStale("wlg", 0, 4*time.Second)
-		// Six readers check once a second and read the change once. The
-		// proposal itself reads three times.
-		if reads := n.store.Counts().Reads - before.Reads; reads > 6*11+6+3 {
-			t.Errorf("reads = %d", reads)
-		}
-		if watches := n.store.Counts().Watches; watches != 6 {
-			t.Errorf("watches = %d", watches)
-		}
-	})
+	for _, each := range []int{2, 10, 40} {
+		t.Run(fmt.Sprintf("daemons=%d", 3*each), func(t *testing.T) {
+			scenario(t, func(n *network) {
+				n.fleet(each)
+				pass(2 * time.Second)
+				n.expect(0, all...)
+				before := n.store.Counts()
+				n.propose("a")
+				pass(2 * time.Second)
+				n.expect(1, all...)
+				pass(8 * time.Second)
+				n.expectStale("wlg", 0, 4*time.Second)
+				// Six readers check once a second and read the change once. The
+				// proposal itself reads three times.
+				if reads := n.store.Counts().Reads - before.Reads; reads > 6*11+6+3 {
+					t.Errorf("reads = %d", reads)
+				}
+				if watches := n.store.Counts().Watches; watches != 6 {
+					t.Errorf("watches = %d", watches)
+				}
+			})
+		})
+	}
 }
 
 func TestLostWatch(t *testing.T) {
