Latest changes first in gossip, none passed on from a refresh

At 448 daemons, right after they all joined, a leave took 7.4 s to be known everywhere: it waited behind the records of the joins, each told 18 times at 1000 bytes a message.

--- a/entryd/pkg/gossiper/machine.go
+++ b/entryd/pkg/gossiper/machine.go
@@ -189,8 +189,14 @@
 	return 2 * bits.Len(uint(len(m.table.records)))
 }
 
+// put stores a member and passes it on. What a daemon learns of others while it
+// refreshes its table is known to them.
 func (m *Machine) put(member Member, now time.Time) {
-	m.table.put(member, m.copies(), now)
+	copies := m.copies()
+	if m.refreshing && member.id != m.cfg.Self.ID {
+		copies = 0
+	}
+	m.table.put(member, copies, now)
 	m.changed |= ChangeMembers
 }
 
--- a/entryd/pkg/gossiper/table.go
+++ b/entryd/pkg/gossiper/table.go
@@ -58,12 +58,18 @@
 	return r
 }
 
+// enqueue puts a record at the head of the queue, before those that were sent
+// already.
 func (t *table) enqueue(r *record, copies int) {
 	r.left = copies
-	if copies > 0 && !r.queued {
-		r.queued = true
-		t.queue = append(t.queue, r)
+	if copies == 0 {
+		return
+	}
+	if r.queued {
+		t.queue = slices.DeleteFunc(t.queue, func(o *record) bool { return o == r })
 	}
+	r.queued = true
+	t.queue = slices.Insert(t.queue, 0, r)
 }
 
 // forget removes a member that is not present.
@@ -77,8 +83,9 @@
 	delete(t.records, id)
 }
 
-// take returns queued records of at most limit bytes in all, those that have
-// waited longest first, and counts one copy of each as sent.
+// take returns queued records of at most limit bytes in all, the latest changes
+// first and then those that were sent longest ago, and counts one copy of each
+// as sent.
 func (t *table) take(limit int) []Member {
 	var out []Member
 	n := len(t.queue)
