--- a/entryd/pkg/coordinator/search.go
+++ b/entryd/pkg/coordinator/search.go
@@ -33,6 +33,7 @@
 	cancel context.CancelFunc
 	asked  []string
 	peer   *neighbour
+	local  bool
 	ticket estimator.Ticket
 	heard  bool
 	sent   uint32
@@ -51,9 +52,15 @@
 	merged   *merger.Merger
 	events   batcher.Queue[event]
 	subplans map[uint64]*subplan
+	// reported tells for each shard whether a gatherer that was asked for it
+	// has given a sign of life.
+	reported []bool
 	log      []Plan
 	attempts []*peer.Attempt
 	crashed  []string
+	// refused tells that the request must not run, and halted that it is not
+	// spread any further.
+	refused, halted bool
 	// sent counts the sub-requests to targets.
 	sent    int
 	dropped bool
@@ -68,6 +75,7 @@
 		start:    c.Clock.Now(),
 		merged:   merger.New(snapshot, int(r.Query.GetLimit())),
 		subplans: map[uint64]*subplan{},
+		reported: make([]bool, snapshot.Len()),
 	}
 	terms := router.Terms{
 		Deadline: r.Deadline,
@@ -96,8 +104,21 @@
 	return int(r.Fingerprint%uint64(snapshot.Len())) + 1
 }
 
+// reason tells why a shard is missing. A shard whose gatherers gave no sign of
+// life was not late for want of capacity.
+func (s *search) reason(unit int) peer.Reason {
+	r := s.query.Reason(unit)
+	if r == peer.Reason_REASON_LATE && !s.reported[unit] {
+		return peer.Reason_REASON_UNREACHABLE
+	}
+	return r
+}
+
 // quarantined reports whether targets were kept from the request.
 func (s *search) quarantined() bool {
+	if s.refused {
+		return true
+	}
 	for i := range s.snapshot.Len() {
 		if s.query.Reason(i) == peer.Reason_REASON_QUARANTINED {
 			return true
@@ -117,7 +138,7 @@
 	timer := clock.NewTimer(s.query.Wake().Sub(clock.Now()))
 	defer timer.Stop()
 	ready := s.events.Ready()
-	for !s.query.Done() && !s.dropped {
+	for !s.query.Done() && !s.dropped && !s.refused && !s.halted {
 		timer.Reset(max(s.query.Wake().Sub(clock.Now()), 0))
 		select {
 		case <-ready:
@@ -135,6 +156,13 @@
 }
 
 func (s *search) apply(actions []router.Action[Path]) {
+	if s.refused {
+		return
+	}
+	if s.halts(actions) {
+		s.halted = true
+		return
+	}
 	for _, a := range actions {
 		if a.Cancel {
 			s.withdraw(a.Nonce)
@@ -172,7 +200,10 @@
 	}
 	task := s.task(ctx, a)
 	p.asked = targetsOf(task)
-	if a.Path.Daemon.ID == s.root.ID {
+	p.peer = s.root.neighbour(a.Path.Daemon.Address)
+	p.ticket = p.peer.gauge.Send(s.root.Clock.Now())
+	p.local = a.Path.Daemon.ID == s.root.ID
+	if p.local {
 		go s.root.Gatherer.Run(ctx, a.Nonce, task, func(partial *peer.Partial) {
 			s.events.Put(event{
 				nonce:   a.Nonce,
@@ -181,8 +212,6 @@
 		})
 		return
 	}
-	p.peer = s.root.neighbour(a.Path.Daemon.Address)
-	p.ticket = p.peer.gauge.Send(s.root.Clock.Now())
 	p.peer.link.Send(a.Nonce, &peer.Task{
 		Nonce: a.Nonce,
 		Body: &peer.Task_Gather{
@@ -216,12 +245,23 @@
 			Shard:   shard.ID(),
 			From:    shard.From(),
 			To:      shard.To(),
-			Targets: replicasIn(shard.Replicas(), a.Path.DataCentre),
+			Targets: s.targets(shard, a.Path.DataCentre),
 		})
 	}
+	s.suspect(g)
 	return g
 }
 
+// targets returns the replicas of a shard that a sub-plan may ask: one while the
+// query asks one shard only, so that it can crash no more.
+func (s *search) targets(shard *indexer.Shard, dataCentre string) []string {
+	ids := replicasIn(shard.Replicas(), dataCentre)
+	if s.query.Holding() {
+		ids = ids[:1]
+	}
+	return ids
+}
+
 func replicasIn(replicas []*config.Target, dataCentre string) []string {
 	var ids []string
 	for _, t := range replicas {
@@ -253,8 +293,12 @@
 	}
 	s.attempts = append(s.attempts, e.partial.GetAttempts()...)
 	s.crashed = append(s.crashed, e.partial.GetCrashed()...)
+	s.learn(e.partial.GetSuspicion(), now)
 	s.root.slow.update(p.asked, e.partial.GetSlow(), now)
 	p.hear(now)
+	for _, u := range p.units {
+		s.reported[u] = true
+	}
 	s.sent += int(e.partial.GetSent()) - int(p.sent)
 	p.sent = e.partial.GetSent()
 	if e.partial.GetLast() {
@@ -266,7 +310,7 @@
 
 // hear records the time to the first sign of life of the gatherer.
 func (p *subplan) hear(now time.Time) {
-	if p.peer != nil && !p.heard {
+	if !p.heard {
 		p.heard = true
 		p.peer.gauge.Answer(now, p.ticket, estimator.Report{})
 	}
@@ -331,10 +375,9 @@
 		s.log[p.order].Error = err.Error()
 	}
 	p.cancel()
-	if p.peer == nil {
-		return
+	if !p.local {
+		p.peer.link.Forget(nonce)
 	}
-	p.peer.link.Forget(nonce)
 	switch {
 	case p.heard:
 	case err == nil:
@@ -358,12 +401,12 @@
 		// The gatherer has not reported: each unit was sent at least once.
 		s.sent += len(p.units)
 	}
-	if p.peer == nil {
-		return
-	}
 	if !p.heard {
 		p.peer.gauge.Drop()
 	}
+	if p.local {
+		return
+	}
 	p.peer.link.Forget(nonce)
 	p.peer.link.Post(&peer.Task{
 		Nonce: nonce,
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -11,6 +11,7 @@
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
 	"plantaincleat/tier/pkg/batcher"
+	"plantaincleat/tier/pkg/digester"
 	"plantaincleat/tier/pkg/indexer"
 )
 
@@ -34,6 +35,7 @@
 	nonce    uint64
 	task     *peer.Gather
 	trace    string
+	digest   uint64
 	start    time.Time
 	deadline time.Time
 
@@ -49,7 +51,9 @@
 	reported []bool
 	attempts []*peer.Attempt
 	crashed  []string
-	flushed  time.Time
+	// sent counts the sub-requests that left for a target.
+	sent    int
+	flushed time.Time
 }
 
 func newJob(g *Gatherer, nonce uint64, task *peer.Gather, trace string) *job {
@@ -59,10 +63,12 @@
 		nonce:    nonce,
 		task:     task,
 		trace:    trace,
+		digest:   digester.Query(task.GetQuery()),
 		start:    now,
 		deadline: now.Add(time.Duration(task.GetRemaining())*time.Microsecond - returnMargin),
 		flights:  map[uint64]*flight{},
 	}
+	j.learn(now)
 	j.index()
 	j.merged = j.newMerger()
 	terms := router.Terms{
@@ -240,17 +246,20 @@
 		if a.GetStatus() == target.Status_STATUS_SHED {
 			counts.Sheds.Add(1)
 		}
-		return reasons[a.GetStatus()]
+		if reason, ok := reasons[a.GetStatus()]; ok {
+			return reason
+		}
+		return peer.Reason_REASON_FAILED
 	}
 	shard := j.wanted[f.unit].GetShard()
-	if a.GetTarget() != f.lane.id || a.GetShard() != shard {
+	if a.GetTarget() != f.lane.id || a.GetShard() != shard || (a.GetQuery() != 0 && a.GetQuery() != j.digest) {
 		counts.Crossed.Add(1)
-		return peer.Reason_REASON_FAILED
+		return peer.Reason_REASON_UNREACHABLE
 	}
 	if err := j.merged.Merge(a.GetSnapshot(), []string{shard}, a.GetRecords()); err != nil {
 		counts.Crossed.Add(1)
 		f.attempt.Error = err.Error()
-		return peer.Reason_REASON_FAILED
+		return peer.Reason_REASON_UNREACHABLE
 	}
 	j.fresh = append(j.fresh, shard)
 	return peer.Reason_REASON_UNSPECIFIED
@@ -270,8 +279,9 @@
 func (j *job) conclude(f *flight, status target.Status, r reply) {
 	f.attempt.Status = status
 	f.attempt.End = j.gatherer.clock.Since(j.start).Microseconds()
-	if !r.sent.IsZero() {
+	if !r.sent.IsZero() && !errors.Is(r.err, exchanger.ErrNotSent) {
 		f.attempt.Sent = max(r.sent.Sub(j.start).Microseconds(), 1)
+		j.sent++
 	}
 	if r.err != nil {
 		f.attempt.Error = r.err.Error()
@@ -297,16 +307,17 @@
 		return
 	}
 	p := &peer.Partial{
-		Nonce:    j.nonce,
-		Daemon:   j.gatherer.id,
-		Snapshot: j.snapshot.ID(),
-		Covered:  j.fresh,
-		Missing:  j.missing,
-		Records:  j.merged.Records(),
-		Last:     done,
-		Sent:     uint32(j.query.Sent()),
-		Crashed:  j.crashed,
-		Slow:     j.slow(now),
+		Nonce:     j.nonce,
+		Daemon:    j.gatherer.id,
+		Snapshot:  j.snapshot.ID(),
+		Covered:   j.fresh,
+		Missing:   j.missing,
+		Records:   j.merged.Records(),
+		Last:      done,
+		Sent:      uint32(j.sent),
+		Crashed:   j.crashed,
+		Slow:      j.slow(now),
+		Suspicion: j.suspicion(now),
 	}
 	if done {
 		p.Attempts = j.attempts
--- a/entryd/pkg/handler/mutate.go
+++ b/entryd/pkg/handler/mutate.go
@@ -32,7 +32,7 @@
 	defer span.End()
 	m, err := h.parseMutation(w, r)
 	if err != nil {
-		h.refuse(w, r, err)
+		h.refuse(w, r, unclaimed(r, err))
 		return
 	}
 	out, err := h.Mutator.Mutate(ctx, m)
@@ -51,15 +51,27 @@
 	})
 }
 
+// unclaimed is the refusal of a mutation whose key was not claimed. Earlier
+// sends of the same request may have been run, unless it is the first one, or
+// one that cannot be run at any time.
+func unclaimed(r *http.Request, err error) error {
+	refusal := *classify(err)
+	never := refusal.Kind == KindMalformed || refusal.Kind == KindOversized
+	if !never && r.Header.Get(headerAttempt) != firstAttempt {
+		refusal.Run = RunUnknown
+	}
+	return &refusal
+}
+
 func (h *Handler) parseMutation(w http.ResponseWriter, r *http.Request) (*Mutation, error) {
 	ix := h.Configs.Index()
 	in, err := identify(ix, r)
 	if err != nil {
 		return nil, err
 	}
-	key := r.Header.Get(headerRequestKey)
+	key := r.Header.Get(HeaderRequestKey)
 	if key == "" {
-		return nil, malformed(headerRequestKey, "header is missing; send a UUIDv7 and repeat it in resends")
+		return nil, malformed(HeaderRequestKey, "header is missing; send a UUIDv7 and repeat it in resends")
 	}
 	var b mutateBody
 	if err := decode(w, r, &b); err != nil {
@@ -80,8 +92,13 @@
 	if err != nil {
 		return nil, err
 	}
+	number, err := attempt(r)
+	if err != nil {
+		return nil, err
+	}
 	return &Mutation{
 		Key:        key,
+		Attempt:    number,
 		Collection: b.Collection,
 		Version:    b.Version,
 		Record: &target.Record{
--- a/entryd/pkg/quarantiner/quarantiner.go
+++ b/entryd/pkg/quarantiner/quarantiner.go
@@ -5,13 +5,16 @@
 // incarnation, is lost. Every request that was in flight there is suspected,
 // but for those that completed on the same shard before, if there are others.
 // A suspect runs next alone on another target, and on one target at a time. If
-// it completes, it is exonerated. If that target is lost too, the request is
+// it completes on the shard of the loss, it is exonerated; if on another one, it is
+// restrained on the shard of the loss only. If that target is lost too, the request is
 // quarantined, once it is clear that the loss was not one of many, as in a
 // network partition. So a request that shares a crash with its cause runs
 // again and is not refused.
 //
 // Quarantines and suspicions are exchanged between daemons as notices, which
-// merge to the same state in any order.
+// merge to the same state in any order. A root passes what it knows with each
+// sub-plan, and learns from the partials, because the replicas of a shard may
+// belong to different gatherers.
 package quarantiner
 
 import (
@@ -78,7 +81,7 @@
 	Shard string
 	// Suspected forbids hedges.
 	Suspected bool
-	// Expires is the end of the quarantine of a refused request.
+	// Expires is the end of the refusal.
 	Expires time.Time
 }
 
@@ -146,12 +149,16 @@
 
 // plan tells how to run a restrained request.
 func (e *entry) plan() Plan {
-	if e.state == quarantined {
-		return Plan{
-			Mode:      Refused,
-			Suspected: true,
-			Expires:   e.expires,
-		}
+	p := Plan{
+		Mode:      Refused,
+		Suspected: true,
+		Expires:   e.expires,
+	}
+	if e.state == charged {
+		p.Expires = e.judged
+	}
+	if e.state >= charged {
+		return p
 	}
 	return Plan{
 		Mode:      Canary,
@@ -180,42 +187,43 @@
 // Merge takes a notice from another daemon and reports whether it changed
 // anything.
 func (q *Quarantiner) Merge(now time.Time, n *peer.Quarantine) bool {
-	expires := time.UnixMilli(n.GetExpires())
-	invalid := n.GetFingerprint() == 0 || !n.GetCleared() && len(n.GetTargets()) == 0
-	if invalid || !now.Before(expires) {
+	if !valid(n) || !now.Before(time.UnixMilli(n.GetExpires())) {
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.find(now, n.GetFingerprint())
 	if e != nil && !e.yields(n) {
-		return false
+		return e.join(n)
 	}
 	if e == nil {
 		if e = q.insert(now, n.GetFingerprint()); e == nil {
 			return false
 		}
 	}
-	e.epoch = n.GetEpoch()
-	e.institution = n.GetInstitution()
-	e.targets = slices.Clone(n.GetTargets())
-	e.shard = n.GetShard()
-	e.expires = expires
-	q.set(e, stateOf(n))
+	e.take(n)
+	_, s := stateOf(n)
+	q.set(e, s)
+	if s == charged {
+		// The daemon that made the charge judges first.
+		e.charged, e.judged = now, now.Add(2*settle)
+	}
 	return true
 }
 
-// yields reports whether a notice replaces the entry.
-func (e *entry) yields(n *peer.Quarantine) bool {
-	if n.GetEpoch() == e.epoch && stateOf(n) == suspected {
-		if e.state == charged {
-			return false
-		}
-		if e.state == exonerated {
-			return n.GetExpires() > e.expires.UnixMilli()
-		}
+// Notice returns what is known of a request that is suspected, charged or
+// quarantined, and nil for any other.
+func (q *Quarantiner) Notice(now time.Time, fingerprint uint64) *peer.Quarantine {
+	if q.effective.Load() == 0 {
+		return nil
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	e := q.find(now, fingerprint)
+	if e == nil || !e.effective() {
+		return nil
 	}
-	return compare(n, e.notice()) > 0
+	return e.notice()
 }
 
 // Notices returns what other daemons have to know: all quarantines and
@@ -261,7 +269,7 @@
 	if e == nil || !e.effective() {
 		return false
 	}
-	e.epoch++
+	e.generation++
 	e.targets, e.shard = nil, ""
 	e.expires = now.Add(time.Duration(q.period.Load()))
 	q.set(e, cleared)
