Choose by expected finish under load, and see the wait of a canary

Causes: a target counted as slow by a multiple of the loaded latency, so that queues did not; among slow targets the nearest was taken. The governor of concurrency saw the larger wait of the two phases of a query with a canary, not their sum, and so missed the queue. Ruled out: lost attempts of cancelled sub-plans, the limits of targets, hedges (each looked at by 'explain' and expvar during the run). Now targets are slow by three times the median service time of all, what was reported drains with time, the least slow is taken, and paths that would answer late are no hedges. A refusal of another mutation is no proof that one was not run; late outcomes are waited for.

--- a/entryd/pkg/coordinator/chooser.go
+++ b/entryd/pkg/coordinator/chooser.go
@@ -16,6 +16,9 @@
 	// partial is that wait. A gatherer that is alive reports before, even if
 	// its targets are late.
 	hedgeFactor = 1.5
+	// nearShare is how much sooner, as a fraction, slow targets further away
+	// must answer to be preferred to nearer ones.
+	nearShare = 0.8
 )
 
 // chooser picks paths for one query. Whether a daemon is avoided is decided
@@ -27,9 +30,11 @@
 }
 
 // Choose implements router.Chooser: the first path whose daemon answers and
-// whose targets are not slow, else the first whose daemon answers, else any.
+// whose targets are not slow, else the one whose daemon answers and whose
+// targets are the least slow, else any.
 func (ch *chooser) Choose(unit int, tried []Path, now time.Time) (Path, bool) {
 	var slow, dead *way
+	var least time.Duration
 	ways := ch.plan.ways[unit]
 	for i := range ways {
 		w := &ways[i]
@@ -40,7 +45,7 @@
 			dead = first(dead, w)
 			continue
 		}
-		late, probe := ch.late(w, now)
+		expected, late, probe := ch.late(w, now)
 		if probe && len(tried) == 0 {
 			p := w.path
 			p.Probe = true
@@ -49,7 +54,9 @@
 		if !late {
 			return w.path, true
 		}
-		slow = first(slow, w)
+		if slow == nil || expected < time.Duration(nearShare*float64(least)) {
+			slow, least = w, expected
+		}
 	}
 	if w := first(slow, dead); w != nil {
 		return w.path, true
@@ -71,19 +78,22 @@
 	})
 }
 
-// late reports whether all targets of a way are slow, and whether this query
-// is to probe them.
-func (ch *chooser) late(w *way, now time.Time) (late, probe bool) {
+// late reports whether all targets of a way are slow, in what time the best of
+// them would answer, and whether this query is to probe them.
+func (ch *chooser) late(w *way, now time.Time) (expected time.Duration, late, probe bool) {
 	for _, id := range w.targets {
 		e := ch.root.slow.find(id)
-		if e == nil {
-			return false, false
+		if e == nil || !e.late(now) {
+			return 0, false, false
+		}
+		if d := e.expected(now); expected == 0 || d < expected {
+			expected = d
 		}
 		if e.claimProbe(now) {
 			probe = true
 		}
 	}
-	return true, probe
+	return expected, true, probe
 }
 
 func (ch *chooser) avoid(d placer.Daemon, now time.Time) bool {
@@ -115,6 +125,17 @@
 	return min(max(d, minHedgeDelay), maxHedgeDelay)
 }
 
+// Prompt implements router.Chooser.
+func (ch *chooser) Prompt(unit int, p Path, now time.Time) bool {
+	for i := range ch.plan.ways[unit] {
+		if w := &ch.plan.ways[unit][i]; taken([]Path{p}, w.path) {
+			_, late, _ := ch.late(w, now)
+			return !late
+		}
+	}
+	return true
+}
+
 // Failed implements router.Chooser.
 func (ch *chooser) Failed(p Path, _ time.Time) bool {
 	return p.Daemon.ID != ch.root.ID && ch.root.neighbour(p.Daemon.Address).gauge.Suspected()
--- a/entryd/pkg/coordinator/coordinator.go
+++ b/entryd/pkg/coordinator/coordinator.go
@@ -192,21 +192,6 @@
 	}
 }
 
-// waited returns the longest wait of an attempt, hedges excluded.
-func waited(attempts []*peer.Attempt) time.Duration {
-	longest := int64(0)
-	for _, a := range attempts {
-		until := a.GetSent()
-		if until == 0 {
-			until = a.GetEnd()
-		}
-		if !a.GetHedge() {
-			longest = max(longest, until-a.GetStart())
-		}
-	}
-	return time.Duration(longest) * time.Microsecond
-}
-
 func (c *Coordinator) result(s *search, restarts int) *Result {
 	out := &Result{
 		Revision: s.index.Revision(),
@@ -215,7 +200,7 @@
 		Attempts: s.attempts,
 		Plans:    s.plans(),
 		Crashed:  s.crashed,
-		Waited:   waited(s.attempts),
+		Waited:   s.waited(),
 		Restarts: restarts,
 		Stats: Stats{
 			Needed:  s.snapshot.Len(),
--- a/entryd/pkg/coordinator/slow.go
+++ b/entryd/pkg/coordinator/slow.go
@@ -20,7 +20,13 @@
 	table atomic.Pointer[map[string]*slowTarget]
 }
 
+// slowTarget is what was reported of a target at a time. It is immutable but
+// for the probe.
 type slowTarget struct {
+	at      time.Time
+	finish  time.Duration
+	service time.Duration
+	limit   time.Duration
 	// probe is the time of the next probe in Unix nanoseconds.
 	probe atomic.Int64
 }
@@ -49,11 +55,7 @@
 	reported := map[string]bool{}
 	for _, r := range slow {
 		reported[r.GetTarget()] = true
-		if next[r.GetTarget()] == nil {
-			e := &slowTarget{}
-			e.probe.Store(now.Add(probeInterval).UnixNano())
-			next[r.GetTarget()] = e
-		}
+		next[r.GetTarget()] = newSlowTarget(r, next[r.GetTarget()], now)
 	}
 	for _, id := range asked {
 		if !reported[id] {
@@ -63,6 +65,29 @@
 	s.table.Store(&next)
 }
 
+func newSlowTarget(r *peer.Slow, before *slowTarget, now time.Time) *slowTarget {
+	e := &slowTarget{
+		at:      now,
+		finish:  time.Duration(r.GetFinish()) * time.Microsecond,
+		service: time.Duration(r.GetService()) * time.Microsecond,
+		limit:   time.Duration(r.GetLimit()) * time.Microsecond,
+	}
+	e.probe.Store(now.Add(probeInterval).UnixNano())
+	if before != nil {
+		e.probe.Store(before.probe.Load())
+	}
+	return e
+}
+
+// expected returns in what time the target would answer one more request, given
+// that the requests ahead have since been worked on.
+func (t *slowTarget) expected(now time.Time) time.Duration {
+	return max(t.finish-now.Sub(t.at), t.service)
+}
+
+// late reports whether the target still counts as slow.
+func (t *slowTarget) late(now time.Time) bool { return t.expected(now) > t.limit }
+
 func (s *slowTargets) none(ids []string) bool {
 	for _, id := range ids {
 		if s.find(id) != nil {
--- a/entryd/pkg/forwarder/forwarder.go
+++ b/entryd/pkg/forwarder/forwarder.go
@@ -78,7 +78,7 @@
 		if f.Departures.Leaving(t.GetId()) {
 			continue
 		}
-		if out, err = f.toTarget(ctx, t, group(shard, t.GetDatacentre()), m); ran(out, err) {
+		if out, err = f.toTarget(ctx, t, group(shard, t.GetDatacentre()), m); ran(m.GetKey(), out, err) {
 			return out, err
 		}
 	}
@@ -99,11 +99,15 @@
 	return append(out, silent...)
 }
 
-// ran reports whether a target may have run the mutation.
-func ran(out *target.Outcome, err error) bool {
+// ran reports whether a target may have run the mutation with a key. A refusal
+// of another one proves nothing.
+func ran(key string, out *target.Outcome, err error) bool {
 	if err != nil {
 		return !errors.Is(err, ErrNotRun)
 	}
+	if out.GetKey() != key {
+		return true
+	}
 	return out.GetStatus() != target.Status_STATUS_SHED && out.GetStatus() != target.Status_STATUS_LEAVING
 }
 
@@ -116,7 +120,7 @@
 	var out *target.Outcome
 	err := eris.Wrapf(ErrNotRun, "route: no daemon gathers for target %s", t.GetId())
 	for _, d := range f.ordered(f.Placement.Gatherers(t.GetDatacentre(), group)) {
-		if out, err = f.send(ctx, d, in); ran(out, err) || err == nil {
+		if out, err = f.send(ctx, d, in); ran(m.GetKey(), out, err) || err == nil {
 			return out, err
 		}
 	}
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -328,13 +328,9 @@
 	emit(p)
 }
 
-// slowFactor times the time after which a sub-request counts as late is the
-// expected finish from which a target is reported as slow.
-const slowFactor = 1.5
-
 // slow lists the wanted targets that would answer late.
 func (j *job) slow(now time.Time) []*peer.Slow {
-	limit := time.Duration(slowFactor * float64(j.gatherer.pace.late()))
+	limit := j.gatherer.pace.slow()
 	var out []*peer.Slow
 	seen := map[string]bool{}
 	for _, w := range j.wanted {
@@ -349,8 +345,10 @@
 			}
 			if d := l.expected(now); d > limit {
 				out = append(out, &peer.Slow{
-					Target: id,
-					Finish: d.Microseconds(),
+					Target:  id,
+					Finish:  d.Microseconds(),
+					Service: l.gauge.Service().Microseconds(),
+					Limit:   limit.Microseconds(),
 				})
 			}
 		}
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -66,8 +66,9 @@
 	watch *quarantiner.Target
 	// onLoss is called after the target was lost.
 	onLoss func()
-	// heard is called with the latency of each completed request.
-	heard func(time.Duration)
+	// heard is called with the latency of each completed request and the
+	// service time of the target.
+	heard func(latency, service time.Duration)
 
 	mu      sync.Mutex
 	waiting []*request
@@ -92,7 +93,9 @@
 		}),
 		watch:  g.quarantine.Target(t.GetId()),
 		onLoss: g.onLoss,
-		heard:  func(d time.Duration) { g.pace.add(g.clock.Since(g.origin), d) },
+		heard: func(latency, service time.Duration) {
+			g.pace.add(g.clock.Since(g.origin), latency, service)
+		},
 		flying: map[uint64]*request{},
 	}
 }
@@ -288,7 +291,7 @@
 	case target.Status_STATUS_DONE:
 		now := l.clock.Now()
 		l.gauge.Answer(now, r.ticket, report)
-		l.heard(now.Sub(r.sent))
+		l.heard(now.Sub(r.sent), l.gauge.Service())
 	case target.Status_STATUS_FAILED:
 		l.gauge.Fail()
 	default:
--- a/entryd/pkg/gatherer/mutate.go
+++ b/entryd/pkg/gatherer/mutate.go
@@ -15,6 +15,10 @@
 // is given up as not run.
 const connectWait = 500 * time.Millisecond
 
+// outcomeWait is how long a late outcome is waited for after the caller's
+// deadline, so that it can be recorded. The target keeps the deadline itself.
+const outcomeWait = 5 * time.Second
+
 // Connector returns established connections.
 type Connector interface {
 	Ready(ctx context.Context, address string) (*grpc.ClientConn, error)
@@ -29,7 +33,7 @@
 	if t == nil || g.departures.Leaving(in.GetTarget()) {
 		return notRun(in, target.Status_STATUS_LEAVING, "target is unknown or leaving"), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.GetRemaining())*time.Microsecond)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(m.GetRemaining())*time.Microsecond+outcomeWait)
 	defer cancel()
 	wait, stop := context.WithTimeout(ctx, connectWait)
 	defer stop()
--- a/entryd/pkg/gatherer/pace.go
+++ b/entryd/pkg/gatherer/pace.go
@@ -11,8 +11,8 @@
 const (
 	// pacePrior is the latency assumed before the first answers.
 	pacePrior = 20 * time.Millisecond
-	// paceRefresh is the number of samples after which the quantile is
-	// computed again.
+	// paceRefresh is the number of samples after which quantiles are computed
+	// again.
 	paceRefresh = 64
 	// lateFactor times the 95th percentile of the latency of all sub-requests
 	// is when one of them counts as late.
@@ -20,12 +20,45 @@
 	// minLate and maxLate bound that time.
 	minLate = time.Millisecond
 	maxLate = 100 * time.Millisecond
+	// slowFactor times the median service time of all targets is the expected
+	// finish from which a target counts as slow.
+	slowFactor = 3
 )
 
-// pace tells when a sub-request is late, by the latencies of all targets of
-// the gatherer: one slow target does not move it. The zero value starts from a
-// prior. It is safe for concurrent use.
+// pace tells when a sub-request is late and when a target is slow, by all
+// targets of the gatherer: one slow target does not move it. The zero value
+// starts from a prior. It is safe for concurrent use.
 type pace struct {
+	latency quantile
+	service quantile
+}
+
+// add records the latency of an answer, and the service time behind it.
+func (p *pace) add(at, latency, service time.Duration) {
+	p.latency.add(at, latency, 0.95)
+	p.service.add(at, service, 0.5)
+}
+
+// late returns the time after which a sub-request counts as late.
+func (p *pace) late() time.Duration {
+	d := p.latency.get()
+	if d == 0 {
+		return pacePrior
+	}
+	return min(max(time.Duration(lateFactor*float64(d)), minLate), maxLate)
+}
+
+// slow returns the expected finish from which a target counts as slow.
+func (p *pace) slow() time.Duration {
+	d := p.service.get()
+	if d == 0 {
+		d = pacePrior
+	}
+	return slowFactor * d
+}
+
+// quantile publishes one quantile of recent samples.
+type quantile struct {
 	published atomic.Int64
 
 	mu      sync.Mutex
@@ -33,25 +66,18 @@
 	samples int
 }
 
-func (p *pace) add(at, latency time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.sketch.Add(at, latency)
-	p.samples++
-	if p.samples > paceRefresh && p.samples%paceRefresh != 0 {
+func (q *quantile) add(at, sample time.Duration, share float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.sketch.Add(at, sample)
+	q.samples++
+	if q.samples > paceRefresh && q.samples%paceRefresh != 0 {
 		return
 	}
 	var out [1]time.Duration
-	if p.sketch.Quantiles([]float64{0.95}, out[:]) {
-		p.published.Store(int64(out[0]))
+	if q.sketch.Quantiles([]float64{share}, out[:]) {
+		q.published.Store(int64(out[0]))
 	}
 }
 
-// late returns the time after which a sub-request counts as late.
-func (p *pace) late() time.Duration {
-	d := time.Duration(p.published.Load())
-	if d == 0 {
-		return pacePrior
-	}
-	return min(max(time.Duration(lateFactor*float64(d)), minLate), maxLate)
-}
+func (q *quantile) get() time.Duration { return time.Duration(q.published.Load()) }
--- a/entryd/pkg/gatherer/selector.go
+++ b/entryd/pkg/gatherer/selector.go
@@ -46,6 +46,12 @@
 	return s.job.gatherer.pace.late()
 }
 
+// Prompt implements router.Chooser.
+func (s *selector) Prompt(_ int, id string, now time.Time) bool {
+	l := s.job.gatherer.lane(id)
+	return l != nil && l.expected(now) <= s.job.gatherer.pace.slow()
+}
+
 // Failed implements router.Chooser.
 func (s *selector) Failed(id string, _ time.Time) bool {
 	l := s.job.gatherer.lane(id)
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -23,6 +23,9 @@
 	// HedgeDelay returns how long to wait for an answer on a path before the
 	// unit is sent on another one as well.
 	HedgeDelay(path P) time.Duration
+	// Prompt reports whether a unit sent on a path now is expected to be
+	// answered without delay. Others are no use as hedges.
+	Prompt(unit int, path P, now time.Time) bool
 	// Failed reports whether a path is taken to be out of service. Sending
 	// its open units elsewhere then counts as a retry instead of a hedge.
 	// Choose avoids failed paths while there are others.
@@ -443,7 +446,7 @@
 			switch {
 			case failed:
 				retries = append(retries, u)
-			case q.budget.Hedge(1, now):
+			case q.prompt(u, now) && q.budget.Hedge(1, now):
 				hedges = append(hedges, u)
 			}
 		}
@@ -511,6 +514,12 @@
 	peer.Reason_REASON_UNREACHABLE: true,
 }
 
+// prompt reports whether the next path of a unit is of use as a hedge.
+func (q *Query[P]) prompt(u int, now time.Time) bool {
+	path, ok := q.chooser.Choose(u, q.tried[u], now)
+	return ok && q.chooser.Prompt(u, path, now)
+}
+
 // spare reports whether a unit has a path that was not tried.
 func (q *Query[P]) spare(u int, now time.Time) bool {
 	_, ok := q.chooser.Choose(u, q.tried[u], now)
--- a/entryd/pkg/router/router_test.go
+++ b/entryd/pkg/router/router_test.go
@@ -15,6 +15,7 @@
 	paths  []string
 	delay  time.Duration
 	failed map[string]bool
+	queued map[string]bool
 }
 
 func (f *fixed) Choose(_ int, tried []string, _ time.Time) (string, bool) {
@@ -33,6 +34,8 @@
 
 func (f *fixed) HedgeDelay(string) time.Duration { return f.delay }
 
+func (f *fixed) Prompt(_ int, p string, _ time.Time) bool { return !f.queued[p] }
+
 func (f *fixed) Failed(p string, _ time.Time) bool { return f.failed[p] }
 
 // purse is a Budget with a number of tokens for each kind.
@@ -115,6 +118,24 @@
 	}
 }
 
+func TestQueuedPathIsNoHedge(t *testing.T) {
+	f := twoPaths()
+	f.queued = map[string]bool{
+		"b": true,
+	}
+	q := newQuery(1, waitForAll(), f, &purse{
+		hedges: 9,
+	})
+	q.Start(epoch)
+	if got := q.Tick(at(10 * time.Millisecond)); len(got) != 0 {
+		t.Errorf("Tick() = %+v, want no hedge on a path that would answer late", got)
+	}
+	f.queued["b"] = false
+	if got := q.Tick(at(20 * time.Millisecond)); len(got) != 1 {
+		t.Errorf("Tick() = %+v, want a hedge once the path is prompt", got)
+	}
+}
+
 func TestSuspectedRequestIsNotHedged(t *testing.T) {
 	terms := waitForAll()
 	terms.Hedging = false
--- a/entryd/pkg/starter/report.go
+++ b/entryd/pkg/starter/report.go
@@ -83,6 +83,8 @@
 	expvar.Publish("answers", &d.handler.Counts().Answers)
 	expvar.Publish("claims", d.keeper.Counts())
 	expvar.Publish("mutations", d.dispatcher.Counts())
+	expvar.Publish("limit", expvar.Func(func() any { return d.admission.admitter.Stats().Limit }))
+	expvar.Publish("flight", expvar.Func(func() any { return d.admission.admitter.Stats().Flight }))
 	expvar.Publish("revision", expvar.Func(func() any { return d.configs.Index().Revision() }))
 	expvar.Publish("exchanges", expvar.Func(func() any { return d.gossip.Exchanges() }))
 	expvar.Publish("goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
