Benchmarks of the query path

The targets and daemons behind a gatherer and a root answer at once without a transport, so that only their own work counts. No verdict depends on time.

--- /dev/null
+++ b/entryd/pkg/router/bench_test.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// spread is a Chooser that divides the units over some paths.
+type spread struct {
+	paths int
+}
+
+func (s spread) Choose(unit int, tried []int, _ time.Time) (int, bool) {
+	if len(tried) > 1 {
+		return 0, false
+	}
+	return (unit + len(tried)) % s.paths, true
+}
+
+func (spread) HedgeDelay(int) time.Duration { return time.Hour }
+
+func (spread) Failed(int, time.Time) bool { return false }
+
+// BenchmarkQuery runs queries in which every attempt is answered, one path for
+// each unit as in a gatherer, or eight paths for all units as in a root.
+func BenchmarkQuery(b *testing.B) {
+	for _, separate := range []bool{true, false} {
+		for _, units := range []int{8, 34, 100, 300, 710} {
+			b.Run(fmt.Sprintf("separate=%v/units=%d", separate, units), func(b *testing.B) {
+				b.ReportAllocs()
+				for b.Loop() {
+					runQuery(units, separate)
+				}
+				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*units), "ns/unit")
+			})
+		}
+	}
+}
+
+func runQuery(units int, separate bool) {
+	paths := 8
+	if separate {
+		paths = units
+	}
+	terms := waitForAll()
+	terms.Separate = separate
+	var nonce uint64
+	q := New(units, terms, spread{
+		paths: paths,
+	}, &purse{}, func() uint64 {
+		nonce++
+		return nonce
+	})
+	for _, a := range q.Start(epoch) {
+		q.Wake()
+		q.Answer(a.Nonce, a.Units, nil, true, epoch)
+	}
+}
