Router without a map per attempt; no wake-up after a passed goal

Cause: a profile of the gatherer showed a third of its allocations in the router: a map of open units for each attempt (one unit each at a gatherer), a map of groups and a slice for each unit. Wake went over all attempts for each answer, so that a sub-plan cost the square of its shards. Two faults came out on the way, each with a test that failed before: - Wake returned a goal that had passed, so that a query below its floor span on its timer until the floor or the deadline. - A unit that waited on two failed paths was sent twice on the third, and counted twice.

Now each unit knows the attempts that wait for it, and the query keeps a time before which none is due. Units that are sent separately are sent in order of their number instead of grouped by path.

Ruled out: a bit set per attempt (as large as a map for one unit of many); keeping the exact next hedge (a heap, for one spurious look at most).

--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -8,7 +8,6 @@
 package router
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -77,21 +76,14 @@
 	Reason peer.Reason
 }
 
-type unitState struct {
+type unitState[P comparable] struct {
 	covered bool
 	closed  bool
 	reason  peer.Reason
-	pending int
 	rounds  int
-}
-
-type attempt[P comparable] struct {
-	nonce   uint64
-	path    P
-	units   []int
-	open    map[int]bool
-	start   time.Time
-	hedgeAt time.Time
+	tried   []P
+	// waits are the attempts that may still answer the unit.
+	waits []*attempt[P]
 }
 
 // Query is the state of one query. It is not safe for concurrent use.
@@ -100,33 +92,41 @@
 	chooser  Chooser[P]
 	budget   Budget
 	nonces   func() uint64
-	units    []unitState
-	tried    [][]P
+	units    []unitState[P]
 	attempts map[uint64]*attempt[P]
-	covered  int
-	closed   int
-	sent     int
-	hedges   int
-	retries  int
-	done     bool
-	late     int
-	held     []int
-	moves    int
-	out      []Action[P]
+	// due is a time before which no attempt is to be hedged.
+	due     time.Time
+	covered int
+	closed  int
+	sent    int
+	hedges  int
+	retries int
+	done    bool
+	passed  bool
+	late    int
+	held    []int
+	moves   int
+	out     []Action[P]
 }
 
 // New returns a query over n units. nonces returns values that are unique
 // among the live attempts of the caller.
 func New[P comparable](n int, terms Terms, chooser Chooser[P], budget Budget, nonces func() uint64) *Query[P] {
-	return &Query[P]{
+	q := &Query[P]{
 		terms:    terms,
 		chooser:  chooser,
 		budget:   budget,
 		nonces:   nonces,
-		units:    make([]unitState, n),
-		tried:    make([][]P, n),
+		units:    make([]unitState[P], n),
 		attempts: map[uint64]*attempt[P]{},
 	}
+	// Most units have one attempt: there is room for it without an allocation.
+	tried, waits := make([]P, n), make([]*attempt[P], n)
+	for i := range q.units {
+		q.units[i].tried = tried[i : i : i+1]
+		q.units[i].waits = waits[i : i : i+1]
+	}
+	return q
 }
 
 // Start sends every unit on its first path.
@@ -160,13 +160,13 @@
 		return nil
 	}
 	for _, u := range covered {
-		if a.open[u] {
+		if q.waiting(u, a) {
 			q.cover(a, u)
 		}
 	}
 	var again []int
 	for _, l := range lacks {
-		if a.open[l.Unit] && q.lack(a, l) {
+		if q.waiting(l.Unit, a) && q.lack(a, l) {
 			again = append(again, l.Unit)
 		}
 	}
@@ -176,7 +176,7 @@
 	q.drop(a)
 	q.retry(again, now)
 	if !last {
-		a.hedgeAt = now
+		a.hedgeAt, q.due = now, now
 		q.hedge(now)
 	}
 	q.settle(now)
@@ -210,16 +210,14 @@
 	return q.out
 }
 
-// Wake returns the next time at which Tick has something to do.
+// Wake returns the time before which Tick has nothing to do.
 func (q *Query[P]) Wake() time.Time {
 	next := q.terms.Deadline
-	if g := q.terms.Goal; !g.IsZero() && g.Before(next) && !q.done {
+	if g := q.terms.Goal; !g.IsZero() && g.Before(next) && !q.passed && !q.done {
 		next = g
 	}
-	for _, a := range q.attempts {
-		if a.hedgeAt.Before(next) {
-			next = a.hedgeAt
-		}
+	if len(q.attempts) > 0 && q.due.Before(next) {
+		next = q.due
 	}
 	return next
 }
@@ -254,14 +252,17 @@
 	return ok && !q.done
 }
 
-// send groups units by their next path and emits one attempt for each.
+// send emits one attempt for each unit, or for the units of each path.
 func (q *Query[P]) send(units []int, now time.Time, hedge bool) {
+	if q.terms.Separate {
+		q.sendSeparate(units, now, hedge)
+		return
+	}
 	groups := map[P][]int{}
 	var order []P
 	for _, u := range units {
-		path, ok := q.chooser.Choose(u, q.tried[u], now)
+		path, ok := q.choose(u, now)
 		if !ok {
-			q.closeIfIdle(u, peer.Reason_REASON_UNREACHABLE)
 			continue
 		}
 		if _, seen := groups[path]; !seen {
@@ -270,115 +271,26 @@
 		groups[path] = append(groups[path], u)
 	}
 	for _, path := range order {
-		if !q.terms.Separate {
-			q.emit(path, groups[path], now, hedge)
-			continue
-		}
-		for _, u := range groups[path] {
-			q.emit(path, []int{u}, now, hedge)
-		}
-	}
-}
-
-func (q *Query[P]) emit(path P, units []int, now time.Time, hedge bool) {
-	a := &attempt[P]{
-		nonce:   q.nonces(),
-		path:    path,
-		units:   units,
-		open:    make(map[int]bool, len(units)),
-		start:   now,
-		hedgeAt: now.Add(q.chooser.HedgeDelay(path)),
-	}
-	for _, u := range units {
-		a.open[u] = true
-		q.units[u].pending++
-		q.tried[u] = append(q.tried[u], path)
-	}
-	if hedge {
-		q.hedges += len(units)
-	}
-	q.sent += len(units)
-	q.attempts[a.nonce] = a
-	q.out = append(q.out, Action[P]{
-		Nonce: a.nonce,
-		Path:  path,
-		Units: units,
-		Hedge: hedge,
-	})
-}
-
-func (q *Query[P]) cover(a *attempt[P], u int) {
-	delete(a.open, u)
-	s := &q.units[u]
-	s.pending--
-	if s.covered {
-		return
-	}
-	if s.closed {
-		q.closed--
-		s.closed = false
-	}
-	s.covered = true
-	q.covered++
-	if s.pending > 0 {
-		q.release(u)
+		q.emit(path, groups[path], now, hedge)
 	}
 }
 
-// release takes a covered unit out of the other attempts and cancels those
-// that have nothing else to answer.
-func (q *Query[P]) release(u int) {
-	for _, a := range q.attempts {
-		if !a.open[u] {
-			continue
-		}
-		delete(a.open, u)
-		q.units[u].pending--
-		if len(a.open) == 0 {
-			delete(q.attempts, a.nonce)
-			q.out = append(q.out, Action[P]{
-				Cancel: true,
-				Nonce:  a.nonce,
-				Path:   a.path,
-			})
+func (q *Query[P]) sendSeparate(units []int, now time.Time, hedge bool) {
+	q.out = slices.Grow(q.out, len(units))
+	for i, u := range units {
+		if path, ok := q.choose(u, now); ok {
+			q.emit(path, units[i:i+1:i+1], now, hedge)
 		}
 	}
 }
 
-// lack closes a unit of an attempt and reports whether it may be sent again.
-func (q *Query[P]) lack(a *attempt[P], l Lack) bool {
-	delete(a.open, l.Unit)
-	s := &q.units[l.Unit]
-	s.pending--
-	if s.covered {
-		return false
-	}
-	s.reason = worse(s.reason, l.Reason)
-	return s.pending == 0
-}
-
-// finish closes all open units of an attempt and returns those to send again.
-func (q *Query[P]) finish(a *attempt[P], reason peer.Reason) []int {
-	var again []int
-	for _, u := range a.units {
-		if !a.open[u] {
-			continue
-		}
-		l := Lack{
-			Unit:   u,
-			Reason: reason,
-		}
-		if q.lack(a, l) {
-			again = append(again, u)
-		}
-	}
-	return again
-}
-
-func (q *Query[P]) drop(a *attempt[P]) {
-	if len(a.open) == 0 {
-		delete(q.attempts, a.nonce)
+// choose returns the next path of a unit, and closes the unit if there is none.
+func (q *Query[P]) choose(u int, now time.Time) (P, bool) {
+	path, ok := q.chooser.Choose(u, q.units[u].tried, now)
+	if !ok {
+		q.closeIfIdle(u, peer.Reason_REASON_UNREACHABLE)
 	}
+	return path, ok
 }
 
 func (q *Query[P]) retry(units []int, now time.Time) {
@@ -409,7 +321,7 @@
 
 func (q *Query[P]) closeIfIdle(u int, reason peer.Reason) {
 	s := &q.units[u]
-	if s.pending > 0 || s.covered || s.closed {
+	if len(s.waits) > 0 || s.covered || s.closed {
 		return
 	}
 	s.closed = true
@@ -417,73 +329,6 @@
 	q.closed++
 }
 
-// costly holds the reasons after which a retry is charged to the budget: the
-// failed attempt used capacity, or the targets have none to spare.
-var costly = map[peer.Reason]bool{
-	peer.Reason_REASON_SHED:   true,
-	peer.Reason_REASON_FAILED: true,
-	peer.Reason_REASON_BUDGET: true,
-	peer.Reason_REASON_LATE:   true,
-}
-
-// hedge sends the open units of overdue attempts on a second path. Hedges are
-// charged to the budget. Leaving a failed path is free: it happens once for each
-// path of a unit, and later units avoid the path.
-func (q *Query[P]) hedge(now time.Time) {
-	var hedges, retries []int
-	for _, a := range q.overdue(now) {
-		failed := q.chooser.Failed(a.path, now)
-		if !failed && (!q.terms.Hedging || len(q.held) > 0) {
-			continue
-		}
-		for _, u := range a.units {
-			if !a.open[u] || q.backed(a, u, now) || !q.spare(u, now) {
-				continue
-			}
-			switch {
-			case failed:
-				retries = append(retries, u)
-			case q.budget.Hedge(1, now):
-				hedges = append(hedges, u)
-			}
-		}
-	}
-	q.retries += len(retries)
-	q.send(retries, now, false)
-	q.send(hedges, now, true)
-}
-
-// backed reports whether a unit waits on another path that has not failed.
-func (q *Query[P]) backed(a *attempt[P], u int, now time.Time) bool {
-	if q.units[u].pending < 2 {
-		return false
-	}
-	for _, other := range q.attempts {
-		if other != a && other.open[u] && !q.chooser.Failed(other.path, now) {
-			return true
-		}
-	}
-	return false
-}
-
-// recheck is the time after which an overdue attempt is looked at again.
-const recheck = 10 * time.Millisecond
-
-// overdue returns the attempts whose hedge delay has passed, oldest nonce
-// first.
-func (q *Query[P]) overdue(now time.Time) []*attempt[P] {
-	var due []*attempt[P]
-	for _, a := range q.attempts {
-		if a.hedgeAt.After(now) {
-			continue
-		}
-		a.hedgeAt = now.Add(recheck)
-		due = append(due, a)
-	}
-	slices.SortFunc(due, func(a, b *attempt[P]) int { return cmp.Compare(a.nonce, b.nonce) })
-	return due
-}
-
 // maxRounds is how often the paths of a unit are tried, while the attempts used
 // no capacity.
 const maxRounds = 2
@@ -502,18 +347,13 @@
 		return false
 	}
 	s.rounds++
-	q.tried[u] = q.tried[u][:0]
+	s.tried = s.tried[:0]
 	return q.spare(u, now)
 }
 
-// passing holds the reasons that may not hold for the next attempt.
-var passing = map[peer.Reason]bool{
-	peer.Reason_REASON_UNREACHABLE: true,
-}
-
 // spare reports whether a unit has a path that was not tried.
 func (q *Query[P]) spare(u int, now time.Time) bool {
-	_, ok := q.chooser.Choose(u, q.tried[u], now)
+	_, ok := q.chooser.Choose(u, q.units[u].tried, now)
 	return ok
 }
 
@@ -524,7 +364,8 @@
 	}
 	q.unhold(now)
 	n := len(q.units)
-	early := !q.terms.Goal.IsZero() && !now.Before(q.terms.Goal) && float64(q.covered) >= q.terms.Floor*float64(n)
+	q.passed = !q.terms.Goal.IsZero() && !now.Before(q.terms.Goal)
+	early := q.passed && float64(q.covered) >= q.terms.Floor*float64(n)
 	if q.covered+q.closed < n && !early && now.Before(q.terms.Deadline) {
 		return
 	}
@@ -544,70 +385,3 @@
 	}
 	clear(q.attempts)
 }
-
-// maxMoves is how often another unit takes the place of a first one that failed.
-const maxMoves = 1
-
-// moveFirst sends another unit first after the first one has failed, so that
-// the loss of one replica is not followed by that of the next of the same unit.
-func (q *Query[P]) moveFirst(now time.Time) bool {
-	if len(q.held) == 0 || q.moves >= maxMoves {
-		return false
-	}
-	q.moves++
-	i := len(q.held) / 2
-	next := q.held[i]
-	q.held[i] = q.terms.First - 1
-	q.terms.First = next + 1
-	q.retries++
-	q.send([]int{next}, now, false)
-	return true
-}
-
-// First returns one more than the unit that is, or was, sent alone first. Zero
-// means that all were sent at once.
-func (q *Query[P]) First() int { return q.terms.First }
-
-// Holding reports whether only the first unit was sent so far.
-func (q *Query[P]) Holding() bool { return len(q.held) > 0 }
-
-// unhold sends the other units once the first has been answered, or cannot be.
-// A quarantined request goes no further.
-func (q *Query[P]) unhold(now time.Time) {
-	if len(q.held) == 0 {
-		return
-	}
-	first := q.units[q.terms.First-1]
-	if !first.covered && !first.closed {
-		return
-	}
-	held := q.held
-	q.held = nil
-	if first.reason != peer.Reason_REASON_QUARANTINED {
-		q.send(held, now, false)
-		return
-	}
-	for _, u := range held {
-		q.closeIfIdle(u, first.reason)
-	}
-}
-
-// rank orders reasons by how much they explain: the highest one is reported.
-var rank = map[peer.Reason]int{
-	peer.Reason_REASON_UNSPECIFIED: 0,
-	peer.Reason_REASON_UNREACHABLE: 1,
-	peer.Reason_REASON_LEAVING:     2,
-	peer.Reason_REASON_LATE:        3,
-	peer.Reason_REASON_FAILED:      4,
-	peer.Reason_REASON_SHED:        5,
-	peer.Reason_REASON_BUDGET:      6,
-	peer.Reason_REASON_DROPPED:     7,
-	peer.Reason_REASON_QUARANTINED: 8,
-}
-
-func worse(a, b peer.Reason) peer.Reason {
-	if rank[b] > rank[a] {
-		return b
-	}
-	return a
-}
--- a/entryd/pkg/router/router_test.go
+++ b/entryd/pkg/router/router_test.go
@@ -189,6 +189,25 @@
 	}
 }
 
+// TestNoWakeForPassedGoal asks for no wake-up between a goal that passed below
+// the floor and the next event.
+func TestNoWakeForPassedGoal(t *testing.T) {
+	f := twoPaths()
+	f.delay = time.Minute
+	terms := waitForAll()
+	terms.Goal = at(100 * time.Millisecond)
+	terms.Floor = 0.5
+	q := newQuery(4, terms, f, &purse{})
+	q.Start(epoch)
+	if got := q.Wake(); !got.Equal(terms.Goal) {
+		t.Fatalf("Wake() = %v, want the goal", got)
+	}
+	q.Tick(terms.Goal)
+	if got := q.Wake(); !got.Equal(terms.Deadline) {
+		t.Errorf("Wake() after the goal = %v, want the deadline", got)
+	}
+}
+
 func TestLateAnswerIsCountedAndIgnored(t *testing.T) {
 	q := newQuery(1, waitForAll(), twoPaths(), &purse{})
 	first := q.Start(epoch)
@@ -286,8 +305,11 @@
 	}
 	f.failed["a"], f.failed["b"] = true, true
 	third := q.Tick(at(20 * time.Millisecond))
-	if len(third) != 1 || third[0].Path != "c" || third[0].Hedge {
-		t.Errorf("Tick() = %+v, want a retry on c", third)
+	if len(third) != 1 || third[0].Path != "c" || third[0].Hedge || !slices.Equal(third[0].Units, []int{0}) {
+		t.Errorf("Tick() = %+v, want a retry of unit 0 on c", third)
+	}
+	if q.Sent() != 3 || q.Retries() != 1 {
+		t.Errorf("Sent() = %d, Retries() = %d, want 3, 1", q.Sent(), q.Retries())
 	}
 }
 
