Half of the allocations of a sub-request at the gatherer

Cause: looking up a lane built a key of two strings, seven times for each sub-request (a quarter of all allocations); each sub-request had a closure that was the same for all of its sub-plan, and the request lay beside its flight. Maps and slices whose size is known grew step by step.

Ruled out: keeping the attempt in the flight as well. The attempts outlive the sub-plan at a root that keeps them to explain an answer, and would hold the requests with them.

--- a/entryd/pkg/gatherer/gatherer.go
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -61,7 +61,7 @@
 	drain   sync.Once
 
 	mu    sync.RWMutex
-	lanes map[string]*lane
+	lanes map[laneKey]*lane
 }
 
 // Options are the collaborators of a Gatherer.
@@ -93,7 +93,7 @@
 		budget:     o.Budget,
 		quarantine: o.Quarantine,
 		onLoss:     o.OnLoss,
-		lanes:      map[string]*lane{},
+		lanes:      map[laneKey]*lane{},
 		drained:    make(chan struct{}),
 	}
 	// Nonces of two lives of a daemon, or of two daemons, do not meet.
@@ -121,6 +121,12 @@
 	return s.run()
 }
 
+// laneKey names a target at one address.
+type laneKey struct {
+	id      string
+	address string
+}
+
 // lane returns the lane of a target, or nil if the configuration in force
 // does not have it.
 func (g *Gatherer) lane(id string) *lane {
@@ -128,7 +134,10 @@
 	if t == nil {
 		return nil
 	}
-	key := id + "@" + t.GetAddress()
+	key := laneKey{
+		id:      id,
+		address: t.GetAddress(),
+	}
 	g.mu.RLock()
 	l := g.lanes[key]
 	g.mu.RUnlock()
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -27,6 +27,7 @@
 	unit    int
 	lane    *lane
 	attempt *peer.Attempt
+	request request
 }
 
 // job answers one sub-plan.
@@ -43,6 +44,7 @@
 	wanted   []*peer.Wanted
 	query    *router.Query[string]
 	events   batcher.Queue[reply]
+	sink     func(reply)
 	flights  map[uint64]*flight
 
 	merged   *merger.Merger
@@ -66,8 +68,11 @@
 		digest:   digester.Query(task.GetQuery()),
 		start:    now,
 		deadline: now.Add(time.Duration(task.GetRemaining())*time.Microsecond - returnMargin),
-		flights:  map[uint64]*flight{},
+		flights:  make(map[uint64]*flight, len(task.GetShards())),
+		fresh:    make([]string, 0, len(task.GetShards())),
+		attempts: make([]*peer.Attempt, 0, len(task.GetShards())),
 	}
+	j.sink = func(r reply) { j.events.Put(r) }
 	j.learn(now)
 	j.index()
 	j.merged = j.newMerger()
@@ -174,6 +179,14 @@
 			Hedge:  a.Hedge,
 			Start:  now.Sub(j.start).Microseconds(),
 		},
+		request: request{
+			nonce:       a.Nonce,
+			search:      j.search(unit),
+			expiry:      j.deadline,
+			fingerprint: j.task.GetFingerprint(),
+			institution: j.task.GetInstitution(),
+			sink:        j.sink,
+		},
 	}
 	j.attempts = append(j.attempts, f.attempt)
 	j.flights[a.Nonce] = f
@@ -181,21 +194,18 @@
 	if a.Hedge {
 		j.gatherer.counts.Hedges.Add(1)
 	}
-	l.submit(&request{
-		nonce: a.Nonce,
-		search: &target.Search{
-			Collection: j.task.GetCollection(),
-			Version:    j.task.GetVersion(),
-			Snapshot:   j.task.GetSnapshot(),
-			Shard:      j.wanted[unit].GetShard(),
-			Query:      j.task.GetQuery(),
-			Trace:      j.trace,
-		},
-		expiry:      j.deadline,
-		fingerprint: j.task.GetFingerprint(),
-		institution: j.task.GetInstitution(),
-		sink:        func(r reply) { j.events.Put(r) },
-	})
+	l.submit(&f.request)
+}
+
+func (j *job) search(unit int) *target.Search {
+	return &target.Search{
+		Collection: j.task.GetCollection(),
+		Version:    j.task.GetVersion(),
+		Snapshot:   j.task.GetSnapshot(),
+		Shard:      j.wanted[unit].GetShard(),
+		Query:      j.task.GetQuery(),
+		Trace:      j.trace,
+	}
 }
 
 // receive handles what became of one sub-request.
@@ -336,7 +346,7 @@
 func (j *job) slow(now time.Time) []*peer.Slow {
 	limit := time.Duration(slowFactor * float64(j.gatherer.pace.late()))
 	var out []*peer.Slow
-	seen := map[string]bool{}
+	seen := make(map[string]bool, 2*len(j.wanted))
 	for _, w := range j.wanted {
 		for _, id := range w.GetTargets() {
 			if seen[id] {
