securer: verify servers by IP address, log broken files once; admin asks for client certificates

Client() disabled Go's verification and checked the chain itself with the ServerName of the connection state, which is empty for IP addresses, so that any certificate of the CA passed for any address. Connections now take a configuration with the CA in force at each handshake. Files are told apart by time and size, read again until they go together, and a failure is logged once. The checker lets a class state a goal of 0s, as config.proto says.

--- a/entryd/pkg/starter/hosts.go
+++ b/entryd/pkg/starter/hosts.go
@@ -25,9 +25,7 @@
 		OnSeeds:   d.gossip.SetSeeds,
 		OnLeaving: func(target string) { d.drainer.Announce(target, 0) },
 		Client: &http.Client{
-			Transport: &http.Transport{
-				DialContext: d.sourceDialer().DialContext,
-			},
+			Transport: d.tls.Transport(d.sourceDialer().DialContext),
 		},
 		Clock: d.clock,
 	})
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -202,7 +202,7 @@
 		Mutator:  d.gatherer,
 	})
 	d.web = newHTTPServer(d.handler)
-	d.adminS = newHTTPServer(d.admin)
+	d.adminS = newHTTPServer(d.guard(d.admin))
 	peerL, err := net.Listen("tcp", d.cfg.GetListen().GetPeer())
 	if err != nil {
 		return eris.Wrap(err, "listen.peer")
@@ -217,8 +217,8 @@
 	}
 	d.publish()
 	d.wg.Go(func() { d.failed("peer listener", d.peers.Serve(peerL)) })
-	d.wg.Go(func() { d.failed("http listener", d.web.Serve(d.tls.Listen(webL, false))) })
-	d.wg.Go(func() { d.failed("admin listener", d.adminS.Serve(d.tls.Listen(adminL, false))) })
+	d.wg.Go(func() { d.failed("http listener", d.web.Serve(d.tls.Listen(webL, securer.ClientsAnonymous))) })
+	d.wg.Go(func() { d.failed("admin listener", d.adminS.Serve(d.tls.Listen(adminL, securer.ClientsOptional))) })
 	d.wg.Go(func() { d.gossip.Run(d.ctx) })
 	d.wg.Go(func() { d.adopter.Run(d.ctx) })
 	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
--- a/tier/pkg/checker/config.go
+++ b/tier/pkg/checker/config.go
@@ -5,6 +5,9 @@
 	"math"
 	"regexp"
 	"sort"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/pkg/encoder"
@@ -169,7 +172,7 @@
 		r.name(field+".name", c.GetName())
 		r.unique(names, field+".name", c.GetName())
 		r.fraction(field+".floor", c.GetFloor())
-		goal := r.duration(field+".goal", c.GetGoal(), true)
+		goal := r.goal(field+".goal", c.GetGoal())
 		deadline := r.duration(field+".deadline", c.GetDeadline(), false)
 		if deadline > 0 && goal > deadline {
 			r.add(field+".goal", "%s is after the deadline of %s", goal, deadline)
@@ -177,6 +180,15 @@
 	}
 }
 
+// goal checks a latency goal. Zero, like none, means that answers wait for
+// their deadline.
+func (r *report) goal(field string, d *durationpb.Duration) time.Duration {
+	if d == nil || (d.IsValid() && d.AsDuration() == 0) {
+		return 0
+	}
+	return r.duration(field, d, true)
+}
+
 func (r *report) policy(p *config.Policy) {
 	r.fraction("policy.hedge", p.GetHedge())
 	r.fraction("policy.retry", p.GetRetry())
--- a/tier/pkg/checker/settings.go
+++ b/tier/pkg/checker/settings.go
@@ -140,6 +140,9 @@
 	if s.GetCertificate() != "" && s.GetKey() == "" {
 		r.add("security.key", "is missing beside security.certificate")
 	}
+	if s.GetCertificate() == "" && s.GetCa() != "" {
+		r.add("security.certificate", "is missing beside security.ca")
+	}
 	if s.GetCertificate() != "" && s.GetCa() == "" {
 		r.add("security.ca", "is missing beside security.certificate")
 	}
--- /dev/null
+++ b/tier/pkg/securer/client.go
@@ -0,0 +1,101 @@
+package securer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// Client returns the TLS configuration of one connection to a server with a
+// name or IP address, from the files now in force.
+func (s *Securer) Client(server string) *tls.Config {
+	now := s.current()
+	cfg := &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		ServerName: server,
+		RootCAs:    now.pool,
+	}
+	if now.cert != nil {
+		cfg.Certificates = []tls.Certificate{*now.cert}
+	}
+	return cfg
+}
+
+// Dial is a function that connects to an address.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a function that makes TLS connections over those of dial.
+func (s *Securer) Dialer(dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, eris.Wrapf(err, "dial: peer %s", address)
+		}
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(raw, s.Client(host))
+		if err := conn.HandshakeContext(ctx); err != nil {
+			_ = raw.Close()
+			return nil, eris.Wrapf(err, "handshake: peer %s", address)
+		}
+		return conn, nil
+	}
+}
+
+// Transport returns an HTTP transport over the connections of dial, the
+// default ones if it is nil. https URLs are verified against the files in
+// force at each connection. A nil Securer verifies them against the system's
+// CAs.
+func (s *Securer) Transport(dial Dial) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	t := &http.Transport{
+		DialContext: dial,
+	}
+	if s != nil {
+		t.DialTLSContext = s.Dialer(dial)
+	}
+	return t
+}
+
+// ClientCredentials returns the gRPC credentials of a client. A nil Securer
+// returns plain text.
+func (s *Securer) ClientCredentials() credentials.TransportCredentials {
+	if s == nil {
+		return insecure.NewCredentials()
+	}
+	return &clientCredentials{
+		TransportCredentials: credentials.NewTLS(&tls.Config{
+			MinVersion: tls.VersionTLS12,
+		}),
+		securer: s,
+	}
+}
+
+// clientCredentials takes the files in force at each handshake.
+type clientCredentials struct {
+	credentials.TransportCredentials
+	securer *Securer
+}
+
+// ClientHandshake implements credentials.TransportCredentials. The name that
+// is verified comes from authority.
+func (c *clientCredentials) ClientHandshake(ctx context.Context, authority string, raw net.Conn) (net.Conn, credentials.AuthInfo, error) {
+	return credentials.NewTLS(c.securer.Client("")).ClientHandshake(ctx, authority, raw)
+}
+
+// Clone implements credentials.TransportCredentials.
+func (c *clientCredentials) Clone() credentials.TransportCredentials {
+	return &clientCredentials{
+		TransportCredentials: c.TransportCredentials.Clone(),
+		securer:              c.securer,
+	}
+}
--- /dev/null
+++ b/tier/pkg/securer/securer_test.go
@@ -0,0 +1,265 @@
+package securer
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"log/slog"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"plantaincleat/tier/gen/settings"
+)
+
+// authority is a CA of a test.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &authority{
+		t:   t,
+		key: key,
+		cert: &x509.Certificate{
+			SerialNumber:          big.NewInt(1),
+			Subject:               pkix.Name{CommonName: t.Name()},
+			NotAfter:              time.Now().Add(time.Hour),
+			IsCA:                  true,
+			BasicConstraintsValid: true,
+			KeyUsage:              x509.KeyUsageCertSign,
+		},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.cert, err = x509.ParseCertificate(der); err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// write issues a certificate for an IP address and writes the three files.
+func (a *authority) write(dir, ip string, serial int64) *settings.Security {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial),
+		NotAfter:     time.Now().Add(time.Hour),
+		IPAddresses:  []net.IP{net.ParseIP(ip)},
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return &settings.Security{
+		Certificate: a.put(dir, "cert.pem", "CERTIFICATE", der),
+		Key:         a.put(dir, "key.pem", "PRIVATE KEY", private),
+		Ca:          a.put(dir, "ca.pem", "CERTIFICATE", a.cert.Raw),
+	}
+}
+
+func (a *authority) put(dir, name, kind string, der []byte) string {
+	a.t.Helper()
+	file := filepath.Join(dir, name)
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{
+		Type:  kind,
+		Bytes: der,
+	}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+	return file
+}
+
+func open(t *testing.T, files *settings.Security, clock clockwork.Clock) *Securer {
+	t.Helper()
+	s, err := New(files, clock)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// shake makes a handshake over loopback and returns the serial number of the
+// server's certificate.
+func shake(t *testing.T, server, client *tls.Config) (int64, error) {
+	t.Helper()
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			_, _ = c.Write([]byte{1})
+			_ = c.Close()
+		}
+	}()
+	c, err := tls.Dial("tcp", l.Addr().String(), client)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = c.Close() }()
+	// With TLS 1.3 the client learns of a refused certificate when it reads.
+	if _, err := c.Read(make([]byte, 1)); err != nil {
+		return 0, err
+	}
+	return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+func TestHandshakes(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	ca, other := newAuthority(t), newAuthority(t)
+	files := ca.write(t.TempDir(), "127.0.0.1", 7)
+	own := open(t, files, clock)
+	stranger := open(t, other.write(t.TempDir(), "127.0.0.1", 8), clock)
+	elsewhere := open(t, ca.write(t.TempDir(), "127.0.0.2", 9), clock)
+	anonymous := open(t, &settings.Security{
+		Ca: files.GetCa(),
+	}, clock)
+	// It trusts the server, but its certificate is of another CA.
+	mixed := stranger.Client("127.0.0.1")
+	mixed.RootCAs = own.now.pool
+	cases := []struct {
+		name    string
+		server  *tls.Config
+		client  *tls.Config
+		refused bool
+	}{
+		{name: "mutual", server: own.Server(ClientsVerified), client: own.Client("127.0.0.1")},
+		{name: "mutual without a certificate", server: own.Server(ClientsVerified), client: anonymous.Client("127.0.0.1"), refused: true},
+		{name: "mutual with one of another CA", server: own.Server(ClientsVerified), client: mixed, refused: true},
+		{name: "anonymous", server: own.Server(ClientsAnonymous), client: anonymous.Client("127.0.0.1")},
+		{name: "optional without a certificate", server: own.Server(ClientsOptional), client: anonymous.Client("127.0.0.1")},
+		{name: "optional with one of another CA", server: own.Server(ClientsOptional), client: mixed, refused: true},
+		{name: "server of another CA", server: stranger.Server(ClientsAnonymous), client: own.Client("127.0.0.1"), refused: true},
+		{name: "server of another address", server: elsewhere.Server(ClientsAnonymous), client: own.Client("127.0.0.1"), refused: true},
+		{name: "listener without a certificate", server: anonymous.Server(ClientsAnonymous), client: own.Client("127.0.0.1"), refused: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := shake(t, c.server, c.client); (err != nil) != c.refused {
+				t.Errorf("refused %v, want %v: %v", err != nil, c.refused, err)
+			}
+		})
+	}
+}
+
+// TestCredentials calls a method that no server has: the code tells whether the
+// connection stood.
+func TestCredentials(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	ca := newAuthority(t)
+	own := open(t, ca.write(t.TempDir(), "127.0.0.1", 1), clock)
+	elsewhere := open(t, ca.write(t.TempDir(), "127.0.0.2", 2), clock)
+	stranger := open(t, newAuthority(t).write(t.TempDir(), "127.0.0.1", 3), clock)
+	cases := []struct {
+		name           string
+		server, client *Securer
+		want           codes.Code
+	}{
+		{name: "mutual", server: own, client: own, want: codes.Unimplemented},
+		{name: "plain text", want: codes.Unimplemented},
+		{name: "plain client", server: own, want: codes.Unavailable},
+		{name: "client of another CA", server: own, client: stranger, want: codes.Unavailable},
+		{name: "server of another address", server: elsewhere, client: own, want: codes.Unavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := grpc.NewServer(grpc.Creds(c.server.ServerCredentials()))
+			defer g.Stop()
+			go func() { _ = g.Serve(l) }()
+			conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(c.client.ClientCredentials()))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			err = conn.Invoke(context.Background(), "/none/None", &settings.Log{}, &settings.Log{})
+			if got := status.Code(err); got != c.want {
+				t.Errorf("code %s, want %s: %v", got, c.want, err)
+			}
+		})
+	}
+}
+
+func TestReload(t *testing.T) {
+	var log bytes.Buffer
+	defer slog.SetDefault(slog.Default())
+	slog.SetDefault(slog.New(slog.NewTextHandler(&log, nil)))
+	clock := clockwork.NewFakeClock()
+	ca, next := newAuthority(t), newAuthority(t)
+	dir := t.TempDir()
+	files := ca.write(dir, "127.0.0.1", 1)
+	s := open(t, files, clock)
+	server := s.Server(ClientsVerified)
+	check := func(step string, want int64) {
+		t.Helper()
+		clock.Advance(checkInterval)
+		got, err := shake(t, server, s.Client("127.0.0.1"))
+		if err != nil || got != want {
+			t.Errorf("%s: serial %d, want %d: %v", step, got, want, err)
+		}
+	}
+	check("first files", 1)
+	ca.write(dir, "127.0.0.1", 22)
+	check("new certificate", 22)
+	if err := os.WriteFile(files.GetKey(), []byte("garbled"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	check("broken key", 22)
+	check("broken key, seen again", 22)
+	if n := strings.Count(log.String(), "TLS files not taken over"); n != 1 {
+		t.Errorf("broken files were logged %d times, want 1", n)
+	}
+	next.write(dir, "127.0.0.1", 333)
+	check("new CA", 333)
+	if _, err := shake(t, server, open(t, ca.write(t.TempDir(), "127.0.0.1", 4), clock).Client("127.0.0.1")); err == nil {
+		t.Error("a client of the replaced CA was accepted")
+	}
+}
+
+func TestPlainText(t *testing.T) {
+	s := open(t, nil, clockwork.NewFakeClock())
+	if s != nil {
+		t.Fatal("no files: want nil")
+	}
+	if got := s.ClientCredentials().Info().SecurityProtocol; got != insecure.NewCredentials().Info().SecurityProtocol {
+		t.Errorf("protocol %q", got)
+	}
+}
