--- a/entryd/pkg/dialer/dialer.go
+++ b/entryd/pkg/dialer/dialer.go
@@ -13,6 +13,9 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"plantaincleat/tier/pkg/securer"
 )
 
 const (
@@ -36,8 +39,9 @@
 }
 
 // New returns a dialer. Connections leave from the source IP address unless it
-// is empty.
-func New(creds credentials.TransportCredentials, source string) (*Dialer, error) {
+// is empty. With insecure credentials, addresses other than loopback are
+// refused unless plain is true.
+func New(creds credentials.TransportCredentials, source string, plain bool) (*Dialer, error) {
 	nd := &net.Dialer{
 		Timeout: connectTimeout,
 	}
@@ -50,6 +54,10 @@
 			IP: ip,
 		}
 	}
+	dial := securer.Dial(nd.DialContext)
+	if creds.Info().SecurityProtocol == insecure.NewCredentials().Info().SecurityProtocol && !plain {
+		dial = securer.Loopback(dial)
+	}
 	return &Dialer{
 		conns: map[string]*grpc.ClientConn{},
 		opts: []grpc.DialOption{
@@ -58,7 +66,7 @@
 			grpc.WithDisableServiceConfig(),
 			grpc.WithIdleTimeout(0),
 			grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-				return nd.DialContext(ctx, "tcp", address)
+				return dial(ctx, "tcp", address)
 			}),
 			grpc.WithConnectParams(grpc.ConnectParams{
 				MinConnectTimeout: connectTimeout,
--- a/entryd/pkg/starter/hosts.go
+++ b/entryd/pkg/starter/hosts.go
@@ -25,7 +25,7 @@
 		OnSeeds:   d.gossip.SetSeeds,
 		OnLeaving: func(target string) { d.drainer.Announce(target, 0) },
 		Client: &http.Client{
-			Transport: d.tls.Transport(d.sourceDialer().DialContext),
+			Transport: d.tls.Transport(d.sourceDialer().DialContext, d.cfg.GetSecurity().GetInsecure()),
 		},
 		Clock: d.clock,
 	})
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -89,7 +89,7 @@
 	if d.tls, err = securer.New(cfg.GetSecurity(), clock); err != nil {
 		return nil, err
 	}
-	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource()); err != nil {
+	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource(), cfg.GetSecurity().GetInsecure()); err != nil {
 		return nil, err
 	}
 	if d.store, err = storer.DialEtcd(cfg.GetKv(), d.dialer.Options()...); err != nil {
--- a/loadgen/pkg/balancer/balancer.go
+++ b/loadgen/pkg/balancer/balancer.go
@@ -12,6 +12,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
+
+	"plantaincleat/tier/pkg/securer"
 )
 
 const (
@@ -65,6 +67,10 @@
 	return b, nil
 }
 
+// SetSecurity has daemons at https URLs verified against a CA. A nil Securer
+// stands for the system's CAs. It must be called before Run.
+func (b *Balancer) SetSecurity(s *securer.Securer) { b.client.Transport = s.Transport(nil, true) }
+
 // Next returns the next daemon that is ready, or the next one if none is.
 func (b *Balancer) Next() string {
 	n := uint64(len(b.entries))
--- a/loadgen/pkg/caller/caller.go
+++ b/loadgen/pkg/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/securer"
 )
 
 const (
@@ -170,6 +171,15 @@
 	}
 }
 
+// SetSecurity has daemons at https URLs verified against a CA. A nil Securer
+// stands for the system's CAs. It must be called before the first request.
+func (c *Caller) SetSecurity(s *securer.Securer) {
+	t := s.Transport(nil, true)
+	t.MaxIdleConnsPerHost = maxIdle
+	t.DisableCompression = true
+	c.client.Transport = t
+}
+
 // Close closes idle connections.
 func (c *Caller) Close() {
 	c.client.CloseIdleConnections()
--- a/loadgen/pkg/commander/run.go
+++ b/loadgen/pkg/commander/run.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 
@@ -21,7 +22,9 @@
 	"plantaincleat/loadgen/pkg/reporter"
 	"plantaincleat/loadgen/pkg/verifier"
 	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/settings"
 	"plantaincleat/tier/pkg/loader"
+	"plantaincleat/tier/pkg/securer"
 )
 
 // errViolations ends a run whose answers were at fault.
@@ -46,6 +49,7 @@
 	report    string
 	plot      string
 	mutations string
+	ca        string
 }
 
 func newRun() *cobra.Command {
@@ -91,6 +95,7 @@
 	flags.DurationVar(&f.patience, "patience", 2*time.Second, "time after the deadline at which a request counts as lost")
 	flags.Int64Var(&f.inFlight, "inflight", 20000, "requests without an answer beyond which new ones count as lost")
 	flags.StringVar(&f.report, "report", "", "file for the report in JSON")
+	flags.StringVar(&f.ca, "ca", "", "PEM file of the CA of the daemons at https URLs; the system's CAs without it")
 	flags.StringVar(&f.plot, "plot", "", "file for the plots, .svg or .png")
 	flags.StringVar(&f.mutations, "mutations", "", "file for the outcome of each mutation, as JSON lines")
 }
@@ -100,10 +105,17 @@
 	if err != nil {
 		return err
 	}
+	secure, err := securer.New(&settings.Security{
+		Ca: f.ca,
+	}, clockwork.NewRealClock())
+	if err != nil {
+		return eris.Wrap(err, "flag --ca")
+	}
 	b, err := balancer.New(f.entries, nil)
 	if err != nil {
 		return eris.Wrap(err, "flag --entry")
 	}
+	b.SetSecurity(secure)
 	if f.plot != "" {
 		if _, err := reporter.Format(f.plot); err != nil {
 			return eris.Wrap(err, "flag --plot")
@@ -121,6 +133,7 @@
 	defer cancel()
 	go b.Run(ctx)
 	c := caller.New(b)
+	c.SetSecurity(secure)
 	defer c.Close()
 	r := driver.New(c, o).Run(ctx)
 	r.Profile = f.profile
--- a/plantainctl/pkg/commander/connect.go
+++ b/plantainctl/pkg/commander/connect.go
@@ -118,10 +118,11 @@
 	if err != nil {
 		return nil, "", err
 	}
-	if s == nil {
-		return &http.Client{}, "http", nil
+	scheme := "http"
+	if s != nil {
+		scheme = "https"
 	}
 	return &http.Client{
-		Transport: s.Transport(nil),
-	}, "https", nil
+		Transport: s.Transport(nil, t.insecure),
+	}, scheme, nil
 }
--- a/standin/pkg/commander/hosts.go
+++ b/standin/pkg/commander/hosts.go
@@ -13,11 +13,13 @@
 	"github.com/tailscale/hujson"
 
 	"plantaincleat/standin/pkg/hostlister"
+	"plantaincleat/tier/pkg/securer"
 )
 
 // newHosts returns the subcommand of the host list.
 func newHosts() *cobra.Command {
 	var address, admin, file string
+	security := &tlsFlags{}
 	cmd := &cobra.Command{
 		Use:   "hosts",
 		Short: "Serve the list of live and leaving hosts",
@@ -29,17 +31,22 @@
 			"  curl -d '{\"id\":\"s1\",\"state\":\"leaving\"}' http://127.0.0.1:8501/state",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runHosts(cmd, address, admin, file)
+			return runHosts(cmd, address, admin, file, security)
 		},
 	}
 	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:0", "IP address and port of the list")
 	cmd.Flags().StringVar(&admin, "admin", "127.0.0.1:0", "IP address and port of the switches")
 	cmd.Flags().StringVar(&file, "hosts", "", "file with the hosts at the start, a JSON array with comments")
+	security.add(cmd)
 	return cmd
 }
 
 // runHosts serves until the command's context ends.
-func runHosts(cmd *cobra.Command, address, admin, file string) error {
+func runHosts(cmd *cobra.Command, address, admin, file string, security *tlsFlags) error {
+	secure, err := security.open()
+	if err != nil {
+		return err
+	}
 	hosts, err := readHosts(file)
 	if err != nil {
 		return err
@@ -69,7 +76,9 @@
 		},
 	}
 	failed := make(chan error, len(servers))
-	go func() { failed <- eris.Wrap(servers[0].Serve(l), "serve list") }()
+	go func() {
+		failed <- eris.Wrap(servers[0].Serve(secure.Listen(l, securer.ClientsAnonymous)), "serve list")
+	}()
 	go func() { failed <- eris.Wrap(servers[1].Serve(switches), "serve admin") }()
 	return waitHosts(cmd.Context(), servers, failed)
 }
--- a/standin/pkg/commander/kv.go
+++ b/standin/pkg/commander/kv.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
 
 	"plantaincleat/standin/pkg/kvserver"
 )
@@ -20,6 +21,7 @@
 // newKV returns the subcommand of the key-value service.
 func newKV() *cobra.Command {
 	var address, admin string
+	security := &tlsFlags{}
 	cmd := &cobra.Command{
 		Use:   "kv",
 		Short: "Serve the key-value service from memory",
@@ -30,16 +32,21 @@
 			"  curl -d '{\"outage\":true}' http://127.0.0.1:2380/faults",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return runKV(cmd.Context(), cmd, address, admin)
+			return runKV(cmd, address, admin, security)
 		},
 	}
 	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:0", "IP address and port of the service")
 	cmd.Flags().StringVar(&admin, "admin", "127.0.0.1:0", "IP address and port of the switches")
+	security.add(cmd)
 	return cmd
 }
 
-// runKV serves until ctx ends.
-func runKV(ctx context.Context, cmd *cobra.Command, address, admin string) error {
+// runKV serves until the command's context ends.
+func runKV(cmd *cobra.Command, address, admin string, security *tlsFlags) error {
+	secure, err := security.open()
+	if err != nil {
+		return err
+	}
 	kv, err := listen("listen", address)
 	if err != nil {
 		return err
@@ -50,13 +57,13 @@
 		return err
 	}
 	cmd.Printf("{\"listen\":%q,\"admin\":%q}\n", kv.Addr(), switches.Addr())
-	return serveKV(ctx, kv, switches)
+	return serveKV(cmd.Context(), kv, switches, secure.ServerCredentials())
 }
 
 // serveKV runs both listeners until ctx ends or one of them fails.
-func serveKV(ctx context.Context, kv, admin net.Listener) error {
+func serveKV(ctx context.Context, kv, admin net.Listener, creds credentials.TransportCredentials) error {
 	service := kvserver.New(clockwork.NewRealClock())
-	g := grpc.NewServer(kvserver.Options()...)
+	g := grpc.NewServer(append(kvserver.Options(), grpc.Creds(creds))...)
 	service.Register(g)
 	h := &http.Server{
 		Handler:           service.Admin(),
--- a/standin/pkg/commander/root.go
+++ b/standin/pkg/commander/root.go
@@ -5,8 +5,12 @@
 	"net"
 	"os"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
+
+	"plantaincleat/tier/gen/settings"
+	"plantaincleat/tier/pkg/securer"
 )
 
 // New returns the root command with one subcommand for each stand-in.
@@ -31,6 +35,28 @@
 	}
 }
 
+// tlsFlags are the flags of a stand-in that serves over TLS.
+type tlsFlags struct {
+	files settings.Security
+}
+
+func (f *tlsFlags) add(cmd *cobra.Command) {
+	flags := cmd.Flags()
+	flags.StringVar(&f.files.Certificate, "certificate", "", "PEM file of the certificate; plain text without it")
+	flags.StringVar(&f.files.Key, "key", "", "PEM file of the certificate's key")
+	flags.StringVar(&f.files.Ca, "ca", "", "PEM file of the CA of clients")
+}
+
+// open reads the files. It returns nil, which stands for plain text, if the
+// flags name none.
+func (f *tlsFlags) open() (*securer.Securer, error) {
+	given := f.files.GetCertificate() != ""
+	if given != (f.files.GetKey() != "") || given != (f.files.GetCa() != "") {
+		return nil, eris.New("flags --certificate, --key and --ca go together")
+	}
+	return securer.New(&f.files, clockwork.NewRealClock())
+}
+
 // listen opens a TCP listener on an IP address with a port.
 func listen(flag, address string) (net.Listener, error) {
 	host, _, err := net.SplitHostPort(address)
--- a/standin/pkg/commander/target.go
+++ b/standin/pkg/commander/target.go
@@ -27,6 +27,7 @@
 	grace   time.Duration
 	group   launcher.Group
 	options launcher.Options
+	tls     tlsFlags
 }
 
 // newTarget returns the subcommand of the targets.
@@ -63,6 +64,7 @@
 	flags.DurationVar(&f.grace, "grace", 10*time.Second, "time allowed for accepted work at SIGTERM")
 	flags.IntVar(&g.Queue, "queue", 8, "requests that may wait at each target")
 	flags.DurationVar(&g.Setup, "setup", 0, "time that a new connection takes")
+	f.tls.add(cmd)
 	flags.Uint64Var(&o.Seed, "seed", 1, "seed of execution times and faults")
 	flags.DurationVar(&g.Pace.Median, "median", 2*time.Millisecond, "median execution time")
 	flags.Float64Var(&g.Pace.Sigma, "sigma", 0.3, "standard deviation of the logarithm of the execution time")
@@ -120,7 +122,12 @@
 		return nil, nil, err
 	}
 	journal := io.NopCloser(nil)
+	secure, err := f.tls.open()
+	if err != nil {
+		return nil, nil, err
+	}
 	o := f.options
+	o.Credentials = secure.ServerCredentials()
 	o.Exit = os.Exit
 	if f.journal != "" {
 		file, err := os.OpenFile(f.journal, os.O_APPEND|os.O_CREATE|os.O_WRONLY, journalMode)
--- a/standin/pkg/launcher/launcher.go
+++ b/standin/pkg/launcher/launcher.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials"
 
 	"plantaincleat/standin/pkg/searcher"
 	"plantaincleat/tier/gen/config"
@@ -36,6 +37,8 @@
 	Restart time.Duration
 	// Journal receives one JSON line for each run of a mutation. It may be nil.
 	Journal io.Writer
+	// Credentials are those of the targets' listeners, plain text if nil.
+	Credentials credentials.TransportCredentials
 	// Exit ends the process.
 	Exit func(status int)
 	// Clock is the real clock if nil.
--- a/standin/pkg/launcher/server.go
+++ b/standin/pkg/launcher/server.go
@@ -54,6 +54,7 @@
 	})
 	s.searcher = s.newSearcher()
 	s.grpc = grpc.NewServer(
+		grpc.Creds(s.launcher.options.Credentials),
 		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
 			MinTime:             time.Second,
--- a/tier/pkg/securer/client.go
+++ b/tier/pkg/securer/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"net/netip"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc/credentials"
@@ -30,7 +31,11 @@
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Dialer returns a function that makes TLS connections over those of dial.
-func (s *Securer) Dialer(dial Dial) Dial {
+func (s *Securer) Dialer(dial Dial) Dial { return handshaking(dial, s.Client) }
+
+// handshaking returns a function that makes TLS connections over those of dial
+// with the configuration for each server.
+func handshaking(dial Dial, configure func(server string) *tls.Config) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		host, _, err := net.SplitHostPort(address)
 		if err != nil {
@@ -40,7 +45,7 @@
 		if err != nil {
 			return nil, err
 		}
-		conn := tls.Client(raw, s.Client(host))
+		conn := tls.Client(raw, configure(host))
 		if err := conn.HandshakeContext(ctx); err != nil {
 			_ = raw.Close()
 			return nil, eris.Wrapf(err, "handshake: peer %s", address)
@@ -49,23 +54,52 @@
 	}
 }
 
+// Loopback returns a function that refuses addresses other than loopback with
+// ErrPlain.
+func Loopback(dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		a, err := netip.ParseAddrPort(address)
+		if err != nil || !a.Addr().IsLoopback() {
+			return nil, eris.Wrapf(ErrPlain, "dial: peer %s", address)
+		}
+		return dial(ctx, network, address)
+	}
+}
+
 // Transport returns an HTTP transport over the connections of dial, the
 // default ones if it is nil. https URLs are verified against the files in
-// force at each connection. A nil Securer verifies them against the system's
-// CAs.
-func (s *Securer) Transport(dial Dial) *http.Transport {
+// force at each connection; a nil Securer verifies them against the system's
+// CAs. http URLs are refused off loopback unless plain is true.
+func (s *Securer) Transport(dial Dial, plain bool) *http.Transport {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
 	t := &http.Transport{
 		DialContext: dial,
 	}
-	if s != nil {
+	if !plain {
+		t.DialContext = Loopback(dial)
+	}
+	switch {
+	case s != nil:
 		t.DialTLSContext = s.Dialer(dial)
+	case !plain:
+		t.DialTLSContext = systemTLS(dial)
 	}
 	return t
 }
 
+// systemTLS returns a function that makes TLS connections verified against the
+// system's CAs.
+func systemTLS(dial Dial) Dial {
+	return handshaking(dial, func(host string) *tls.Config {
+		return &tls.Config{
+			MinVersion: tls.VersionTLS12,
+			ServerName: host,
+		}
+	})
+}
+
 // ClientCredentials returns the gRPC credentials of a client. A nil Securer
 // returns plain text.
 func (s *Securer) ClientCredentials() credentials.TransportCredentials {
--- a/tier/pkg/securer/securer.go
+++ b/tier/pkg/securer/securer.go
@@ -22,8 +22,13 @@
 // checkInterval is the time between two looks at the files.
 const checkInterval = 5 * time.Second
 
-// ErrNoCertificate reports a listener without a certificate.
-var ErrNoCertificate = errors.New("security.certificate is needed by a listener")
+// Errors of listeners and connections.
+var (
+	// ErrNoCertificate reports a listener without a certificate.
+	ErrNoCertificate = errors.New("security.certificate is needed by a listener")
+	// ErrPlain reports plain text to an address other than loopback.
+	ErrPlain = errors.New("plain text is refused to addresses other than loopback")
+)
 
 // material is what the files held when they were read.
 type material struct {
--- a/tier/pkg/securer/securer_test.go
+++ b/tier/pkg/securer/securer_test.go
@@ -10,9 +10,11 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"log/slog"
 	"math/big"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -254,6 +256,32 @@
 	}
 }
 
+// TestLoopback dials no address: the refusal comes before.
+func TestLoopback(t *testing.T) {
+	reached := errors.New("dialled")
+	dial := func(context.Context, string, string) (net.Conn, error) { return nil, reached }
+	var none *Securer
+	cases := []struct {
+		url   string
+		plain bool
+		want  error
+	}{
+		{url: "http://127.0.0.1:1", want: reached},
+		{url: "http://[::1]:1", want: reached},
+		{url: "http://192.0.2.1:1", want: ErrPlain},
+		{url: "http://192.0.2.1:1", plain: true, want: reached},
+		{url: "https://192.0.2.1:1", want: reached},
+	}
+	for _, c := range cases {
+		client := http.Client{
+			Transport: none.Transport(dial, c.plain),
+		}
+		if _, err := client.Get(c.url); !errors.Is(err, c.want) {
+			t.Errorf("%s with plain %v: %v, want %v", c.url, c.plain, err, c.want)
+		}
+	}
+}
+
 func TestPlainText(t *testing.T) {
 	s := open(t, nil, clockwork.NewFakeClock())
 	if s != nil {
