--- a/entryd/pkg/administrator/administrator.go
+++ b/entryd/pkg/administrator/administrator.go
@@ -73,6 +73,9 @@
 // Stop makes readiness fail, so that the balancer sends no more callers.
 func (a *Administrator) Stop() { a.stopping.Store(true) }
 
+// Stopping reports whether Stop was called.
+func (a *Administrator) Stopping() bool { return a.stopping.Load() }
+
 func (a *Administrator) live(w http.ResponseWriter, _ *http.Request) {
 	_, _ = w.Write([]byte("ok\n"))
 }
--- a/entryd/pkg/handler/handler.go
+++ b/entryd/pkg/handler/handler.go
@@ -80,20 +80,36 @@
 		Options: o,
 		mux:     http.NewServeMux(),
 	}
-	h.mux.HandleFunc("POST /v1/search", h.search)
-	h.mux.HandleFunc("POST /v1/mutate", h.mutate)
+	h.post("/v1/search", h.search)
+	h.post("/v1/mutate", h.mutate)
 	h.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		h.refuse(w, r, &Refusal{
 			Kind:    KindPath,
-			Message: "no such path or method; see docs/API.md",
+			Message: "no such path; see docs/API.md",
 			Run:     RunNo,
 		})
 	})
 	return h
 }
 
+// post adds a path that takes POST only.
+func (h *Handler) post(path string, f http.HandlerFunc) {
+	h.mux.HandleFunc("POST "+path, f)
+	h.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Allow", http.MethodPost)
+		h.refuse(w, r, &Refusal{
+			Kind:    KindMethod,
+			Message: "the path takes POST only",
+			Run:     RunNo,
+		})
+	})
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The deadline of the connection's previous answer has no meaning here.
+	// Writers without deadlines are those of tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	h.mux.ServeHTTP(w, r)
 }
 
--- a/entryd/pkg/handler/mutate.go
+++ b/entryd/pkg/handler/mutate.go
@@ -40,7 +40,7 @@
 		h.refuse(w, r, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, mutateAnswer{
+	h.writeJSON(w, http.StatusOK, mutateAnswer{
 		Request: requestID(r),
 		Trace:   tracer.ID(ctx),
 		Outcome: outcome{
@@ -74,7 +74,7 @@
 		return nil, malformed(HeaderRequestKey, "header is missing; send a UUIDv7 and repeat it in resends")
 	}
 	var b mutateBody
-	if err := decode(w, r, &b); err != nil {
+	if err := h.decode(w, r, &b); err != nil {
 		return nil, err
 	}
 	switch {
--- a/entryd/pkg/handler/parse.go
+++ b/entryd/pkg/handler/parse.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -44,6 +45,10 @@
 	firstAttempt = "1"
 	// unreadyPause is the Retry-After of a daemon without a configuration.
 	unreadyPause = time.Second
+	// readTimeout bounds the time in which a caller sends a body.
+	readTimeout = 10 * time.Second
+	// writeTimeout bounds the time in which a caller takes an answer.
+	writeTimeout = 30 * time.Second
 )
 
 func malformed(field, message string) *Refusal {
@@ -55,28 +60,44 @@
 	}
 }
 
+// read returns the body of a request, which must be sent within readTimeout.
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(h.Clock.Now().Add(readTimeout))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &Refusal{
+			Kind:    KindOversized,
+			Field:   "body",
+			Message: "longer than " + strconv.Itoa(maxBodyBytes) + " bytes",
+			Run:     RunNo,
+		}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, malformed("body", "was not sent within "+readTimeout.String())
+	case err != nil:
+		return nil, malformed("body", err.Error())
+	}
+	// The server goes on reading while the request runs, to learn whether the
+	// caller has gone.
+	_ = c.SetReadDeadline(time.Time{})
+	return raw, nil
+}
+
 // decode reads a JSON body strictly: unknown fields, trailing data and bodies
 // over maxBodyBytes are refused.
-func decode(w http.ResponseWriter, r *http.Request, into any) error {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+func (h *Handler) decode(w http.ResponseWriter, r *http.Request, into any) error {
+	raw, err := h.read(w, r)
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return &Refusal{
-				Kind:    KindOversized,
-				Field:   "body",
-				Message: "longer than " + strconv.Itoa(maxBodyBytes) + " bytes",
-				Run:     RunNo,
-			}
-		}
-		return malformed("body", err.Error())
+		return err
 	}
 	dec := json.NewDecoder(bytes.NewReader(raw))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(into); err != nil {
 		return malformed(fieldOf(err), err.Error())
 	}
-	if dec.More() {
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return malformed("body", "data after the JSON object")
 	}
 	return nil
--- a/entryd/pkg/handler/refusal.go
+++ b/entryd/pkg/handler/refusal.go
@@ -20,6 +20,7 @@
 // Kinds of refusals.
 const (
 	KindPath        Kind = "path"
+	KindMethod      Kind = "method"
 	KindMalformed   Kind = "malformed"
 	KindOversized   Kind = "oversized"
 	KindUnknown     Kind = "unknown"
@@ -41,6 +42,7 @@
 // statuses maps kinds to HTTP status codes.
 var statuses = map[Kind]int{
 	KindPath:        http.StatusNotFound,
+	KindMethod:      http.StatusMethodNotAllowed,
 	KindMalformed:   http.StatusBadRequest,
 	KindOversized:   http.StatusRequestEntityTooLarge,
 	KindUnknown:     http.StatusNotFound,
@@ -117,7 +119,7 @@
 		seconds := math.Ceil(refusal.RetryAfter.Seconds())
 		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
 	}
-	writeJSON(w, statuses[refusal.Kind], refusalBody{
+	h.writeJSON(w, statuses[refusal.Kind], refusalBody{
 		Request: requestID(r),
 		Error: refusalError{
 			Kind:    refusal.Kind,
@@ -168,7 +170,10 @@
 	}
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+// writeJSON writes an answer. A caller that does not read it within
+// writeTimeout loses its connection.
+func (h *Handler) writeJSON(w http.ResponseWriter, status int, body any) {
+	_ = http.NewResponseController(w).SetWriteDeadline(h.Clock.Now().Add(writeTimeout))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	enc := json.NewEncoder(w)
--- a/entryd/pkg/handler/search.go
+++ b/entryd/pkg/handler/search.go
@@ -91,7 +91,7 @@
 	answer.Request = requestID(r)
 	answer.Trace = tracer.ID(ctx)
 	h.record(&answer, q, result, h.Clock.Since(start))
-	writeJSON(w, http.StatusOK, answer)
+	h.writeJSON(w, http.StatusOK, answer)
 }
 
 func (h *Handler) parseSearch(w http.ResponseWriter, r *http.Request) (*query, error) {
@@ -101,7 +101,7 @@
 	if q.institution, err = identify(ix, r); err != nil {
 		return nil, err
 	}
-	if err = decode(w, r, &q.body); err != nil {
+	if err = h.decode(w, r, &q.body); err != nil {
 		return nil, err
 	}
 	if err = checkSearch(&q.body); err != nil {
--- a/entryd/pkg/starter/guard.go
+++ b/entryd/pkg/starter/guard.go
@@ -9,6 +9,17 @@
 	"/readyz": true,
 }
 
+// closing closes the connections of callers with their next answers once the
+// daemon stops, so that none is closed while a request is on its way.
+func (d *Daemon) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.admin.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // guard refuses requests to the admin listener without a client certificate,
 // but for the open paths. Plain text is served as it is: the settings allow it
 // only on loopback addresses or where security.insecure is set.
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -42,6 +42,11 @@
 	lameDuckTime = time.Second
 	// readHeaderTimeout bounds the time in which a caller sends its headers.
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is the time after which an unused connection is closed. It
+	// lies above the usual ones of balancers, which close theirs first.
+	idleTimeout = 10 * time.Minute
+	// maxHeaderBytes bounds the size of all headers of a request.
+	maxHeaderBytes = 16 << 10
 	// explanations is the number of complete, and of partial, answers kept.
 	explanations = 1024
 )
@@ -201,7 +206,7 @@
 		Claimer:  d.keeper,
 		Mutator:  d.gatherer,
 	})
-	d.web = newHTTPServer(d.handler)
+	d.web = newHTTPServer(d.closing(d.handler))
 	d.adminS = newHTTPServer(d.guard(d.admin))
 	peerL, err := net.Listen("tcp", d.cfg.GetListen().GetPeer())
 	if err != nil {
@@ -238,6 +243,8 @@
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
--- a/tier/pkg/securer/securer_test.go
+++ b/tier/pkg/securer/securer_test.go
@@ -276,7 +276,11 @@
 		client := http.Client{
 			Transport: none.Transport(dial, c.plain),
 		}
-		if _, err := client.Get(c.url); !errors.Is(err, c.want) {
+		resp, err := client.Get(c.url)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if !errors.Is(err, c.want) {
 			t.Errorf("%s with plain %v: %v, want %v", c.url, c.plain, err, c.want)
 		}
 	}
