plantainctl: tests of status, quarantine, target, explain and completion; explain shows when a request was sent

A daemon that hung took all the time of a command, so that the next one was not asked: each call is bounded by 3 s now. explain left out the institution, the collection and the time a sub-request waited for a place.

--- a/plantainctl/pkg/commander/commander.go
+++ b/plantainctl/pkg/commander/commander.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -39,7 +40,7 @@
 
 const exitHelp = `Exit codes:
   0  done
-  1  refused or invalid; nothing was changed
+  1  refused, invalid, not found, or no daemon answered; nothing was changed
   2  wrong flags or arguments
   3  the key-value service did not answer; the message tells whether the
      change may have been accepted
@@ -141,13 +142,16 @@
 	f.StringVar(&t.certificate, "certificate", "", "PEM file of the tool's certificate")
 	f.StringVar(&t.key, "key", "", "PEM file of the certificate's key")
 	f.BoolVar(&t.insecure, "insecure", false, "allow plain text on addresses other than loopback")
+	forms := cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp)
+	// It fails only for a flag that does not exist.
+	_ = root.RegisterFlagCompletionFunc("output", forms)
 	root.AddCommand(t.config(), t.target(), t.quarantine(), t.status(), t.explain())
 	return root
 }
 
 // command makes a command that takes the arguments named in use.
 func (t *tool) command(use, short, example string, args cobra.PositionalArgs, f func(ctx context.Context, c *cobra.Command, args []string) error) *cobra.Command {
-	return &cobra.Command{
+	c := &cobra.Command{
 		Use:     use,
 		Short:   short,
 		Long:    short + ".\n\n" + exitHelp,
@@ -162,6 +166,10 @@
 			return f(ctx, c, args)
 		},
 	}
+	if !strings.Contains(use, "FILE") {
+		c.ValidArgsFunction = cobra.NoFileCompletions
+	}
+	return c
 }
 
 // group makes a command that only holds others.
--- a/plantainctl/pkg/commander/commander_test.go
+++ b/plantainctl/pkg/commander/commander_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/datadriven"
 	"github.com/jonboulle/clockwork"
 
+	"plantaincleat/plantainctl/pkg/asker"
 	"plantaincleat/plantainctl/pkg/waiter"
 	"plantaincleat/tier/pkg/storer"
 )
@@ -24,6 +25,27 @@
 	store  *storer.Memory
 	ids    int
 	status string
+	// answers are the daemon's other answers by method and path.
+	answers map[string]answer
+}
+
+type answer struct {
+	status int
+	body   string
+}
+
+// ServeHTTP answers as the daemon.
+func (b *bench) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/status" {
+		_, _ = w.Write([]byte(b.status))
+		return
+	}
+	a, ok := b.answers[r.Method+" "+r.URL.Path]
+	if !ok {
+		a.status = http.StatusNotFound
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write([]byte(a.body))
 }
 
 // lastRoundClock lets the time of a command run out at the first wait.
@@ -41,16 +63,16 @@
 //	file NAME     writes a file
 //	run           runs the tool; $DIR and $DAEMON are replaced
 //	daemon        sets what the daemon answers to GET /status
+//	answer M P    sets what the daemon answers with status=N to method M and path P
 //	outage        switches the store off or on
 func TestCommands(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		b := &bench{
-			t:     t,
-			store: &storer.Memory{},
+			t:       t,
+			store:   &storer.Memory{},
+			answers: map[string]answer{},
 		}
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			_, _ = w.Write([]byte(b.status))
-		}))
+		server := httptest.NewServer(b)
 		defer server.Close()
 		dir := t.TempDir()
 		expand := strings.NewReplacer("$DIR", dir, "$DAEMON", strings.TrimPrefix(server.URL, "http://"))
@@ -63,6 +85,13 @@
 				}
 			case "daemon":
 				b.status = d.Input
+			case "answer":
+				a := answer{
+					status: http.StatusOK,
+					body:   d.Input,
+				}
+				d.MaybeScanArgs(t, "status", &a.status)
+				b.answers[d.CmdArgs[0].Key+" "+d.CmdArgs[1].Key] = a
 			case "outage":
 				b.store.SetUnavailable(d.CmdArgs[0].Key == "on")
 			case "run":
@@ -93,6 +122,12 @@
 				Clock:  lastRoundClock{FakeClock: clock},
 			}, nil
 		},
+		askers: func(*tool) (*asker.Asker, error) {
+			return &asker.Asker{
+				Client: &http.Client{},
+				Scheme: "http",
+			}, nil
+		},
 	}
 	stdout, stderr := &strings.Builder{}, &strings.Builder{}
 	code := tool.run(context.Background(), args, stdout, stderr)
--- a/plantainctl/pkg/commander/connect.go
+++ b/plantainctl/pkg/commander/connect.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
@@ -16,6 +17,9 @@
 	"plantaincleat/tier/pkg/storer"
 )
 
+// askTimeout bounds one call of a daemon, so that the next one can be asked.
+const askTimeout = 3 * time.Second
+
 // checkFlags refuses shared flags that make no sense.
 func (t *tool) checkFlags(*cobra.Command) error {
 	if t.output != outputTable && t.output != outputJSON {
@@ -123,6 +127,7 @@
 		scheme = "https"
 	}
 	return &http.Client{
+		Timeout:   askTimeout,
 		Transport: s.Transport(nil, t.insecure),
 	}, scheme, nil
 }
--- a/plantainctl/pkg/commander/fleet.go
+++ b/plantainctl/pkg/commander/fleet.go
@@ -125,18 +125,22 @@
 
 // explanation tells how an answer came about.
 type explanation struct {
-	Trace    string          `json:"trace"`
-	Daemon   string          `json:"daemon"`
-	Class    string          `json:"class"`
-	Snapshot string          `json:"snapshot"`
-	Revision uint64          `json:"revision"`
-	Elapsed  int64           `json:"elapsed"`
-	Fraction float64         `json:"fraction"`
-	Restarts int             `json:"restarts"`
-	Missing  []missingShard  `json:"missing"`
-	Plans    json.RawMessage `json:"plans"`
-	Attempts []attempt       `json:"attempts"`
-	Stats    json.RawMessage `json:"stats"`
+	Request     string          `json:"request"`
+	Trace       string          `json:"trace"`
+	Daemon      string          `json:"daemon"`
+	Institution string          `json:"institution"`
+	Class       string          `json:"class"`
+	Collection  string          `json:"collection"`
+	Version     string          `json:"version"`
+	Snapshot    string          `json:"snapshot"`
+	Revision    uint64          `json:"revision"`
+	Elapsed     int64           `json:"elapsed"`
+	Fraction    float64         `json:"fraction"`
+	Restarts    int             `json:"restarts"`
+	Missing     []missingShard  `json:"missing"`
+	Plans       json.RawMessage `json:"plans"`
+	Attempts    []attempt       `json:"attempts"`
+	Stats       json.RawMessage `json:"stats"`
 }
 
 type missingShard struct {
@@ -151,20 +155,22 @@
 	Hedge  bool   `json:"hedge"`
 	Status string `json:"status"`
 	Start  int64  `json:"start"`
+	Sent   int64  `json:"sent"`
 	End    int64  `json:"end"`
 	Error  string `json:"error,omitempty"`
 }
 
 func (e explanation) table(r *rows) {
-	r.add("answer of %s: class %s, snapshot %s, revision %d, %d us, coverage %.4f, restarts %d",
-		e.Daemon, e.Class, e.Snapshot, e.Revision, e.Elapsed, e.Fraction, e.Restarts)
+	r.add("answer of %s to %s: class %s, collection %s, version %s, snapshot %s, revision %d",
+		e.Daemon, e.Institution, e.Class, e.Collection, e.Version, e.Snapshot, e.Revision)
+	r.add("%d us, coverage %.4f, restarts %d", e.Elapsed, e.Fraction, e.Restarts)
 	r.add("sub-requests: %s", e.Stats)
 	for _, m := range e.Missing {
 		r.add("missing %s: %s; asked through %s", m.Shard, m.Reason, dash(strings.Join(m.Gatherers, ", ")))
 	}
-	r.add("SHARD\tTARGET\tHEDGE\tSTATUS\tSTART\tEND\tERROR")
+	r.add("SHARD\tTARGET\tHEDGE\tSTATUS\tSTART\tSENT\tEND\tERROR")
 	for _, a := range e.Attempts {
-		r.add("%s\t%s\t%v\t%s\t%d\t%d\t%s", a.Shard, a.Target, a.Hedge, a.Status, a.Start, a.End, dash(a.Error))
+		r.add("%s\t%s\t%v\t%s\t%d\t%d\t%d\t%s", a.Shard, a.Target, a.Hedge, a.Status, a.Start, a.Sent, a.End, dash(a.Error))
 	}
 }
 
