--- a/plantainctl/pkg/commander/fleet.go
+++ b/plantainctl/pkg/commander/fleet.go
@@ -140,7 +140,15 @@
 	Missing     []missingShard  `json:"missing"`
 	Plans       json.RawMessage `json:"plans"`
 	Attempts    []attempt       `json:"attempts"`
-	Stats       json.RawMessage `json:"stats"`
+	Stats       stats           `json:"stats"`
+}
+
+// stats count the sub-requests to targets.
+type stats struct {
+	Needed  int `json:"needed"`
+	Sent    int `json:"sent"`
+	Hedges  int `json:"hedges"`
+	Retries int `json:"retries"`
 }
 
 type missingShard struct {
@@ -164,7 +172,8 @@
 	r.add("answer of %s to %s: class %s, collection %s, version %s, snapshot %s, revision %d",
 		e.Daemon, e.Institution, e.Class, e.Collection, e.Version, e.Snapshot, e.Revision)
 	r.add("%d us, coverage %.4f, restarts %d", e.Elapsed, e.Fraction, e.Restarts)
-	r.add("sub-requests: %s", e.Stats)
+	r.add("sub-requests: needed %d, sent %d, hedges %d, retries %d",
+		e.Stats.Needed, e.Stats.Sent, e.Stats.Hedges, e.Stats.Retries)
 	for _, m := range e.Missing {
 		r.add("missing %s: %s; asked through %s", m.Shard, m.Reason, dash(strings.Join(m.Gatherers, ", ")))
 	}
