--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -42,6 +42,11 @@
 	lameDuckTime = time.Second
 	// readHeaderTimeout bounds the time in which a caller sends its headers.
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is the time after which an unused connection is closed. It
+	// lies above the usual ones of balancers, which close theirs first.
+	idleTimeout = 10 * time.Minute
+	// maxHeaderBytes bounds the size of all headers of a request.
+	maxHeaderBytes = 16 << 10
 	// explanations is the number of complete, and of partial, answers kept.
 	explanations = 1024
 )
@@ -89,7 +94,7 @@
 	if d.tls, err = securer.New(cfg.GetSecurity(), clock); err != nil {
 		return nil, err
 	}
-	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource()); err != nil {
+	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource(), cfg.GetSecurity().GetInsecure()); err != nil {
 		return nil, err
 	}
 	if d.store, err = storer.DialEtcd(cfg.GetKv(), d.dialer.Options()...); err != nil {
@@ -201,8 +206,8 @@
 		Claimer:  d.keeper,
 		Mutator:  d.gatherer,
 	})
-	d.web = newHTTPServer(d.handler)
-	d.adminS = newHTTPServer(d.admin)
+	d.web = newHTTPServer(d.closing(d.handler))
+	d.adminS = newHTTPServer(d.guard(d.admin))
 	peerL, err := net.Listen("tcp", d.cfg.GetListen().GetPeer())
 	if err != nil {
 		return eris.Wrap(err, "listen.peer")
@@ -217,8 +222,8 @@
 	}
 	d.publish()
 	d.wg.Go(func() { d.failed("peer listener", d.peers.Serve(peerL)) })
-	d.wg.Go(func() { d.failed("http listener", d.web.Serve(d.tls.Listen(webL, false))) })
-	d.wg.Go(func() { d.failed("admin listener", d.adminS.Serve(d.tls.Listen(adminL, false))) })
+	d.wg.Go(func() { d.failed("http listener", d.web.Serve(d.tls.Listen(webL, securer.ClientsAnonymous))) })
+	d.wg.Go(func() { d.failed("admin listener", d.adminS.Serve(d.tls.Listen(adminL, securer.ClientsOptional))) })
 	d.wg.Go(func() { d.gossip.Run(d.ctx) })
 	d.wg.Go(func() { d.adopter.Run(d.ctx) })
 	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
@@ -238,6 +243,8 @@
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
