--- a/prover/pkg/deployer/tls.go
+++ b/prover/pkg/deployer/tls.go
@@ -27,9 +27,6 @@
 const (
 	// certificateTime is the validity of the certificates of a test.
 	certificateTime = 24 * time.Hour
-	// hostsPort and hostsAdminPort are the offsets of the ports of the host list.
-	hostsPort      = 7
-	hostsAdminPort = 8
 	// serialBits is the length of a certificate's serial number.
 	serialBits = 64
 )
