--- a/entryd/pkg/claimer/bucket.go
+++ b/entryd/pkg/claimer/bucket.go
@@ -139,7 +139,7 @@
 		return peer.Verdict_VERDICT_UNSPECIFIED
 	case key.Time() > now.Add(b.cfg.Skew).UnixMilli():
 		return peer.Verdict_VERDICT_REFUSED
-	case key.Time() < now.Add(-b.cfg.Retention).UnixMilli():
+	case key.Time() < now.Add(-b.cfg.retention()).UnixMilli():
 		return peer.Verdict_VERDICT_EXPIRED
 	}
 	return peer.Verdict_VERDICT_UNSPECIFIED
--- a/entryd/pkg/claimer/bucket_test.go
+++ b/entryd/pkg/claimer/bucket_test.go
@@ -294,7 +294,7 @@
 func TestBucketTruncatesBehindAPausedKeeper(t *testing.T) {
 	store := &storer.Memory{}
 	cfg := Config{
-		Retention: time.Minute,
+		Retention: func() time.Duration { return time.Minute },
 		Skew:      time.Second,
 	}
 	paused, current := newRig(t, store, cfg), newRig(t, store, cfg)
--- a/entryd/pkg/claimer/config.go
+++ b/entryd/pkg/claimer/config.go
@@ -30,8 +30,10 @@
 	Pause time.Duration
 	// Patience bounds the wait for the outcome of a write, and in the queue.
 	Patience time.Duration
-	// Retention is how long a key is remembered, from its own time.
-	Retention time.Duration
+	// Retention returns how long a key is remembered, from its own time. Nil,
+	// and a result that is not positive, mean the default. It may change at any
+	// time: the base of a bucket keeps the highest floor that was in force.
+	Retention func() time.Duration
 	// Skew is the largest difference expected between clocks. A key that is
 	// further in the future is refused.
 	Skew time.Duration
@@ -54,7 +56,6 @@
 	orDefault(&c.Burst, defaultBurst)
 	orDefault(&c.Pause, defaultPause)
 	orDefault(&c.Patience, defaultPatience)
-	orDefault(&c.Retention, defaultRetention)
 	orDefault(&c.Skew, defaultSkew)
 	orDefault(&c.Batch, defaultBatch)
 	orDefault(&c.Bytes, defaultBytes)
@@ -64,6 +65,16 @@
 	return c
 }
 
+// retention returns how long a key is remembered.
+func (c Config) retention() time.Duration {
+	if c.Retention != nil {
+		if d := c.Retention(); d > 0 {
+			return d
+		}
+	}
+	return defaultRetention
+}
+
 func orDefault[T int | time.Duration](v *T, d T) {
 	if *v <= 0 {
 		*v = d
--- a/entryd/pkg/claimer/write.go
+++ b/entryd/pkg/claimer/write.go
@@ -93,7 +93,7 @@
 // truncate lets a write also drop the start of the log. The first write of a
 // log creates its base.
 func (b *Bucket) truncate(now time.Time, w *write) {
-	floor := now.Add(-b.cfg.Retention - b.cfg.Skew).UnixMilli()
+	floor := now.Add(-b.cfg.retention() - b.cfg.Skew).UnixMilli()
 	last := b.ledger.Droppable(floor, b.cfg.Drops)
 	if last == b.ledger.base && b.modified != 0 {
 		return
--- a/entryd/pkg/starter/mutator.go
+++ b/entryd/pkg/starter/mutator.go
@@ -15,7 +15,8 @@
 // buildMutations makes the path of a mutation.
 func (d *Daemon) buildMutations() {
 	d.keeper = claimer.New(d.store, d.clock, claimer.Config{
-		Writer: d.cfg.GetId() + "@" + d.clock.Now().UTC().Format(time.RFC3339Nano),
+		Writer:    d.cfg.GetId() + "@" + d.clock.Now().UTC().Format(time.RFC3339Nano),
+		Retention: func() time.Duration { return d.configs.Index().Policy().GetRetention().AsDuration() },
 	})
 	claims := &claimer.Client{
 		ID:    d.cfg.GetId(),
