--- a/entryd/pkg/dispatcher/simulation_test.go
+++ b/entryd/pkg/dispatcher/simulation_test.go
@@ -84,7 +84,7 @@
 			Interval:  time.Millisecond,
 			Pause:     time.Millisecond,
 			Patience:  50 * time.Millisecond,
-			Retention: 200 * time.Millisecond,
+			Retention: func() time.Duration { return 200 * time.Millisecond },
 			Skew:      10 * time.Millisecond,
 			Writer:    fmt.Sprint(i, len(s.tries)),
 		}),
