--- a/entryd/pkg/dialer/dialer.go
+++ b/entryd/pkg/dialer/dialer.go
@@ -13,7 +13,9 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials"
+
 	"google.golang.org/grpc/credentials/insecure"
+	"plantaincleat/entryd/pkg/meterer"
 
 	"plantaincleat/tier/pkg/securer"
 )
@@ -40,8 +42,8 @@
 
 // New returns a dialer. Connections leave from the source IP address unless it
 // is empty. With insecure credentials, addresses other than loopback are
-// refused unless plain is true.
-func New(creds credentials.TransportCredentials, source string, plain bool) (*Dialer, error) {
+// refused unless plain is true. The bytes of the connections are counted.
+func New(creds credentials.TransportCredentials, source string, plain bool, bytes *meterer.Bytes) (*Dialer, error) {
 	nd := &net.Dialer{
 		Timeout: connectTimeout,
 	}
@@ -66,7 +68,11 @@
 			grpc.WithDisableServiceConfig(),
 			grpc.WithIdleTimeout(0),
 			grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-				return dial(ctx, "tcp", address)
+				c, err := dial(ctx, "tcp", address)
+				if err != nil {
+					return nil, err
+				}
+				return bytes.Conn(c), nil
 			}),
 			grpc.WithConnectParams(grpc.ConnectParams{
 				MinConnectTimeout: connectTimeout,
--- a/entryd/pkg/starter/configs.go
+++ b/entryd/pkg/starter/configs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"plantaincleat/entryd/pkg/adopter"
 	"plantaincleat/tier/gen/config"
@@ -11,12 +12,17 @@
 
 // configs holds the index of the configuration in force.
 type configs struct {
+	now      func() time.Time
 	index    atomic.Pointer[indexer.Index]
 	onChange []func(*indexer.Index)
+	// adopted is when the configuration came into force, in Unix milliseconds.
+	adopted atomic.Int64
 }
 
-func newConfigs() *configs {
-	c := &configs{}
+func newConfigs(now func() time.Time) *configs {
+	c := &configs{
+		now: now,
+	}
 	c.index.Store(indexer.New(nil))
 	return c
 }
@@ -44,6 +50,7 @@
 	}
 	ix := indexer.New(accepted)
 	c.index.Store(ix)
+	c.adopted.Store(c.now().UnixMilli())
 	for _, f := range c.onChange {
 		f(ix)
 	}
--- a/entryd/pkg/starter/http_test.go
+++ b/entryd/pkg/starter/http_test.go
@@ -90,7 +90,7 @@
 }
 
 func TestSlowBodyIsRefused(t *testing.T) {
-	configs := newConfigs()
+	configs := newConfigs(time.Now)
 	configs.index.Store(indexer.New(&config.Accepted{
 		Head: &config.Head{
 			Revision: 1,
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -25,6 +25,7 @@
 	"plantaincleat/entryd/pkg/gatherer"
 	"plantaincleat/entryd/pkg/gossiper"
 	"plantaincleat/entryd/pkg/handler"
+	"plantaincleat/entryd/pkg/meterer"
 	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/entryd/pkg/recorder"
@@ -57,6 +58,7 @@
 	clock clockwork.Clock
 
 	tls         *securer.Securer
+	bytes       meterer.Bytes
 	dialer      *dialer.Dialer
 	store       storer.Store
 	configs     *configs
@@ -87,14 +89,14 @@
 	d := &Daemon{
 		cfg:     cfg,
 		clock:   clock,
-		configs: newConfigs(),
+		configs: newConfigs(clock.Now),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	var err error
 	if d.tls, err = securer.New(cfg.GetSecurity(), clock); err != nil {
 		return nil, err
 	}
-	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource(), cfg.GetSecurity().GetInsecure()); err != nil {
+	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource(), cfg.GetSecurity().GetInsecure(), &d.bytes); err != nil {
 		return nil, err
 	}
 	if d.store, err = storer.DialEtcd(cfg.GetKv(), d.dialer.Options()...); err != nil {
@@ -221,7 +223,7 @@
 		return eris.Wrap(err, "listen.admin")
 	}
 	d.publish()
-	d.wg.Go(func() { d.failed("peer listener", d.peers.Serve(peerL)) })
+	d.wg.Go(func() { d.failed("peer listener", d.peers.Serve(d.bytes.Listener(peerL))) })
 	d.wg.Go(func() { d.failed("http listener", d.web.Serve(d.tls.Listen(webL, securer.ClientsAnonymous))) })
 	d.wg.Go(func() { d.failed("admin listener", d.adminS.Serve(d.tls.Listen(adminL, securer.ClientsOptional))) })
 	d.wg.Go(func() { d.gossip.Run(d.ctx) })
