Bound the time between two attempts to connect to the key-value service

The library's default grows to 120 s, so that the service can be back for that long before a reader notices.

--- a/tier/pkg/storer/etcd.go
+++ b/tier/pkg/storer/etcd.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
@@ -27,6 +28,11 @@
 	// pingInterval and pingTimeout end a connection whose far end is silent.
 	pingInterval = 10 * time.Second
 	pingTimeout  = 5 * time.Second
+	// firstRedial and lastRedial bound the time between two attempts to connect.
+	firstRedial = 100 * time.Millisecond
+	lastRedial  = 2 * time.Second
+	// connectTimeout bounds one attempt to connect.
+	connectTimeout = 3 * time.Second
 	// scheme names the resolver of the fixed list of addresses.
 	scheme = "plantaincleat-kv"
 	// balance spreads the calls over the addresses that are connected.
@@ -71,17 +77,7 @@
 	}
 	fixed := manual.NewBuilderWithScheme(scheme)
 	fixed.InitialState(state)
-	options = append([]grpc.DialOption{
-		grpc.WithResolvers(fixed),
-		grpc.WithDefaultServiceConfig(balance),
-		grpc.WithDisableRetry(),
-		grpc.WithStatsHandler(sentHandler{}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(answerLimit)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{
-			Time:    pingInterval,
-			Timeout: pingTimeout,
-		}),
-	}, options...)
+	options = append(defaultOptions(fixed), options...)
 	conn, err := grpc.NewClient(scheme+":///kv", options...)
 	if err != nil {
 		return nil, eris.Wrapf(err, "dial kv: peer %s", strings.Join(addresses, ","))
@@ -95,6 +91,30 @@
 	}, nil
 }
 
+// defaultOptions are the options that DialEtcd sets beside the caller's.
+func defaultOptions(addresses resolver.Builder) []grpc.DialOption {
+	return []grpc.DialOption{
+		grpc.WithResolvers(addresses),
+		grpc.WithDefaultServiceConfig(balance),
+		grpc.WithDisableRetry(),
+		grpc.WithStatsHandler(sentHandler{}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(answerLimit)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time:    pingInterval,
+			Timeout: pingTimeout,
+		}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  firstRedial,
+				Multiplier: backoff.DefaultConfig.Multiplier,
+				Jitter:     backoff.DefaultConfig.Jitter,
+				MaxDelay:   lastRedial,
+			},
+			MinConnectTimeout: connectTimeout,
+		}),
+	}
+}
+
 // Close ends all connections.
 func (e *Etcd) Close() error {
 	return e.conn.Close()
