--- a/entryd/pkg/dispatcher/runner.go
+++ b/entryd/pkg/dispatcher/runner.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"expvar"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +22,8 @@
 	// linger is how long after the deadline an outcome is still awaited, so
 	// that it can be recorded for a resend.
 	linger = 30 * time.Second
+	// maxDetail bounds the detail of a recorded outcome in bytes.
+	maxDetail = 8 << 10
 	// followTimeout bounds one try of a release or record.
 	followTimeout = 5 * time.Second
 	// firstPause and lastPause bound the growing pause between such tries.
@@ -44,6 +49,12 @@
 	Dropped expvar.Int
 }
 
+// String returns the numbers as JSON. It implements expvar.Var.
+func (c *Counts) String() string {
+	return fmt.Sprintf(`{"done":%v,"replayed":%v,"notrun":%v,"unknown":%v,"other":%v,"dispatched":%v,"dropped":%v}`,
+		&c.Done, &c.Replayed, &c.NotRun, &c.Unknown, &c.Other, &c.Dispatched, &c.Dropped)
+}
+
 // Dispatcher runs attempts. It is safe for concurrent use.
 type Dispatcher struct {
 	claims  Claims
@@ -135,6 +146,12 @@
 	reply   chan Result
 }
 
+// newID returns the name of a dispatcher.
+func newID() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[:])
+}
+
 // Do runs one attempt and returns when its answer is known, or at its deadline.
 // The end of ctx counts as the deadline.
 func (d *Dispatcher) Do(ctx context.Context, req Request) Result {
@@ -170,7 +187,7 @@
 		d:        d,
 		req:      req,
 		key:      key.String(),
-		id:       uuid.NewString(),
+		id:       newID(),
 		start:    d.clock.Now(),
 		deadline: req.Deadline,
 		attempt:  a,
@@ -241,10 +258,14 @@
 	return c
 }
 
-// recordable is the part of an outcome that is kept for resends.
+// recordable is the part of an outcome that is kept for resends: a longer detail
+// is cut.
 func recordable(out *target.Outcome) *target.Outcome {
 	c := proto.CloneOf(out)
 	c.Load = nil
+	if len(c.GetDetail()) > maxDetail {
+		c.Detail = strings.ToValidUTF8(c.GetDetail()[:maxDetail], "")
+	}
 	return c
 }
 
--- a/prover/pkg/prover/crash_test.go
+++ b/prover/pkg/prover/crash_test.go
@@ -126,6 +126,24 @@
 	clearQuarantine(t, d, c)
 }
 
+// TestQuarantineMutantIsFound shows that further crashes are seen: the daemon
+// suspects no request when a target is lost.
+func TestQuarantineMutantIsFound(t *testing.T) {
+	o := options(t, mutate(t, deployer.Mutant{
+		File: "entryd/pkg/gatherer/lane.go",
+		Old:  "l.watch.Lost(l.clock.Now(), r.run)",
+	}))
+	o.Restart = 500 * time.Millisecond
+	o.Edit = canaries
+	d := deployer.New(t, o)
+	if resendUntilQuarantined(t, d, newCaller(t, d)) {
+		t.Error("the request was refused as quarantined")
+	}
+	if n := crashes(d); n <= maxCrashes {
+		t.Errorf("only %d targets crashed", n)
+	}
+}
+
 // clearQuarantine has the operator list and clear the one quarantine, after the
 // targets have been mended.
 func clearQuarantine(t *testing.T, d *deployer.Deployment, c *caller.Caller) {
