--- a/prover/pkg/prover/race_test.go
+++ b/prover/pkg/prover/race_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"regexp"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,10 +37,14 @@
 type ending struct {
 	code int
 	// unknown is true if the change may have been accepted.
-	unknown  bool
+	unknown bool
+	// revision is the accepted one, or the one that won instead.
 	revision uint64
 }
 
+// winner is how a lost change is told which one won.
+var winner = regexp.MustCompile(`revision (\d+) was accepted first: change .* by prover`)
+
 // revisions is a register that is only changed by compare-and-swap, to a higher
 // number.
 func revisions(first uint64) porcupine.Model {
@@ -134,6 +139,10 @@
 		code:    out.Code,
 		unknown: out.Code == codeUnavailable && strings.Contains(out.Stderr, "may have been accepted"),
 	}
+	if m := winner.FindStringSubmatch(out.Stderr); out.Code == codeLost && m != nil {
+		// The pattern only lets numbers through.
+		e.revision, _ = strconv.ParseUint(m[1], 10, 64)
+	}
 	if out.Code == codeDone {
 		var r row
 		_ = json.Unmarshal([]byte(out.Stdout), &r)
@@ -217,6 +226,9 @@
 			t.Errorf("%s was accepted, but its operator got code %d", c.reason, e.code)
 		case e.code == codeLost:
 			losses++
+			if e.revision <= c.base || reasons[e.revision] == "" {
+				t.Errorf("%s on base %d lost, and was told that revision %d won", c.reason, c.base, e.revision)
+			}
 		}
 	}
 	t.Logf("%d changes won and %d lost", wins, losses)
