--- a/plantainctl/pkg/commander/connect.go
+++ b/plantainctl/pkg/commander/connect.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/spf13/cobra"
@@ -16,6 +17,9 @@
 	"plantaincleat/tier/pkg/storer"
 )
 
+// askTimeout bounds one call of a daemon, so that the next one can be asked.
+const askTimeout = 3 * time.Second
+
 // checkFlags refuses shared flags that make no sense.
 func (t *tool) checkFlags(*cobra.Command) error {
 	if t.output != outputTable && t.output != outputJSON {
@@ -118,12 +122,12 @@
 	if err != nil {
 		return nil, "", err
 	}
-	if s == nil {
-		return &http.Client{}, "http", nil
+	scheme := "http"
+	if s != nil {
+		scheme = "https"
 	}
 	return &http.Client{
-		Transport: &http.Transport{
-			TLSClientConfig: s.Client(),
-		},
-	}, "https", nil
+		Timeout:   askTimeout,
+		Transport: s.Transport(nil, t.insecure),
+	}, scheme, nil
 }
