--- a/prover/pkg/deployer/tls.go
+++ b/prover/pkg/deployer/tls.go
@@ -252,6 +252,12 @@
 	})
 }
 
+// Operating returns the TLS of the operators' tool.
+func (s *Secure) Operating() *securer.Securer {
+	s.t.Helper()
+	return s.open(s.tool)
+}
+
 // Operator returns the files of the operators' tool.
 func (s *Secure) Operator() *settings.Security { return s.tool }
 
--- a/prover/pkg/prover/tls_test.go
+++ b/prover/pkg/prover/tls_test.go
@@ -18,6 +18,7 @@
 	"plantaincleat/loadgen/pkg/verifier"
 	"plantaincleat/prover/pkg/deployer"
 	"plantaincleat/tier/gen/settings"
+	"plantaincleat/tier/pkg/securer"
 )
 
 // TestWholePathUnderTLS runs queries, mutations and operators' calls with TLS on
@@ -45,6 +46,7 @@
 		}
 	}
 	checkEdges(t, s)
+	checkPeer(t, s)
 	checkRotation(t, s)
 	target := s.Config().GetTargets()[0].GetId()
 	s.Leave(target)
@@ -108,7 +110,6 @@
 		{name: "operator", client: s.Client(s.Operator()), method: http.MethodGet, url: "https://" + l.GetAdmin() + "/status", want: http.StatusOK},
 		{name: "plain text to callers' listener", client: anonymous, method: http.MethodGet, url: "http://" + l.GetHttp(), want: http.StatusBadRequest},
 		{name: "plain text to peer listener", client: anonymous, method: http.MethodGet, url: "http://" + l.GetPeer()},
-		{name: "peer listener without a certificate", client: anonymous, method: http.MethodGet, url: "https://" + l.GetPeer()},
 	}
 	for _, c := range cases {
 		got := 0
@@ -126,6 +127,34 @@
 	}
 }
 
+// checkPeer connects to the peer listener as gRPC does, with and without a
+// certificate.
+func checkPeer(t *testing.T, s *deployer.Secure) {
+	t.Helper()
+	address := s.Daemons()[0].Settings.GetListen().GetPeer()
+	if err := hail(s.Operating(), address); err != nil {
+		t.Errorf("peer listener with a certificate: %v", err)
+	}
+	if hail(s.Security(), address) == nil {
+		t.Error("peer listener: no certificate was asked for")
+	}
+}
+
+// hail makes a handshake and reads the first byte of the HTTP/2 settings, which
+// a server sends once it has accepted the client.
+func hail(secure *securer.Securer, address string) error {
+	host, _, _ := strings.Cut(address, ":")
+	cfg := secure.Client(host)
+	cfg.NextProtos = []string{"h2"}
+	c, err := tls.Dial("tcp", address, cfg)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	_, err = c.Read(make([]byte, 1))
+	return err
+}
+
 // checkRotation replaces a certificate and waits until the daemon serves it.
 func checkRotation(t *testing.T, s *deployer.Secure) {
 	t.Helper()
--- a/tier/pkg/securer/securer_test.go
+++ b/tier/pkg/securer/securer_test.go
@@ -184,7 +184,11 @@
 func TestCredentials(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	ca := newAuthority(t)
-	own := open(t, ca.write(t.TempDir(), "127.0.0.1", 1), clock)
+	files := ca.write(t.TempDir(), "127.0.0.1", 1)
+	own := open(t, files, clock)
+	anonymous := open(t, &settings.Security{
+		Ca: files.GetCa(),
+	}, clock)
 	elsewhere := open(t, ca.write(t.TempDir(), "127.0.0.2", 2), clock)
 	stranger := open(t, newAuthority(t).write(t.TempDir(), "127.0.0.1", 3), clock)
 	cases := []struct {
@@ -195,6 +199,7 @@
 		{name: "mutual", server: own, client: own, want: codes.Unimplemented},
 		{name: "plain text", want: codes.Unimplemented},
 		{name: "plain client", server: own, want: codes.Unavailable},
+		{name: "client without a certificate", server: own, client: anonymous, want: codes.Unavailable},
 		{name: "client of another CA", server: own, client: stranger, want: codes.Unavailable},
 		{name: "server of another address", server: elsewhere, client: own, want: codes.Unavailable},
 	}
