--- a/entryd/pkg/router/router_test.go
+++ b/entryd/pkg/router/router_test.go
@@ -15,6 +15,7 @@
 	paths  []string
 	delay  time.Duration
 	failed map[string]bool
+	queued map[string]bool
 }
 
 func (f *fixed) Choose(_ int, tried []string, _ time.Time) (string, bool) {
@@ -33,6 +34,8 @@
 
 func (f *fixed) HedgeDelay(string) time.Duration { return f.delay }
 
+func (f *fixed) Prompt(_ int, p string, _ time.Time) bool { return !f.queued[p] }
+
 func (f *fixed) Failed(p string, _ time.Time) bool { return f.failed[p] }
 
 // purse is a Budget with a number of tokens for each kind.
@@ -115,6 +118,24 @@
 	}
 }
 
+func TestQueuedPathIsNoHedge(t *testing.T) {
+	f := twoPaths()
+	f.queued = map[string]bool{
+		"b": true,
+	}
+	q := newQuery(1, waitForAll(), f, &purse{
+		hedges: 9,
+	})
+	q.Start(epoch)
+	if got := q.Tick(at(10 * time.Millisecond)); len(got) != 0 {
+		t.Errorf("Tick() = %+v, want no hedge on a path that would answer late", got)
+	}
+	f.queued["b"] = false
+	if got := q.Tick(at(20 * time.Millisecond)); len(got) != 1 {
+		t.Errorf("Tick() = %+v, want a hedge once the path is prompt", got)
+	}
+}
+
 func TestSuspectedRequestIsNotHedged(t *testing.T) {
 	terms := waitForAll()
 	terms.Hedging = false
@@ -189,6 +210,25 @@
 	}
 }
 
+// TestNoWakeForPassedGoal asks for no wake-up between a goal that passed below
+// the floor and the next event.
+func TestNoWakeForPassedGoal(t *testing.T) {
+	f := twoPaths()
+	f.delay = time.Minute
+	terms := waitForAll()
+	terms.Goal = at(100 * time.Millisecond)
+	terms.Floor = 0.5
+	q := newQuery(4, terms, f, &purse{})
+	q.Start(epoch)
+	if got := q.Wake(); !got.Equal(terms.Goal) {
+		t.Fatalf("Wake() = %v, want the goal", got)
+	}
+	q.Tick(terms.Goal)
+	if got := q.Wake(); !got.Equal(terms.Deadline) {
+		t.Errorf("Wake() after the goal = %v, want the deadline", got)
+	}
+}
+
 func TestLateAnswerIsCountedAndIgnored(t *testing.T) {
 	q := newQuery(1, waitForAll(), twoPaths(), &purse{})
 	first := q.Start(epoch)
@@ -286,8 +326,11 @@
 	}
 	f.failed["a"], f.failed["b"] = true, true
 	third := q.Tick(at(20 * time.Millisecond))
-	if len(third) != 1 || third[0].Path != "c" || third[0].Hedge {
-		t.Errorf("Tick() = %+v, want a retry on c", third)
+	if len(third) != 1 || third[0].Path != "c" || third[0].Hedge || !slices.Equal(third[0].Units, []int{0}) {
+		t.Errorf("Tick() = %+v, want a retry of unit 0 on c", third)
+	}
+	if q.Sent() != 3 || q.Retries() != 1 {
+		t.Errorf("Sent() = %d, Retries() = %d, want 3, 1", q.Sent(), q.Retries())
 	}
 }
 
