--- /dev/null
+++ b/standin/pkg/commander/tls_test.go
@@ -0,0 +1,19 @@
+package commander
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestTLSFlagsGoTogether(t *testing.T) {
+	for _, name := range []string{"kv", "hosts"} {
+		for _, flags := range []string{"--certificate c.pem", "--key k.pem", "--ca ca.pem", "--certificate c.pem --ca ca.pem"} {
+			cmd := New()
+			cmd.SilenceErrors = true
+			cmd.SetArgs(append([]string{name}, strings.Fields(flags)...))
+			if err := cmd.Execute(); err == nil || !strings.Contains(err.Error(), "go together") {
+				t.Errorf("%s %s: %v", name, flags, err)
+			}
+		}
+	}
+}
