--- a/entryd/pkg/coordinator/coordinator.go
+++ b/entryd/pkg/coordinator/coordinator.go
@@ -224,6 +224,7 @@
 			Retries: s.query.Retries(),
 		},
 	}
+	out.Covered = make([]string, 0, s.merged.Count())
 	for i := range s.snapshot.Len() {
 		id := s.snapshot.Shard(i).ID()
 		if s.merged.Covered(i) {
--- a/entryd/pkg/coordinator/plan.go
+++ b/entryd/pkg/coordinator/plan.go
@@ -33,28 +33,49 @@
 	ways [][]way
 }
 
+// targets returns the replicas of a shard in a data centre. They must not be
+// modified.
+func (p *plan) targets(unit int, dataCentre string) []string {
+	for i := range p.ways[unit] {
+		if w := &p.ways[unit][i]; w.path.DataCentre == dataCentre {
+			return w.targets
+		}
+	}
+	return nil
+}
+
 // planCache holds the plans made under one placement.
 type planCache struct {
 	version uint64
-	plans   sync.Map // *indexer.Snapshot to *plan
+	// plans maps a *indexer.Snapshot to a func() *plan that makes the plan once.
+	plans sync.Map
 }
 
 // plan returns the plan of a snapshot under the placement now in force.
+// Queries that ask at the same time wait for one of them to make it.
 func (c *Coordinator) plan(s *indexer.Snapshot) *plan {
+	cache := c.planCache()
+	once, ok := cache.plans.Load(s)
+	if !ok {
+		once, _ = cache.plans.LoadOrStore(s, sync.OnceValue(func() *plan { return c.makePlan(s) }))
+	}
+	return once.(func() *plan)()
+}
+
+// planCache returns the plans of the placement now in force.
+func (c *Coordinator) planCache() *planCache {
 	version := c.Placement.Version()
 	cache := c.plans.Load()
-	if cache == nil || cache.version != version {
-		cache = &planCache{
-			version: version,
-		}
-		c.plans.Store(cache)
+	if cache != nil && cache.version == version {
+		return cache
 	}
-	if p, ok := cache.plans.Load(s); ok {
-		return p.(*plan)
+	next := &planCache{
+		version: version,
 	}
-	p := c.makePlan(s)
-	cache.plans.Store(s, p)
-	return p
+	if c.plans.CompareAndSwap(cache, next) {
+		return next
+	}
+	return c.plans.Load()
 }
 
 func (c *Coordinator) makePlan(s *indexer.Snapshot) *plan {
@@ -70,16 +91,16 @@
 // ways orders the ways to a shard: the first gatherer of each data centre
 // that has a replica, nearest first, then the second gatherers, and so on.
 func (c *Coordinator) ways(shard *indexer.Shard) []way {
-	groups := groupReplicas(shard.Replicas())
-	centres := make([]string, 0, len(groups))
-	for dc := range groups {
+	targets := targetsByCentre(shard.Replicas())
+	centres := make([]string, 0, len(targets))
+	for dc := range targets {
 		centres = append(centres, dc)
 	}
 	slices.SortFunc(centres, func(a, b string) int { return c.nearer(a, b, shard.ID()) })
 	ranked := make([][]placer.Daemon, len(centres))
 	longest := 0
 	for i, dc := range centres {
-		ranked[i] = c.Placement.Gatherers(dc, groups[dc])
+		ranked[i] = c.Placement.Gatherers(dc, placer.Name(targets[dc]))
 		longest = max(longest, len(ranked[i]))
 	}
 	var out []way
@@ -91,7 +112,7 @@
 						Daemon:     ranked[i][rank],
 						DataCentre: dc,
 					},
-					targets: replicasIn(shard.Replicas(), dc),
+					targets: targets[dc],
 				})
 			}
 		}
@@ -118,14 +139,11 @@
 	return strings.Compare(a, b)
 }
 
-// groupReplicas returns the name of the shard group in each data centre.
-func groupReplicas(replicas []*config.Target) map[string]string {
-	groups := map[string]string{}
+// targetsByCentre returns the replicas in each data centre.
+func targetsByCentre(replicas []*config.Target) map[string][]string {
+	out := map[string][]string{}
 	for _, t := range replicas {
-		dc := t.GetDatacentre()
-		if _, ok := groups[dc]; !ok {
-			groups[dc] = placer.Name(replicasIn(replicas, dc))
-		}
+		out[t.GetDatacentre()] = append(out[t.GetDatacentre()], t.GetId())
 	}
-	return groups
+	return out
 }
--- /dev/null
+++ b/entryd/pkg/coordinator/plan_test.go
@@ -0,0 +1,55 @@
+package coordinator
+
+import (
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"plantaincleat/entryd/pkg/placer"
+	"plantaincleat/tier/pkg/indexer"
+)
+
+// countingPlacement counts lookups, each of which lets others run.
+type countingPlacement struct {
+	lookups atomic.Int64
+}
+
+func (p *countingPlacement) Gatherers(string, string) []placer.Daemon {
+	p.lookups.Add(1)
+	runtime.Gosched()
+	return nil
+}
+
+func (p *countingPlacement) Version() uint64 { return 1 }
+
+// TestPlanIsMadeOnce asks for one plan from many queries at a time.
+func TestPlanIsMadeOnce(t *testing.T) {
+	const shards, queries = 3, 8
+	placement := &countingPlacement{}
+	c := New(Options{
+		Placement: placement,
+	})
+	s, err := indexer.New(acceptedOf(benchConfig(shards))).Pin("collection", "v1", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	replicas := 0
+	for i := range s.Len() {
+		replicas += len(s.Shard(i).Replicas())
+	}
+	plans := make([]*plan, queries)
+	var wg sync.WaitGroup
+	for i := range queries {
+		wg.Go(func() { plans[i] = c.plan(s) })
+	}
+	wg.Wait()
+	for i, p := range plans {
+		if p != plans[0] {
+			t.Errorf("query %d has a plan of its own", i)
+		}
+	}
+	if got := placement.lookups.Load(); got != int64(replicas) {
+		t.Errorf("%d lookups, want %d", got, replicas)
+	}
+}
--- a/entryd/pkg/coordinator/search.go
+++ b/entryd/pkg/coordinator/search.go
@@ -11,7 +11,6 @@
 	"plantaincleat/entryd/pkg/exchanger"
 	"plantaincleat/entryd/pkg/merger"
 	"plantaincleat/entryd/pkg/router"
-	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/pkg/batcher"
 	"plantaincleat/tier/pkg/indexer"
@@ -45,6 +44,7 @@
 	request  *Request
 	index    *indexer.Index
 	snapshot *indexer.Snapshot
+	plan     *plan
 	start    time.Time
 
 	ctx      context.Context
@@ -72,6 +72,7 @@
 		request:  r,
 		index:    ix,
 		snapshot: snapshot,
+		plan:     c.plan(snapshot),
 		start:    c.Clock.Now(),
 		merged:   merger.New(snapshot, int(r.Query.GetLimit())),
 		subplans: map[uint64]*subplan{},
@@ -86,7 +87,7 @@
 	}
 	ch := &chooser{
 		root:    c,
-		plan:    c.plan(snapshot),
+		plan:    s.plan,
 		avoided: map[string]bool{},
 	}
 	s.query = router.New(snapshot.Len(), terms, ch, c.Budget, func() uint64 { return c.nonce.Add(1) })
@@ -238,6 +239,7 @@
 		Fingerprint: s.request.Fingerprint,
 		Institution: s.request.Institution,
 		Suspected:   s.request.Suspected,
+		Shards:      make([]*peer.Wanted, 0, len(a.Units)),
 	}
 	for _, u := range a.Units {
 		shard := s.snapshot.Shard(u)
@@ -245,7 +247,7 @@
 			Shard:   shard.ID(),
 			From:    shard.From(),
 			To:      shard.To(),
-			Targets: s.targets(shard, a.Path.DataCentre),
+			Targets: s.targets(u, a.Path.DataCentre),
 		})
 	}
 	s.suspect(g)
@@ -254,24 +256,14 @@
 
 // targets returns the replicas of a shard that a sub-plan may ask: one while the
 // query asks one shard only, so that it can crash no more.
-func (s *search) targets(shard *indexer.Shard, dataCentre string) []string {
-	ids := replicasIn(shard.Replicas(), dataCentre)
+func (s *search) targets(unit int, dataCentre string) []string {
+	ids := s.plan.targets(unit, dataCentre)
 	if s.query.Holding() {
 		ids = ids[:1]
 	}
 	return ids
 }
 
-func replicasIn(replicas []*config.Target, dataCentre string) []string {
-	var ids []string
-	for _, t := range replicas {
-		if t.GetDatacentre() == dataCentre {
-			ids = append(ids, t.GetId())
-		}
-	}
-	return ids
-}
-
 // receive handles one event of a sub-plan.
 func (s *search) receive(e event) {
 	p := s.subplans[e.nonce]
@@ -318,7 +310,7 @@
 
 // targetsOf returns the targets that a sub-plan may ask.
 func targetsOf(task *peer.Gather) []string {
-	var out []string
+	out := make([]string, 0, len(task.GetShards()))
 	for _, w := range task.GetShards() {
 		out = append(out, w.GetTargets()...)
 	}
