Poll the host list every second

Cause: with the list as the only sign a target counted as leaving 4.5 and 9.4 s after the list said so (inferred from the durations of two process tests), as it was polled every 5 s. Lists that have not changed cost one conditional request.

--- a/entryd/pkg/lister/lister.go
+++ b/entryd/pkg/lister/lister.go
@@ -17,12 +17,12 @@
 
 const (
 	// interval lies between two polls.
-	interval = 5 * time.Second
+	interval = time.Second
 	// timeout bounds one poll.
 	timeout = 3 * time.Second
 	// byteRate bounds the mean bytes per second of lists that are polled: a
 	// longer list is polled less often.
-	byteRate = 4000
+	byteRate = 6000
 )
 
 // Options are the collaborators of a Lister.
