--- a/entryd/pkg/router/bench_test.go
+++ b/entryd/pkg/router/bench_test.go
@@ -20,6 +20,8 @@
 
 func (spread) HedgeDelay(int) time.Duration { return time.Hour }
 
+func (spread) Prompt(int, int, time.Time) bool { return true }
+
 func (spread) Failed(int, time.Time) bool { return false }
 
 // BenchmarkQuery runs queries in which every attempt is answered, one path for
--- a/entryd/pkg/router/hedge.go
+++ b/entryd/pkg/router/hedge.go
@@ -26,7 +26,7 @@
 			switch {
 			case failed:
 				retries = append(retries, u)
-			case q.budget.Hedge(1, now):
+			case q.prompt(u, now) && q.budget.Hedge(1, now):
 				hedges = append(hedges, u)
 			}
 		}
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -25,6 +25,7 @@
 	"plantaincleat/entryd/pkg/gatherer"
 	"plantaincleat/entryd/pkg/gossiper"
 	"plantaincleat/entryd/pkg/handler"
+	"plantaincleat/entryd/pkg/meterer"
 	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/entryd/pkg/recorder"
@@ -42,6 +43,11 @@
 	lameDuckTime = time.Second
 	// readHeaderTimeout bounds the time in which a caller sends its headers.
 	readHeaderTimeout = 10 * time.Second
+	// idleTimeout is the time after which an unused connection is closed. It
+	// lies above the usual ones of balancers, which close theirs first.
+	idleTimeout = 10 * time.Minute
+	// maxHeaderBytes bounds the size of all headers of a request.
+	maxHeaderBytes = 16 << 10
 	// explanations is the number of complete, and of partial, answers kept.
 	explanations = 1024
 )
@@ -52,6 +58,7 @@
 	clock clockwork.Clock
 
 	tls         *securer.Securer
+	bytes       meterer.Bytes
 	dialer      *dialer.Dialer
 	store       storer.Store
 	configs     *configs
@@ -82,14 +89,14 @@
 	d := &Daemon{
 		cfg:     cfg,
 		clock:   clock,
-		configs: newConfigs(),
+		configs: newConfigs(clock.Now),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	var err error
 	if d.tls, err = securer.New(cfg.GetSecurity(), clock); err != nil {
 		return nil, err
 	}
-	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource()); err != nil {
+	if d.dialer, err = dialer.New(d.tls.ClientCredentials(), cfg.GetSource(), cfg.GetSecurity().GetInsecure(), &d.bytes); err != nil {
 		return nil, err
 	}
 	if d.store, err = storer.DialEtcd(cfg.GetKv(), d.dialer.Options()...); err != nil {
@@ -201,8 +208,8 @@
 		Claimer:  d.keeper,
 		Mutator:  d.gatherer,
 	})
-	d.web = newHTTPServer(d.handler)
-	d.adminS = newHTTPServer(d.admin)
+	d.web = newHTTPServer(d.closing(d.handler))
+	d.adminS = newHTTPServer(d.guard(d.admin))
 	peerL, err := net.Listen("tcp", d.cfg.GetListen().GetPeer())
 	if err != nil {
 		return eris.Wrap(err, "listen.peer")
@@ -216,9 +223,9 @@
 		return eris.Wrap(err, "listen.admin")
 	}
 	d.publish()
-	d.wg.Go(func() { d.failed("peer listener", d.peers.Serve(peerL)) })
-	d.wg.Go(func() { d.failed("http listener", d.web.Serve(d.tls.Listen(webL, false))) })
-	d.wg.Go(func() { d.failed("admin listener", d.adminS.Serve(d.tls.Listen(adminL, false))) })
+	d.wg.Go(func() { d.failed("peer listener", d.peers.Serve(d.bytes.Listener(peerL))) })
+	d.wg.Go(func() { d.failed("http listener", d.web.Serve(d.tls.Listen(webL, securer.ClientsAnonymous))) })
+	d.wg.Go(func() { d.failed("admin listener", d.adminS.Serve(d.tls.Listen(adminL, securer.ClientsOptional))) })
 	d.wg.Go(func() { d.gossip.Run(d.ctx) })
 	d.wg.Go(func() { d.adopter.Run(d.ctx) })
 	d.wg.Go(func() { d.configs.follow(d.ctx, d.adopter) })
@@ -238,6 +245,8 @@
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
