--- a/entryd/pkg/handler/edges_test.go
+++ b/entryd/pkg/handler/edges_test.go
@@ -223,6 +223,8 @@
 		{name: "unknown version", headers: key("", ""), body: `{"collection":"entrants","version":"v9","key":"a"}`, kind: KindUnknown, status: 404, field: "version"},
 		{name: "unknown version of a resend", headers: key("Request-Attempt", "2"), body: `{"collection":"entrants","version":"v9","key":"a"}`, kind: KindUnknown, status: 404, field: "version", run: RunUnknown},
 		{name: "unready", headers: key("", ""), set: func(f *fake) { f.index = indexer.New(nil) }, kind: KindUnready, status: 503, after: "1"},
+		{name: "rate", headers: key("", ""), set: func(f *fake) { f.admitErr = refused(KindRate, time.Second) }, kind: KindRate, status: 429, after: "1"},
+		{name: "rate of a resend", headers: key("Request-Attempt", "2"), set: func(f *fake) { f.admitErr = refused(KindRate, time.Second) }, kind: KindRate, status: 429, after: "1", run: RunUnknown},
 		{name: "refused by the dispatcher", headers: key("", ""), set: func(f *fake) { f.runErr = refused(KindMismatch, 0) }, kind: KindMismatch, status: 409},
 	}
 }
--- a/entryd/pkg/handler/handler.go
+++ b/entryd/pkg/handler/handler.go
@@ -27,6 +27,7 @@
 	Key string
 	// Attempt numbers the sends of the key from 1. Zero is not numbered.
 	Attempt     uint32
+	Institution string
 	Collection  string
 	Version     string
 	Record      *target.Record
--- a/entryd/pkg/handler/mutate.go
+++ b/entryd/pkg/handler/mutate.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"plantaincleat/entryd/pkg/admitter"
 	"plantaincleat/tier/gen/target"
 	"plantaincleat/tier/pkg/hasher"
 	"plantaincleat/tier/pkg/tracer"
@@ -35,7 +36,13 @@
 		h.refuse(w, r, unclaimed(r, err))
 		return
 	}
+	end, err := h.Admitter.Admit(ctx, m.Institution, mutationClass, m.Deadline)
+	if err != nil {
+		h.refuse(w, r, unclaimed(r, err))
+		return
+	}
 	out, err := h.Mutator.Mutate(ctx, m)
+	end(mutationLoad(err))
 	if err != nil {
 		h.refuse(w, r, err)
 		return
@@ -51,6 +58,20 @@
 	})
 }
 
+// mutationClass names mutations to the admission, which keeps latencies by class.
+const mutationClass = "mutation"
+
+// mutationLoad tells what the end of a mutation says about the load. One that
+// was not done says nothing.
+func mutationLoad(err error) admitter.Result {
+	if err != nil {
+		return admitter.Result{}
+	}
+	return admitter.Result{
+		Outcome: admitter.Completed,
+	}
+}
+
 // unclaimed is the refusal of a mutation whose key was not claimed. Earlier
 // sends of the same request may have been run, unless it is the first one, or
 // one that cannot be run at any time.
@@ -97,10 +118,11 @@
 		return nil, err
 	}
 	return &Mutation{
-		Key:        key,
-		Attempt:    number,
-		Collection: b.Collection,
-		Version:    b.Version,
+		Key:         key,
+		Attempt:     number,
+		Institution: in.GetName(),
+		Collection:  b.Collection,
+		Version:     b.Version,
 		Record: &target.Record{
 			Key:  b.Key,
 			Text: b.Text,
--- a/tier/pkg/checker/settings.go
+++ b/tier/pkg/checker/settings.go
@@ -67,6 +67,9 @@
 			r.add(one.field, "%q is not a loopback address, so that security.certificate is needed", one.address)
 		}
 	}
+	if a, err := netip.ParseAddrPort(l.GetAdmin()); err == nil && a.Addr().IsUnspecified() {
+		r.add("listen.admin", "%q is no address that operators can call", l.GetAdmin())
+	}
 	if s.GetAdvertise() != "" {
 		r.address("advertise", s.GetAdvertise(), false)
 		return
