--- a/entryd/pkg/gatherer/gatherer.go
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -111,7 +111,7 @@
 	defer g.running.Add(-1)
 	ctx, span := tracer.Start(tracer.Extract(ctx, task.GetTrace()), "gather")
 	defer span.End()
-	j := newJob(g, nonce, task, tracer.Inject(ctx))
+	j := newJob(ctx, g, nonce, task)
 	j.run(ctx, emit)
 }
 
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"plantaincleat/entryd/pkg/exchanger"
 	"plantaincleat/entryd/pkg/merger"
 	"plantaincleat/entryd/pkg/router"
@@ -13,6 +15,7 @@
 	"plantaincleat/tier/pkg/batcher"
 	"plantaincleat/tier/pkg/digester"
 	"plantaincleat/tier/pkg/indexer"
+	"plantaincleat/tier/pkg/tracer"
 )
 
 const (
@@ -35,6 +38,8 @@
 	gatherer *Gatherer
 	nonce    uint64
 	task     *peer.Gather
+	// ctx holds the span of the sub-plan.
+	ctx      context.Context
 	trace    string
 	digest   uint64
 	start    time.Time
@@ -58,13 +63,14 @@
 	flushed time.Time
 }
 
-func newJob(g *Gatherer, nonce uint64, task *peer.Gather, trace string) *job {
+func newJob(ctx context.Context, g *Gatherer, nonce uint64, task *peer.Gather) *job {
 	now := g.clock.Now()
 	j := &job{
 		gatherer: g,
 		nonce:    nonce,
 		task:     task,
-		trace:    trace,
+		ctx:      ctx,
+		trace:    tracer.Inject(ctx),
 		digest:   digester.Query(task.GetQuery()),
 		start:    now,
 		deadline: now.Add(time.Duration(task.GetRemaining())*time.Microsecond - returnMargin),
@@ -296,6 +302,20 @@
 	if r.err != nil {
 		f.attempt.Error = r.err.Error()
 	}
+	j.span(f)
+}
+
+// span records a concluded sub-request as a hop of the trace.
+func (j *job) span(f *flight) {
+	if !tracer.Sampled(j.ctx) {
+		return
+	}
+	start := j.start.Add(time.Duration(f.attempt.GetStart()) * time.Microsecond)
+	end := j.start.Add(time.Duration(f.attempt.GetEnd()) * time.Microsecond)
+	tracer.Record(j.ctx, "subrequest", start, end,
+		attribute.String("target", f.attempt.GetTarget()),
+		attribute.String("shard", f.attempt.GetShard()),
+		attribute.String("status", f.attempt.GetStatus().String()))
 }
 
 // flushAt returns the earliest time of the next partial that only reports
--- a/entryd/pkg/gatherer/mutate.go
+++ b/entryd/pkg/gatherer/mutate.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel/attribute"
 	"google.golang.org/grpc"
 
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/tracer"
 )
 
 // connectWait bounds the wait for a connection to a target before a mutation
@@ -29,6 +31,8 @@
 // error leaves that unknown.
 func (g *Gatherer) Mutate(ctx context.Context, in *peer.MutateRequest) (*target.Outcome, error) {
 	m := in.GetMutation()
+	ctx, span := tracer.Start(tracer.Extract(ctx, m.GetTrace()), "handover", attribute.String("target", in.GetTarget()))
+	defer span.End()
 	t := g.configs.Index().Target(in.GetTarget())
 	if t == nil || g.departures.Leaving(in.GetTarget()) {
 		return notRun(in, target.Status_STATUS_LEAVING, "target is unknown or leaving"), nil
--- a/entryd/pkg/starter/mutator.go
+++ b/entryd/pkg/starter/mutator.go
@@ -10,6 +10,7 @@
 	"plantaincleat/entryd/pkg/forwarder"
 	"plantaincleat/entryd/pkg/handler"
 	"plantaincleat/tier/gen/target"
+	"plantaincleat/tier/pkg/tracer"
 )
 
 // buildMutations makes the path of a mutation.
@@ -119,6 +120,7 @@
 			Collection: in.Collection,
 			Version:    in.Version,
 			Record:     in.Record,
+			Trace:      tracer.Inject(ctx),
 		},
 	})
 	if r.Kind == dispatcher.KindDone {
--- a/tier/pkg/tracer/tracer.go
+++ b/tier/pkg/tracer/tracer.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"os"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel"
@@ -59,6 +60,15 @@
 	return otel.Tracer(instrumentation).Start(ctx, name, api.WithAttributes(attrs...))
 }
 
+// Sampled reports whether the span in ctx is exported.
+func Sampled(ctx context.Context) bool { return api.SpanContextFromContext(ctx).IsSampled() }
+
+// Record adds a span of the past as a child of the one in ctx.
+func Record(ctx context.Context, name string, start, end time.Time, attrs ...attribute.KeyValue) {
+	_, span := otel.Tracer(instrumentation).Start(ctx, name, api.WithTimestamp(start), api.WithAttributes(attrs...))
+	span.End(api.WithTimestamp(end))
+}
+
 // Inject returns the traceparent of the span in ctx, or an empty string.
 func Inject(ctx context.Context) string {
 	c := propagation.MapCarrier{}
