Group a shard's replicas by data centre in one place

The coordinator's plan and the forwarder each grouped them. Behaviour is the same: unit tests of coordinator, starter and placer, the linter, and the process tests of mutations on both sides of a cut and of resends were run.

--- a/entryd/pkg/coordinator/plan.go
+++ b/entryd/pkg/coordinator/plan.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"plantaincleat/entryd/pkg/placer"
-	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/pkg/indexer"
 )
 
@@ -91,7 +90,7 @@
 // ways orders the ways to a shard: the first gatherer of each data centre
 // that has a replica, nearest first, then the second gatherers, and so on.
 func (c *Coordinator) ways(shard *indexer.Shard) []way {
-	targets := targetsByCentre(shard.Replicas())
+	targets := shard.ReplicasByDataCentre()
 	centres := make([]string, 0, len(targets))
 	for dc := range targets {
 		centres = append(centres, dc)
@@ -138,12 +137,3 @@
 	}
 	return strings.Compare(a, b)
 }
-
-// targetsByCentre returns the replicas in each data centre.
-func targetsByCentre(replicas []*config.Target) map[string][]string {
-	out := map[string][]string{}
-	for _, t := range replicas {
-		out[t.GetDatacentre()] = append(out[t.GetDatacentre()], t.GetId())
-	}
-	return out
-}
--- a/entryd/pkg/forwarder/forwarder.go
+++ b/entryd/pkg/forwarder/forwarder.go
@@ -72,13 +72,14 @@
 	}
 	shard := snapshot.Shard(at)
 	m.Shard = shard.ID()
+	groups := shard.ReplicasByDataCentre()
 	var out *target.Outcome
 	err = eris.Wrapf(ErrNotRun, "route: every replica of shard %s is leaving", shard.ID())
 	for _, t := range shard.Replicas() {
 		if f.Departures.Leaving(t.GetId()) {
 			continue
 		}
-		if out, err = f.toTarget(ctx, t, group(shard, t.GetDatacentre()), m); ran(m.GetKey(), out, err) {
+		if out, err = f.toTarget(ctx, t, placer.Name(groups[t.GetDatacentre()]), m); ran(m.GetKey(), out, err) {
 			return out, err
 		}
 	}
@@ -127,17 +128,6 @@
 	return out, err
 }
 
-// group names the shard group of a shard in a data centre.
-func group(shard *indexer.Shard, dataCentre string) string {
-	var ids []string
-	for _, t := range shard.Replicas() {
-		if t.GetDatacentre() == dataCentre {
-			ids = append(ids, t.GetId())
-		}
-	}
-	return placer.Name(ids)
-}
-
 func (f *Forwarder) send(ctx context.Context, d placer.Daemon, in *peer.MutateRequest) (*target.Outcome, error) {
 	if d.ID == f.ID {
 		return f.Local.Mutate(ctx, in)
--- a/tier/pkg/indexer/indexer.go
+++ b/tier/pkg/indexer/indexer.go
@@ -197,6 +197,16 @@
 // Replicas returns the targets that hold the shard.
 func (s *Shard) Replicas() []*config.Target { return s.replicas }
 
+// ReplicasByDataCentre returns the ids of the targets that hold the shard in each
+// data centre.
+func (s *Shard) ReplicasByDataCentre() map[string][]string {
+	out := map[string][]string{}
+	for _, t := range s.replicas {
+		out[t.GetDatacentre()] = append(out[t.GetDatacentre()], t.GetId())
+	}
+	return out
+}
+
 // Holds reports whether a key lies in the shard's range.
 func (s *Shard) Holds(key string) bool { return InRange(key, s.from, s.to) }
 
