--- a/entryd/pkg/adopter/runner.go
+++ b/entryd/pkg/adopter/runner.go
@@ -13,7 +13,6 @@
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/pkg/encoder"
-	"plantaincleat/tier/pkg/fetcher"
 	"plantaincleat/tier/pkg/storer"
 )
 
@@ -42,10 +41,14 @@
 	Pull(ctx context.Context, address string, r *peer.FetchRequest) (*config.Accepted, error)
 }
 
-// Options set up a Runner. All fields but Config's are needed.
+// Options set up a Runner. Either Store or Source is needed, and all other
+// fields but Config's.
 type Options struct {
 	Config Config
-	Store  storer.Store
+	// Store holds the configuration in the layout of the package fetcher.
+	Store storer.Store
+	// Source takes the place of Store.
+	Source Source
 	Fleet  Fleet
 	Puller Puller
 	Clock  clockwork.Clock
@@ -76,6 +79,8 @@
 
 	current atomic.Pointer[inForce]
 	status  atomic.Pointer[Status]
+	// lost is true while checks of the store fail.
+	lost atomic.Bool
 
 	subscribers struct {
 		mu  sync.Mutex
@@ -91,6 +96,9 @@
 
 // NewRunner returns a Runner that has not started yet.
 func NewRunner(o Options) *Runner {
+	if o.Source == nil {
+		o.Source = storeSource{store: o.Store}
+	}
 	r := &Runner{
 		Options:   o,
 		machine:   New(o.Config, o.Clock.Now()),
@@ -250,11 +258,16 @@
 }
 
 func (r *Runner) checkHead(ctx context.Context) Event {
-	head, revision, err := fetcher.ReadHead(ctx, r.Store)
+	head, revision, err := r.Source.Head(ctx)
 	if err != nil {
-		klog.V(1).InfoS("configuration check failed", "err", err.Error())
+		if !r.lost.Swap(true) {
+			klog.InfoS("store lost", "err", err.Error())
+		}
 		return CheckFailed{}
 	}
+	if r.lost.Swap(false) {
+		klog.InfoS("store regained", "revision", revision)
+	}
 	return HeadRead{
 		Head:  head,
 		Store: revision,
@@ -262,12 +275,12 @@
 }
 
 func (r *Runner) readStore(ctx context.Context) Event {
-	state, err := fetcher.ReadState(ctx, r.Store)
+	accepted, err := r.Source.Read(ctx)
 	if err != nil {
 		klog.ErrorS(nil, "configuration not read", "err", err.Error())
 		return ReadFailed{}
 	}
-	return StoreRead{Accepted: state.Accepted}
+	return StoreRead{Accepted: accepted}
 }
 
 // pull asks a peer, which sends only the parts that this daemon lacks.
@@ -309,17 +322,9 @@
 	r.stopWatch()
 	watching, cancel := context.WithCancel(ctx)
 	r.stopWatch = cancel
-	changes := r.Store.Watch(watching, fetcher.HeadKey, after)
+	heads := r.Source.Watch(watching, after)
 	r.calls.Go(func() {
-		for change := range changes {
-			if change.Err != nil || change.Deleted || change.Item.Key != fetcher.HeadKey {
-				continue
-			}
-			head, err := fetcher.DecodeHead(change.Item.Value)
-			if err != nil {
-				klog.ErrorS(nil, "configuration head not decoded", "err", err.Error())
-				continue
-			}
+		for head := range heads {
 			r.send(watching, HeadChanged{Head: head})
 		}
 		r.send(watching, WatchEnded{})
--- a/entryd/pkg/budgeter/budgeter.go
+++ b/entryd/pkg/budgeter/budgeter.go
@@ -3,9 +3,9 @@
 //
 // A Budget is a token bucket filled by sub-requests in place of time: each one
 // sent earns a fraction of a token, each extra one spends a whole token, and
-// at most Burst tokens are kept. So within any interval, however long,
+// at most a burst of tokens is kept. So within any interval, however long,
 //
-//	extra ≤ fraction × sent + Burst
+//	extra ≤ fraction × sent + burst
 //
 // and, as the bucket starts empty, extra ≤ fraction × sent since the start.
 //
@@ -19,7 +19,7 @@
 	DefaultHedge = 0.05
 	// DefaultRetry is the fraction of extra sub-requests for retries.
 	DefaultRetry = 0.1
-	// Burst is the number of tokens that a budget keeps at most.
+	// Burst is the number of tokens that a budget keeps at most by default.
 	Burst = 16
 
 	// unit is one token in fixed-point arithmetic.
@@ -29,7 +29,9 @@
 // Budget counts one kind of extra sub-request. Make it with New.
 type Budget struct {
 	// earned is what one sub-request earns, in units.
-	earned  atomic.Int64
+	earned atomic.Int64
+	// burst is the most that is kept, in units.
+	burst   atomic.Int64
 	tokens  atomic.Int64
 	spent   atomic.Int64
 	refused atomic.Int64
@@ -38,6 +40,7 @@
 // New returns an empty budget of a fraction in [0,1] of the sub-requests.
 func New(fraction float64) *Budget {
 	b := &Budget{}
+	b.SetBurst(Burst)
 	b.SetFraction(fraction)
 	return b
 }
@@ -48,11 +51,16 @@
 	b.earned.Store(int64(fraction * unit))
 }
 
+// SetBurst changes the number of tokens that are kept at most.
+func (b *Budget) SetBurst(tokens float64) {
+	b.burst.Store(int64(max(tokens, 0) * unit))
+}
+
 // Sent earns for n first attempts. Extra ones earn nothing.
 func (b *Budget) Sent(n int) {
 	for {
 		old := b.tokens.Load()
-		tokens := min(old+int64(n)*b.earned.Load(), Burst*unit)
+		tokens := min(old+int64(n)*b.earned.Load(), b.burst.Load())
 		if tokens == old || b.tokens.CompareAndSwap(old, tokens) {
 			return
 		}
@@ -85,7 +93,7 @@
 	b.spent.Add(-1)
 	for {
 		old := b.tokens.Load()
-		tokens := min(old+unit, Burst*unit)
+		tokens := min(old+unit, b.burst.Load())
 		if b.tokens.CompareAndSwap(old, tokens) {
 			return
 		}
--- /dev/null
+++ b/entryd/pkg/cataloger/catalog.go
@@ -0,0 +1,161 @@
+// Package cataloger turns each configuration in force into an immutable catalog
+// of routes, pools and targets, and keeps what a daemon has learned of a target
+// while it stays in the configuration.
+package cataloger
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"plantaincleat/entryd/pkg/estimator"
+	"plantaincleat/entryd/pkg/pacer"
+	"plantaincleat/entryd/pkg/requester"
+	"plantaincleat/tier/gen/config"
+)
+
+// Target is one process that serves plain requests. It lives as long as its
+// process is in the configuration.
+type Target struct {
+	id         string
+	address    string
+	datacentre string
+	slots      int
+	started    int64
+	pool       string
+
+	gauge *estimator.Estimator
+	link  *requester.Link
+	// gone is true once another process has answered at the address.
+	gone atomic.Bool
+}
+
+// ID returns the name of the target's process.
+func (t *Target) ID() string { return t.id }
+
+// Address returns the IP address and port of the target.
+func (t *Target) Address() string { return t.address }
+
+// DataCentre returns the target's data centre.
+func (t *Target) DataCentre() string { return t.datacentre }
+
+// Slots returns the number of requests that the target runs at once.
+func (t *Target) Slots() int { return t.slots }
+
+// Gauge returns the estimator of the target.
+func (t *Target) Gauge() *estimator.Estimator { return t.gauge }
+
+// Link returns the connections to the target.
+func (t *Target) Link() *requester.Link { return t.link }
+
+// Misplaced records that another process has answered at the target's address.
+func (t *Target) Misplaced() { t.gone.Store(true) }
+
+// Gone reports whether another process has answered at the target's address.
+func (t *Target) Gone() bool { return t.gone.Load() }
+
+// Replica is a target as a member of a pool in one catalog.
+type Replica struct {
+	*Target
+	// leaving is true if the target takes no new work.
+	leaving bool
+	// until is the end of the time in which a target that has vanished from
+	// the configuration is a last resort. Zero for the others.
+	until time.Time
+}
+
+// Leaving reports whether the target takes no new work.
+func (r *Replica) Leaving(now time.Time) bool {
+	return r.leaving || r.Gone() || r.Vanished() && !now.Before(r.until)
+}
+
+// Vanished reports whether the target has vanished from the configuration.
+func (r *Replica) Vanished() bool { return !r.until.IsZero() }
+
+// Pool is a set of interchangeable targets.
+type Pool struct {
+	name        string
+	connections int
+	replicas    []*Replica
+	budget      *Budget
+}
+
+// Name returns the name of the pool.
+func (p *Pool) Name() string { return p.name }
+
+// Replicas returns the targets. The slice must not be changed.
+func (p *Pool) Replicas() []*Replica { return p.replicas }
+
+// Budget returns the budget of extra requests to the pool.
+func (p *Pool) Budget() *Budget { return p.budget }
+
+// Route tells how requests are served.
+type Route struct {
+	*config.Route
+	// pools holds the pool of each shard, or of each part of a division.
+	pools []*Pool
+	state *routeState
+}
+
+// routeState is what outlives a catalog.
+type routeState struct {
+	pace    pacer.Pace
+	divider divider
+}
+
+// Pools returns the pools of the route's shards, in their order. The slice must
+// not be changed.
+func (r *Route) Pools() []*Pool { return r.pools }
+
+// Scattered reports whether each request goes to all pools.
+func (r *Route) Scattered() bool { return len(r.GetShards()) > 0 }
+
+// Pace returns the latencies of the route's sub-requests.
+func (r *Route) Pace() *pacer.Pace { return &r.state.pace }
+
+// Pick returns the pool to which the next request goes.
+func (r *Route) Pick() *Pool {
+	if len(r.pools) == 1 {
+		return r.pools[0]
+	}
+	return r.pools[r.state.divider.next(r.GetPools())]
+}
+
+// Catalog is one configuration in force. The zero value has no route.
+type Catalog struct {
+	revision uint64
+	hosts    map[string][]*Route
+	pools    map[string]*Pool
+	limits   *config.Limits
+}
+
+// Revision returns the revision of the configuration, 0 for none.
+func (c *Catalog) Revision() uint64 { return c.revision }
+
+// Limits returns what callers may send. It may be nil; its getters work on nil.
+func (c *Catalog) Limits() *config.Limits { return c.limits }
+
+// Pools returns the pools by name. The map must not be changed.
+func (c *Catalog) Pools() map[string]*Pool { return c.pools }
+
+// Match returns the route with the longest prefix that begins the path, nil if
+// there is none.
+func (c *Catalog) Match(host, path string) *Route {
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.GetPrefix()) {
+			return r
+		}
+	}
+	return nil
+}
+
+// sortRoutes puts the longest prefixes first.
+func (c *Catalog) sortRoutes() {
+	for _, routes := range c.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.GetPrefix()), len(a.GetPrefix()))
+		})
+	}
+}
--- /dev/null
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -0,0 +1,281 @@
+package cataloger
+
+import (
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/entryd/pkg/estimator"
+	"plantaincleat/entryd/pkg/requester"
+	"plantaincleat/tier/gen/config"
+)
+
+const (
+	// vanishedFor is how long a target that has vanished from the configuration
+	// without a notice stays a last resort: it may be back, and until then it
+	// may be the only one that serves its shard.
+	vanishedFor = 1500 * time.Millisecond
+	// connectionShare is the part of a target's connections that the daemons
+	// divide among them. The rest is for daemons that do not know each other.
+	connectionShare = 0.9
+	// reachFactor times the slots is the most connections to one target that a
+	// daemon opens.
+	reachFactor = 4
+)
+
+// Options set up a Cataloger.
+type Options struct {
+	Clock   clockwork.Clock
+	Dial    requester.Dial
+	Headers *requester.Headers
+	Extra   Extra
+}
+
+// key names a process of a target.
+type key struct {
+	id      string
+	address string
+	started int64
+}
+
+// Cataloger makes a Catalog of each configuration. Catalog takes no lock.
+type Cataloger struct {
+	options Options
+	group   estimator.Group
+	current atomic.Pointer[Catalog]
+
+	mu       sync.Mutex
+	targets  map[key]*Target
+	vanished map[key]time.Time
+	budgets  map[string]*Budget
+	routes   map[string]*routeState
+	accepted *config.Accepted
+	daemons  int
+}
+
+// New returns a Cataloger with an empty catalog.
+func New(o Options) *Cataloger {
+	c := &Cataloger{
+		options:  o,
+		targets:  make(map[key]*Target),
+		vanished: make(map[key]time.Time),
+		budgets:  make(map[string]*Budget),
+		routes:   make(map[string]*routeState),
+		daemons:  1,
+	}
+	c.current.Store(&Catalog{})
+	return c
+}
+
+// Catalog returns the catalog in force.
+func (c *Cataloger) Catalog() *Catalog { return c.current.Load() }
+
+// SetDaemons states the number of live daemons, among which connections and
+// the slack of the budgets are divided.
+func (c *Cataloger) SetDaemons(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n == c.daemons || n < 1 {
+		return
+	}
+	c.daemons = n
+	for _, b := range c.budgets {
+		b.divide(c.options.Extra, n)
+	}
+	if c.accepted != nil {
+		c.build()
+	}
+}
+
+// Adopt makes a catalog of a configuration unless a later one is in force.
+func (c *Cataloger) Adopt(accepted *config.Accepted) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if accepted.GetHead().GetRevision() <= c.accepted.GetHead().GetRevision() {
+		return
+	}
+	c.note(accepted)
+	c.accepted = accepted
+	c.build()
+}
+
+// note finds the targets that have vanished without having been leaving.
+func (c *Cataloger) note(accepted *config.Accepted) {
+	present := make(map[key]bool)
+	ids := make(map[string]bool)
+	for _, t := range accepted.GetConfig().GetTargets() {
+		present[keyOf(t)] = true
+		ids[t.GetId()] = true
+	}
+	now := c.options.Clock.Now()
+	for _, t := range c.accepted.GetConfig().GetTargets() {
+		k := keyOf(t)
+		if !present[k] && !ids[t.GetId()] && !t.GetLeaving() {
+			c.vanished[k] = now.Add(vanishedFor)
+			slog.Info("target vanished", "target", t.GetId(), "pool", t.GetPool(), "revision", accepted.GetHead().GetRevision())
+		}
+	}
+	for k := range c.vanished {
+		if present[k] || ids[k.id] {
+			delete(c.vanished, k)
+		}
+	}
+}
+
+func keyOf(t *config.Target) key {
+	return key{
+		id:      t.GetId(),
+		address: t.GetAddress(),
+		started: t.GetStarted(),
+	}
+}
+
+// build replaces the catalog by one of the present state.
+func (c *Cataloger) build() {
+	cfg := c.accepted.GetConfig()
+	out := &Catalog{
+		revision: c.accepted.GetHead().GetRevision(),
+		hosts:    make(map[string][]*Route),
+		pools:    make(map[string]*Pool, len(cfg.GetPools())),
+		limits:   cfg.GetLimits(),
+	}
+	for _, p := range cfg.GetPools() {
+		out.pools[p.GetName()] = c.pool(p)
+	}
+	c.fill(out, cfg.GetTargets())
+	for _, r := range cfg.GetRoutes() {
+		out.hosts[r.GetHost()] = append(out.hosts[r.GetHost()], c.route(out, r))
+	}
+	out.sortRoutes()
+	c.current.Store(out)
+	c.forget(out)
+}
+
+func (c *Cataloger) pool(p *config.Pool) *Pool {
+	budget := c.budgets[p.GetName()]
+	if budget == nil {
+		budget = newBudget(c.options.Extra, c.daemons)
+		c.budgets[p.GetName()] = budget
+	}
+	return &Pool{
+		name:        p.GetName(),
+		connections: int(p.GetConnections()),
+		budget:      budget,
+	}
+}
+
+// fill adds the targets to their pools.
+func (c *Cataloger) fill(out *Catalog, targets []*config.Target) {
+	for _, t := range targets {
+		p := out.pools[t.GetPool()]
+		if p == nil {
+			continue
+		}
+		p.replicas = append(p.replicas, &Replica{
+			Target:  c.target(t, p),
+			leaving: t.GetLeaving(),
+		})
+	}
+	now := c.options.Clock.Now()
+	for k, until := range c.vanished {
+		t := c.targets[k]
+		if t == nil || !now.Before(until) {
+			delete(c.vanished, k)
+			continue
+		}
+		if p := out.pools[t.pool]; p != nil {
+			p.replicas = append(p.replicas, &Replica{
+				Target: t,
+				until:  until,
+			})
+		}
+	}
+}
+
+// target returns the state of a target, which it makes if it is new.
+func (c *Cataloger) target(t *config.Target, p *Pool) *Target {
+	k := keyOf(t)
+	known := c.targets[k]
+	if known == nil {
+		known = &Target{
+			id:         t.GetId(),
+			address:    t.GetAddress(),
+			datacentre: t.GetDatacentre(),
+			slots:      int(max(t.GetSlots(), 1)),
+			started:    t.GetStarted(),
+			pool:       t.GetPool(),
+			gauge: c.group.New(estimator.Settings{
+				Slots: int(t.GetSlots()),
+			}),
+			link: requester.NewLink(t.GetAddress(), c.options.Headers, c.options.Dial, c.options.Clock),
+		}
+		c.targets[k] = known
+	}
+	share := int(connectionShare * float64(p.connections) / float64(c.daemons))
+	known.link.SetShare(min(max(share, 1), reachFactor*known.slots))
+	return known
+}
+
+func (c *Cataloger) route(out *Catalog, r *config.Route) *Route {
+	state := c.routes[r.GetName()]
+	if state == nil {
+		state = &routeState{}
+		c.routes[r.GetName()] = state
+	}
+	names := r.GetShards()
+	if len(names) == 0 {
+		for _, s := range r.GetPools() {
+			names = append(names, s.GetPool())
+		}
+	}
+	one := &Route{
+		Route: r,
+		state: state,
+	}
+	for _, name := range names {
+		p := out.pools[name]
+		if p == nil {
+			p = &Pool{
+				name:   name,
+				budget: newBudget(c.options.Extra, c.daemons),
+			}
+			out.pools[name] = p
+		}
+		one.pools = append(one.pools, p)
+	}
+	return one
+}
+
+// forget drops the state of what is in the catalog no more.
+func (c *Cataloger) forget(out *Catalog) {
+	used := make(map[*Target]bool)
+	for _, p := range out.pools {
+		for _, r := range p.replicas {
+			used[r.Target] = true
+		}
+	}
+	for k, t := range c.targets {
+		if !used[t] {
+			t.link.Close()
+			delete(c.targets, k)
+		}
+	}
+	for name := range c.budgets {
+		if out.pools[name] == nil {
+			delete(c.budgets, name)
+		}
+	}
+}
+
+// Sweep closes the connections that were unused for too long.
+func (c *Cataloger) Sweep() {
+	now := c.options.Clock.Now()
+	for _, p := range c.Catalog().pools {
+		for _, r := range p.replicas {
+			r.link.Sweep(now)
+		}
+	}
+}
--- a/entryd/pkg/coordinator/bench_test.go
+++ b/entryd/pkg/coordinator/bench_test.go
@@ -104,6 +104,7 @@
 func (noBudget) Sent(int)                  {}
 func (noBudget) Hedge(int, time.Time) bool { return false }
 func (noBudget) Retry(int, time.Time) bool { return false }
+func (noBudget) Move(int, time.Time) bool  { return true }
 
 const (
 	benchCentres = 7
--- a/entryd/pkg/dialer/dialer.go
+++ b/entryd/pkg/dialer/dialer.go
@@ -47,9 +47,7 @@
 // is empty. With insecure credentials, addresses other than loopback are
 // refused unless plain is true. The bytes of the connections are counted.
 func New(creds credentials.TransportCredentials, source string, plain bool, bytes *meterer.Bytes) (*Dialer, error) {
-	nd := &net.Dialer{
-		Timeout: connectTimeout,
-	}
+	nd := Net(connectTimeout)
 	if source != "" {
 		ip := net.ParseIP(source)
 		if ip == nil {
--- a/entryd/pkg/gatherer/bench_test.go
+++ b/entryd/pkg/gatherer/bench_test.go
@@ -90,6 +90,7 @@
 func (noBudget) Sent(int)                  {}
 func (noBudget) Hedge(int, time.Time) bool { return false }
 func (noBudget) Retry(int, time.Time) bool { return false }
+func (noBudget) Move(int, time.Time) bool  { return true }
 
 // benchShards returns a gatherer and a sub-plan over some shards, each with
 // two targets of its own.
--- a/entryd/pkg/gatherer/gatherer.go
+++ b/entryd/pkg/gatherer/gatherer.go
@@ -16,6 +16,7 @@
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/exchanger"
 	"plantaincleat/entryd/pkg/limiter"
+	"plantaincleat/entryd/pkg/pacer"
 	"plantaincleat/entryd/pkg/quarantiner"
 	"plantaincleat/entryd/pkg/router"
 	"plantaincleat/tier/gen/peer"
@@ -53,7 +54,7 @@
 
 	gauges estimator.Group
 	limits limiter.Group
-	pace   pace
+	pace   pacer.Pace
 	origin time.Time
 
 	running atomic.Int64
--- a/entryd/pkg/gatherer/job.go
+++ b/entryd/pkg/gatherer/job.go
@@ -322,7 +322,7 @@
 // covered shards.
 func (j *job) flushAt() time.Time {
 	if j.flushed.IsZero() {
-		return j.start.Add(j.gatherer.pace.late())
+		return j.start.Add(j.gatherer.pace.Late())
 	}
 	return j.flushed.Add(flushGap)
 }
@@ -360,7 +360,7 @@
 
 // slow lists the wanted targets that would answer late.
 func (j *job) slow(now time.Time) []*peer.Slow {
-	limit := j.gatherer.pace.slow()
+	limit := j.gatherer.pace.Slow()
 	var out []*peer.Slow
 	seen := make(map[string]bool, 2*len(j.wanted))
 	for _, w := range j.wanted {
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -96,7 +96,7 @@
 		watch:  g.quarantine.Target(t.GetId()),
 		onLoss: g.onLoss,
 		heard: func(latency, service time.Duration) {
-			g.pace.add(g.clock.Since(g.origin), latency, service)
+			g.pace.Add(g.clock.Since(g.origin), latency, service)
 		},
 		flying: map[uint64]*request{},
 	}
--- a/entryd/pkg/gatherer/selector.go
+++ b/entryd/pkg/gatherer/selector.go
@@ -43,13 +43,13 @@
 	if s.Failed(id, time.Time{}) {
 		return 0
 	}
-	return s.job.gatherer.pace.late()
+	return s.job.gatherer.pace.Late()
 }
 
 // Prompt implements router.Chooser.
 func (s *selector) Prompt(_ int, id string, now time.Time) bool {
 	l := s.job.gatherer.lane(id)
-	return l != nil && l.expected(now) <= s.job.gatherer.pace.slow()
+	return l != nil && l.expected(now) <= s.job.gatherer.pace.Slow()
 }
 
 // Failed implements router.Chooser.
--- a/entryd/pkg/gatherer/pace.go
+++ b/entryd/pkg/pacer/pacer.go
@@ -1,4 +1,6 @@
-package gatherer
+// Package pacer tells when a sub-request is late and when a target is slow, by
+// the answers of all targets.
+package pacer
 
 import (
 	"sync"
@@ -25,22 +27,21 @@
 	slowFactor = 3
 )
 
-// pace tells when a sub-request is late and when a target is slow, by all
-// targets of the gatherer: one slow target does not move it. The zero value
-// starts from a prior. It is safe for concurrent use.
-type pace struct {
+// Pace holds the recent latencies of all targets: one slow target does not move
+// it. The zero value starts from a prior. It is safe for concurrent use.
+type Pace struct {
 	latency quantile
 	service quantile
 }
 
-// add records the latency of an answer, and the service time behind it.
-func (p *pace) add(at, latency, service time.Duration) {
+// Add records the latency of an answer at an offset from any fixed time, and the service time behind it.
+func (p *Pace) Add(at, latency, service time.Duration) {
 	p.latency.add(at, latency, 0.95)
 	p.service.add(at, service, 0.5)
 }
 
-// late returns the time after which a sub-request counts as late.
-func (p *pace) late() time.Duration {
+// Late returns the time after which a sub-request counts as late.
+func (p *Pace) Late() time.Duration {
 	d := p.latency.get()
 	if d == 0 {
 		return pacePrior
@@ -48,8 +49,8 @@
 	return min(max(time.Duration(lateFactor*float64(d)), minLate), maxLate)
 }
 
-// slow returns the expected finish from which a target counts as slow.
-func (p *pace) slow() time.Duration {
+// Slow returns the expected finish from which a target counts as slow.
+func (p *Pace) Slow() time.Duration {
 	d := p.service.get()
 	if d == 0 {
 		d = pacePrior
--- a/entryd/pkg/router/attempt.go
+++ b/entryd/pkg/router/attempt.go
@@ -29,6 +29,7 @@
 		s := &q.units[u]
 		s.waits = append(s.waits, a)
 		s.tried = append(s.tried, path)
+		s.ran++
 	}
 	if hedge {
 		q.hedges += len(units)
@@ -101,6 +102,9 @@
 		return false
 	}
 	s.reason = worse(s.reason, l.Reason)
+	if !mayRun[l.Reason] {
+		s.ran--
+	}
 	return len(s.waits) == 0
 }
 
--- a/entryd/pkg/router/hedge.go
+++ b/entryd/pkg/router/hedge.go
@@ -7,8 +7,8 @@
 )
 
 // hedge sends the open units of overdue attempts on a second path. Hedges are
-// charged to the budget. Leaving a failed path is free: it happens once for each
-// path of a unit, and later units avoid the path.
+// charged to the budget. Leaving a failed path happens once for each path of a
+// unit, and later units avoid the path.
 func (q *Query[P]) hedge(now time.Time) {
 	var hedges, retries []int
 	for _, a := range q.overdue(now) {
@@ -24,9 +24,9 @@
 				continue
 			}
 			switch {
-			case failed:
+			case failed && q.budget.Move(u, now):
 				retries = append(retries, u)
-			case q.prompt(u, now) && q.budget.Hedge(1, now):
+			case !failed && q.prompt(u, now) && q.budget.Hedge(u, now):
 				hedges = append(hedges, u)
 			}
 		}
--- a/entryd/pkg/router/reason.go
+++ b/entryd/pkg/router/reason.go
@@ -11,6 +11,12 @@
 	peer.Reason_REASON_LATE:   true,
 }
 
+// mayRun holds the reasons of attempts that may have run their units.
+var mayRun = map[peer.Reason]bool{
+	peer.Reason_REASON_FAILED: true,
+	peer.Reason_REASON_LATE:   true,
+}
+
 // passing holds the reasons that may not hold for the next attempt.
 var passing = map[peer.Reason]bool{
 	peer.Reason_REASON_UNREACHABLE: true,
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -36,11 +36,16 @@
 type Budget interface {
 	// Sent counts n first attempts.
 	Sent(n int)
-	// Hedge reports whether n more sub-requests may be sent as hedges.
-	Hedge(n int, now time.Time) bool
-	// Retry reports whether n more sub-requests may be sent as retries of
-	// attempts that may have used capacity. Other retries are free.
-	Retry(n int, now time.Time) bool
+	// Hedge reports whether one more sub-request for a unit may be sent as a
+	// hedge.
+	Hedge(unit int, now time.Time) bool
+	// Retry reports whether one more sub-request for a unit may be sent as the
+	// retry of an attempt that may have used capacity.
+	Retry(unit int, now time.Time) bool
+	// Move reports whether a unit that waits on a failed path may be sent on
+	// another one as well. Retries of attempts that never reached a target are
+	// free.
+	Move(unit int, now time.Time) bool
 }
 
 // Terms are what the query's class asks for.
@@ -52,11 +57,17 @@
 	Goal time.Time
 	// Floor is the least fraction of units, in [0,1], for an early answer.
 	Floor float64
+	// Least is the fraction of units, in [0,1], below which an answer is of no
+	// use: the query ends once it cannot be reached. Zero ends no query.
+	Least float64
 	// Hedging is false for requests of which no second copy may run beside
 	// the first while that may still be running.
 	Hedging bool
 	// Separate sends each unit in an attempt of its own.
 	Separate bool
+	// Attempts is the number of paths on which one unit may run. Attempts that
+	// certainly did not run it don't count. Zero is no limit.
+	Attempts int
 	// First is one more than the unit to send alone and unhedged until it is
 	// covered or closed. Zero sends all units at once.
 	First int
@@ -84,7 +95,9 @@
 	closed  bool
 	reason  peer.Reason
 	rounds  int
-	tried   []P
+	// ran counts the attempts that run the unit, or may have run it.
+	ran   int
+	tried []P
 	// waits are the attempts that may still answer the unit.
 	waits []*attempt[P]
 }
@@ -234,6 +247,9 @@
 // Closed reports whether a unit has no path left to try.
 func (q *Query[P]) Closed(unit int) bool { return q.units[unit].closed }
 
+// Ran reports whether an attempt has run a unit, or may do so.
+func (q *Query[P]) Ran(unit int) bool { return q.units[unit].ran > 0 }
+
 // Reason returns why a unit is missing.
 func (q *Query[P]) Reason(unit int) peer.Reason { return q.units[unit].reason }
 
@@ -312,7 +328,7 @@
 			q.closeIfIdle(u, q.units[u].reason)
 			continue
 		}
-		if costly[q.units[u].reason] && !q.budget.Retry(1, now) {
+		if costly[q.units[u].reason] && !q.budget.Retry(u, now) {
 			q.closeIfIdle(u, peer.Reason_REASON_BUDGET)
 			continue
 		}
@@ -362,11 +378,15 @@
 
 // spare reports whether a unit has a path that was not tried.
 func (q *Query[P]) spare(u int, now time.Time) bool {
+	if q.terms.Attempts > 0 && q.units[u].ran >= q.terms.Attempts {
+		return false
+	}
 	_, ok := q.chooser.Choose(u, q.units[u].tried, now)
 	return ok
 }
 
-// settle ends the query when nothing is open, at the goal, or at the deadline.
+// settle ends the query when nothing is open, at the goal, at the deadline, or
+// when too many units are closed.
 func (q *Query[P]) settle(now time.Time) {
 	if q.done {
 		return
@@ -375,7 +395,8 @@
 	n := len(q.units)
 	q.passed = !q.terms.Goal.IsZero() && !now.Before(q.terms.Goal)
 	early := q.passed && float64(q.covered) >= q.terms.Floor*float64(n)
-	if q.covered+q.closed < n && !early && now.Before(q.terms.Deadline) {
+	hopeless := float64(n-q.closed) < q.terms.Least*float64(n)
+	if q.covered+q.closed < n && !early && !hopeless && now.Before(q.terms.Deadline) {
 		return
 	}
 	q.done = true
--- /dev/null
+++ b/entryd/pkg/scatterer/result.go
@@ -0,0 +1,104 @@
+package scatterer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"plantaincleat/entryd/pkg/merger"
+	"plantaincleat/entryd/pkg/requester"
+	"plantaincleat/tier/gen/peer"
+)
+
+const (
+	// recordWidth is the size of a record in bytes.
+	recordWidth = 16
+	// minRetry and maxRetry bound the time after which a refused request may be
+	// sent again. Each caller gets another time between them, so that they
+	// don't return together.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 300 * time.Millisecond
+)
+
+// result returns how the request ended.
+func (j *job) result(ctx context.Context) *Result {
+	res := &Result{
+		Shards:  len(j.pools),
+		Hedges:  j.query.Hedges(),
+		Retries: j.query.Retries(),
+	}
+	for _, a := range j.attempts {
+		res.Attempts = append(res.Attempts, *a.log)
+	}
+	switch {
+	case ctx.Err() != nil && !j.query.Done():
+		res.Outcome = Abandoned
+	case j.route.Scattered():
+		j.merge(res)
+	default:
+		j.single(res)
+	}
+	return res
+}
+
+// single fills in the result of a request that went to one target.
+func (j *job) single(res *Result) {
+	answer := j.parts[0]
+	if answer == nil {
+		answer = j.failure
+	}
+	if answer != nil {
+		res.Outcome = Answered
+		res.Answer = answer
+		return
+	}
+	res.Reason = j.query.Reason(0)
+	j.refuse(res, res.Reason)
+}
+
+// merge fills in the result of a request that went to all shards.
+func (j *job) merge(res *Result) {
+	var parts [][]byte
+	seen := make(map[string]bool, len(j.parts))
+	for u, a := range j.parts {
+		if a == nil || seen[j.signature(a)] {
+			res.Reason = max(res.Reason, j.query.Reason(u))
+			continue
+		}
+		seen[j.signature(a)] = true
+		res.Signatures = append(res.Signatures, j.signature(a))
+		parts = append(parts, a.Body)
+	}
+	enough := float64(len(parts)) >= j.route.GetFloor()*float64(len(j.pools))
+	if len(parts) > 0 && enough {
+		res.Outcome = Merged
+		res.Body = merger.Top(parts, recordWidth, int(j.route.GetTop()))
+		return
+	}
+	j.refuse(res, res.Reason)
+}
+
+func (j *job) signature(a *requester.Answer) string { return a.Header.Get(j.Signature) }
+
+// refuse fills in the result of a request without an answer.
+func (j *job) refuse(res *Result, reason peer.Reason) {
+	switch {
+	case !j.mayHaveRun():
+		res.Outcome = Refused
+		res.RetryAfter = minRetry + rand.N(maxRetry-minRetry)
+	case reason == peer.Reason_REASON_LATE:
+		res.Outcome = Expired
+	default:
+		res.Outcome = Failed
+	}
+}
+
+// mayHaveRun reports whether an attempt has run the request, or may do so.
+func (j *job) mayHaveRun() bool {
+	for u := range j.parts {
+		if j.parts[u] != nil || j.query.Ran(u) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -0,0 +1,153 @@
+// Package scatterer serves plain requests: it forwards each one to a target of
+// one pool, or to a target of each shard, and merges what they answer.
+//
+// Where a request goes, when it is sent again and when it ends is decided by
+// the package router. This package runs the attempts and judges the answers.
+package scatterer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/requester"
+	"plantaincleat/tier/gen/peer"
+)
+
+// Request is a caller's request.
+type Request struct {
+	// ID is unique for each attempt of a caller.
+	ID     string
+	Method string
+	// Path holds the path and the query, as the caller sent them.
+	Path   string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Received is when the request arrived.
+	Received time.Time
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+}
+
+// Outcome tells how a request ended.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	// Answered means that the answer is a target's own.
+	Answered Outcome = iota
+	// Merged means that the answer was merged from parts.
+	Merged
+	// Refused means that the request was not run and never will be.
+	Refused
+	// Failed means that the request may have run, and no answer came.
+	Failed
+	// Expired means that the time has run out. The request may have run.
+	Expired
+	// Abandoned means that the caller has left.
+	Abandoned
+)
+
+var outcomeNames = []string{"answered", "merged", "refused", "failed", "expired", "abandoned"}
+
+// String returns the name of the outcome in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Result is how a request ended.
+type Result struct {
+	Outcome Outcome
+	// Answer is the target's, if the outcome is Answered.
+	Answer *requester.Answer
+	// Body holds the merged records, if the outcome is Merged.
+	Body []byte
+	// Signatures are those of the parts that were merged.
+	Signatures []string
+	// Shards is the number of shards of the route.
+	Shards int
+	// Reason tells why shards are missing.
+	Reason peer.Reason
+	// RetryAfter is when a request that was not run may be sent again.
+	RetryAfter time.Duration
+	// Attempts is what was done, in order.
+	Attempts []Attempt
+	// Hedges and Retries count the attempts beyond the first ones.
+	Hedges, Retries int
+}
+
+// Attempt is one sub-request to a target, for logs.
+type Attempt struct {
+	Shard  string
+	Target string
+	Hedge  bool
+	// Start is the time since the request arrived.
+	Start time.Duration
+	// Took is zero while the attempt is running.
+	Took   time.Duration
+	Result string
+}
+
+// Options set up a Scatterer.
+type Options struct {
+	Clock clockwork.Clock
+	// DataCentre is the daemon's own.
+	DataCentre string
+	// Signature is the header that makes a target's answer valid.
+	Signature string
+	// Distance is the time by which a target of another data centre has to be
+	// sooner to be preferred. Zero takes the default.
+	Distance time.Duration
+	// Margin is the time before the goal at which an answer has to leave, for
+	// the way back to the caller. Zero takes the default.
+	Margin time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultDistance = 4 * time.Millisecond
+	DefaultMargin   = 10 * time.Millisecond
+)
+
+// Scatterer serves requests. It is safe for concurrent use.
+type Scatterer struct {
+	Options
+	nonces  atomic.Uint64
+	running atomic.Int64
+}
+
+// New returns a Scatterer.
+func New(o Options) *Scatterer {
+	if o.Distance <= 0 {
+		o.Distance = DefaultDistance
+	}
+	if o.Margin <= 0 {
+		o.Margin = DefaultMargin
+	}
+	return &Scatterer{
+		Options: o,
+	}
+}
+
+// Running returns the number of requests that are being served.
+func (s *Scatterer) Running() int64 { return s.running.Load() }
+
+// Serve serves one request by a route until it is answered, refused or ctx, the
+// caller's connection, has ended.
+func (s *Scatterer) Serve(ctx context.Context, r *Request, route *cataloger.Route) *Result {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	j := newJob(s, r, route)
+	j.run(ctx)
+	return j.result(ctx)
+}
+
+// unrun reports whether an attempt that ended with err certainly did not run.
+func unrun(err error) bool {
+	return errors.Is(err, requester.ErrUnsent) || errors.Is(err, requester.ErrBusy) ||
+		errors.Is(err, requester.ErrUnrun) || errors.Is(err, requester.ErrMisplaced)
+}
--- a/entryd/pkg/starter/budget.go
+++ b/entryd/pkg/starter/budget.go
@@ -54,20 +54,10 @@
 }
 
 // Hedge implements router.Budget.
-func (b *budget) Hedge(n int, _ time.Time) bool { return take(b.hedge, n, b.saturated()) }
+func (b *budget) Hedge(int, time.Time) bool { return b.hedge.Take(b.saturated()) }
 
 // Retry implements router.Budget.
-func (b *budget) Retry(n int, _ time.Time) bool { return take(b.retry, n, false) }
+func (b *budget) Retry(int, time.Time) bool { return b.retry.Take(false) }
 
-func take(b *budgeter.Budget, n int, saturated bool) bool {
-	for i := range n {
-		if b.Take(saturated) {
-			continue
-		}
-		for range i {
-			b.Refund()
-		}
-		return false
-	}
-	return true
-}
+// Move implements router.Budget. Leaving a failed target is free.
+func (b *budget) Move(int, time.Time) bool { return true }
--- a/tier/pkg/checker/settings.go
+++ b/tier/pkg/checker/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 
@@ -31,9 +32,19 @@
 		r.add("log.level", "%q is not one of debug, info, warn, error", level)
 	}
 	r.fraction("trace.sample", s.GetTrace().GetSample())
+	r.extra(s.GetExtra())
 	return r.problems
 }
 
+// extra checks the bounds of extra sub-requests.
+func (r *report) extra(e *settings.Extra) {
+	r.fraction("extra.ratio", e.GetRatio())
+	if e.GetSlack() < 0 || math.IsNaN(e.GetSlack()) {
+		r.add("extra.slack", "%v is less than 0", e.GetSlack())
+	}
+	r.duration("extra.window", e.GetWindow(), true)
+}
+
 // listeners checks the addresses at which the daemon is reached.
 func (r *report) listeners(s *settings.Entryd) {
 	plain := s.GetSecurity().GetCertificate() == "" && !s.GetSecurity().GetInsecure()
@@ -54,6 +65,12 @@
 			address: l.GetAdmin(),
 		},
 	}
+	if l.GetMetrics() != "" {
+		listeners = append(listeners, struct{ field, address string }{
+			field:   "listen.metrics",
+			address: l.GetMetrics(),
+		})
+	}
 	taken := map[string]string{}
 	for _, one := range listeners {
 		a, ok := r.address(one.field, one.address, true)
--- a/tier/pkg/encoder/encoder.go
+++ b/tier/pkg/encoder/encoder.go
@@ -28,13 +28,16 @@
 	Value  []byte
 }
 
+// section is the content of one part.
+type section struct {
+	field   string
+	content *config.Config
+}
+
 // Encode returns the parts of a configuration in the order in which Decode
 // needs them.
 func Encode(cfg *config.Config) ([]Part, error) {
-	sections := []struct {
-		field   string
-		content *config.Config
-	}{
+	sections := []section{
 		{
 			field:   "targets",
 			content: &config.Config{Targets: cfg.GetTargets()},
@@ -48,6 +51,16 @@
 			content: &config.Config{Policy: cfg.GetPolicy()},
 		},
 	}
+	if len(cfg.GetRoutes()) > 0 || len(cfg.GetPools()) > 0 || cfg.GetLimits() != nil {
+		sections = append(sections, section{
+			field: "routes",
+			content: &config.Config{
+				Routes: cfg.GetRoutes(),
+				Pools:  cfg.GetPools(),
+				Limits: cfg.GetLimits(),
+			},
+		})
+	}
 	parts := make([]Part, 0, len(sections)+len(cfg.GetCollections()))
 	for _, s := range sections {
 		part, err := newPart(s.field, s.content)
--- /dev/null
+++ b/tier/pkg/logger/bounded.go
@@ -0,0 +1,55 @@
+package logger
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+// boundedLines is the number of lines that wait to be written.
+const boundedLines = 2048
+
+// Bounded is a writer of log lines that never blocks. Lines that find the queue
+// full are dropped and counted.
+type Bounded struct {
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Uint64
+}
+
+// NewBounded returns a Bounded that writes to w until it is closed.
+func NewBounded(w io.Writer) *Bounded {
+	b := &Bounded{
+		lines: make(chan []byte, boundedLines),
+		done:  make(chan struct{}),
+	}
+	go func() {
+		defer close(b.done)
+		for line := range b.lines {
+			if line == nil {
+				return
+			}
+			// There is nowhere to report a failure to.
+			_, _ = w.Write(line)
+		}
+	}()
+	return b
+}
+
+// Write implements io.Writer.
+func (b *Bounded) Write(line []byte) (int, error) {
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines that were dropped.
+func (b *Bounded) Dropped() uint64 { return b.dropped.Load() }
+
+// Close writes the lines that wait. Later lines are dropped.
+func (b *Bounded) Close() {
+	b.lines <- nil
+	<-b.done
+}
--- a/tier/pkg/storer/storer.go
+++ b/tier/pkg/storer/storer.go
@@ -70,6 +70,9 @@
 	Item    Item
 	Deleted bool
 	Err     error
+	// Progress is a store revision up to which the watch has reported all
+	// changes, in an event that holds nothing else. Only some adapters tell it.
+	Progress int64
 }
 
 // Store is the platform's key-value service. Every method counts as one call
