--- a/entryd/pkg/budgeter/budgeter.go
+++ b/entryd/pkg/budgeter/budgeter.go
@@ -56,6 +56,12 @@
 	b.burst.Store(int64(max(tokens, 0) * unit))
 }
 
+// Fill puts tokens into the budget that no sub-request has earned, up to the
+// burst.
+func (b *Budget) Fill(tokens float64) {
+	b.tokens.Store(min(b.tokens.Load()+int64(tokens*unit), b.burst.Load()))
+}
+
 // Sent earns for n first attempts. Extra ones earn nothing.
 func (b *Budget) Sent(n int) {
 	for {
--- a/entryd/pkg/cataloger/budget.go
+++ b/entryd/pkg/cataloger/budget.go
@@ -15,6 +15,11 @@
 // counted in another window than their extra ones.
 const safety = 0.85
 
+// startShare is the part of a daemon's slack that a new budget holds, so that
+// the first requests to new targets can be hedged. A daemon that starts again
+// has spent at most the rest within the window.
+const startShare = 0.5
+
 // Budget is one daemon's part of the extra requests to a pool. What is earned by
 // a daemon's own requests is its own, and the slack is divided by the number of
 // live daemons, so that no message is needed to keep the sum.
@@ -27,6 +32,7 @@
 		Budget: budgeter.New(safety * e.Ratio),
 	}
 	b.divide(e, daemons)
+	b.Fill(startShare * safety * e.Slack / float64(max(daemons, 1)))
 	return b
 }
 
--- a/entryd/pkg/pacer/pacer.go
+++ b/entryd/pkg/pacer/pacer.go
@@ -31,12 +31,14 @@
 // it. The zero value starts from a prior. It is safe for concurrent use.
 type Pace struct {
 	latency quantile
+	median  quantile
 	service quantile
 }
 
 // Add records the latency of an answer at an offset from any fixed time, and the service time behind it.
 func (p *Pace) Add(at, latency, service time.Duration) {
 	p.latency.add(at, latency, 0.95)
+	p.median.add(at, latency, 0.5)
 	p.service.add(at, service, 0.5)
 }
 
@@ -49,6 +51,14 @@
 	return min(max(time.Duration(lateFactor*float64(d)), minLate), maxLate)
 }
 
+// Median returns the median latency of a sub-request.
+func (p *Pace) Median() time.Duration {
+	if d := p.median.get(); d > 0 {
+		return d
+	}
+	return pacePrior
+}
+
 // Slow returns the expected finish from which a target counts as slow.
 func (p *Pace) Slow() time.Duration {
 	d := p.service.get()
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -7,6 +7,10 @@
 	"plantaincleat/entryd/pkg/cataloger"
 )
 
+// hedgeFactor times the median latency is the time that a hedge needs to be
+// answered before the goal.
+const hedgeFactor = 2
+
 // selector chooses among the replicas of a unit by expected finish.
 type selector struct {
 	job *job
@@ -55,7 +59,9 @@
 	if r.Gauge().Suspected() {
 		return 0
 	}
-	return s.job.route.Pace().Late()
+	late := s.job.route.Pace().Late()
+	left := s.job.goal().Sub(s.job.Clock.Now()) - hedgeFactor*s.job.route.Pace().Median()
+	return min(late, max(left, late/2))
 }
 
 // Prompt implements router.Chooser.
