--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -80,11 +80,16 @@
 	connections int
 	replicas    []*Replica
 	budget      *Budget
+	// routed is true if a route names the pool.
+	routed bool
 }
 
 // Name returns the name of the pool.
 func (p *Pool) Name() string { return p.name }
 
+// Routed reports whether a route names the pool.
+func (p *Pool) Routed() bool { return p.routed }
+
 // Replicas returns the targets. The slice must not be changed.
 func (p *Pool) Replicas() []*Replica { return p.replicas }
 
@@ -123,6 +128,20 @@
 	return r.pools[r.state.divider.next(r.GetPools())]
 }
 
+// Reach returns the fraction of the route's pools that have a replica which is
+// neither leaving nor suspected.
+func (r *Route) Reach(now time.Time) float64 {
+	n := 0
+	for _, p := range r.pools {
+		if slices.ContainsFunc(p.replicas, func(one *Replica) bool {
+			return !one.Leaving(now) && !one.gauge.Suspected()
+		}) {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(r.pools), 1))
+}
+
 // Catalog is one configuration in force. The zero value has no route.
 type Catalog struct {
 	revision uint64
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -244,6 +244,7 @@
 			}
 			out.pools[name] = p
 		}
+		p.routed = true
 		one.pools = append(one.pools, p)
 	}
 	return one
--- a/entryd/pkg/estimator/estimator.go
+++ b/entryd/pkg/estimator/estimator.go
@@ -201,6 +201,14 @@
 	e.reset()
 }
 
+// Forgive ends a suspicion, as when the path to the target was found to work
+// again.
+func (e *Estimator) Forgive() {
+	e.failures.Store(0)
+	e.silence.Store(e.group.activity())
+	e.unanswered.Store(false)
+}
+
 // Finish returns the time in which one more request would be answered:
 //
 //	service × (1 + (own in flight + others' queue) / slots)
