--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -12,6 +12,7 @@
 
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/pacer"
+	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/tier/gen/config"
 )
@@ -146,6 +147,7 @@
 type Catalog struct {
 	revision uint64
 	hosts    map[string][]*Route
+	names    map[string]*Route
 	pools    map[string]*Pool
 	limits   *config.Limits
 }
@@ -159,6 +161,41 @@
 // Pools returns the pools by name. The map must not be changed.
 func (c *Catalog) Pools() map[string]*Pool { return c.pools }
 
+// Route returns a route by name, nil if there is none.
+func (c *Catalog) Route(name string) *Route { return c.names[name] }
+
+// Pool returns a pool by name, an empty one if there is none.
+func (c *Catalog) Pool(name string) *Pool {
+	if p := c.pools[name]; p != nil {
+		return p
+	}
+	return &Pool{
+		name:   name,
+		budget: newBudget(Extra{}, 1),
+	}
+}
+
+// Shards returns the pools that hold a shard of a route, with the data centres
+// of their replicas.
+func (c *Catalog) Shards() []placer.ShardInput {
+	seen := make(map[string]bool)
+	var out []placer.ShardInput
+	for _, r := range c.names {
+		for _, name := range r.GetShards() {
+			if seen[name] {
+				continue
+			}
+			seen[name] = true
+			one := placer.ShardInput{Name: name}
+			for _, t := range c.pools[name].replicas {
+				one.DataCentres = append(one.DataCentres, t.datacentre)
+			}
+			out = append(out, one)
+		}
+	}
+	return out
+}
+
 // Match returns the route with the longest prefix that begins the path, nil if
 // there is none.
 func (c *Catalog) Match(host, path string) *Route {
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/estimator"
+	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/tier/gen/config"
 )
@@ -54,6 +55,7 @@
 	routes   map[string]*routeState
 	accepted *config.Accepted
 	daemons  int
+	owners   *placer.Owners
 }
 
 // New returns a Cataloger with an empty catalog.
@@ -65,6 +67,7 @@
 		budgets:  make(map[string]*Budget),
 		routes:   make(map[string]*routeState),
 		daemons:  1,
+		owners:   &placer.Owners{},
 	}
 	c.current.Store(&Catalog{})
 	return c
@@ -73,17 +76,14 @@
 // Catalog returns the catalog in force.
 func (c *Cataloger) Catalog() *Catalog { return c.current.Load() }
 
-// SetDaemons states the number of live daemons, among which connections and
-// the slack of the budgets are divided.
-func (c *Cataloger) SetDaemons(n int) {
+// SetFleet states the number of live daemons, among which connections and the
+// slack of the budgets are divided, and which of them ask the targets of shards.
+func (c *Cataloger) SetFleet(daemons int, owners *placer.Owners) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n == c.daemons || n < 1 {
-		return
-	}
-	c.daemons = n
+	c.daemons, c.owners = max(daemons, 1), owners
 	for _, b := range c.budgets {
-		b.divide(c.options.Extra, n)
+		b.divide(c.options.Extra, c.daemons)
 	}
 	if c.accepted != nil {
 		c.build()
@@ -139,6 +139,7 @@
 	out := &Catalog{
 		revision: c.accepted.GetHead().GetRevision(),
 		hosts:    make(map[string][]*Route),
+		names:    make(map[string]*Route),
 		pools:    make(map[string]*Pool, len(cfg.GetPools())),
 		limits:   cfg.GetLimits(),
 	}
@@ -147,7 +148,9 @@
 	}
 	c.fill(out, cfg.GetTargets())
 	for _, r := range cfg.GetRoutes() {
-		out.hosts[r.GetHost()] = append(out.hosts[r.GetHost()], c.route(out, r))
+		one := c.route(out, r)
+		out.names[r.GetName()] = one
+		out.hosts[r.GetHost()] = append(out.hosts[r.GetHost()], one)
 	}
 	out.sortRoutes()
 	c.current.Store(out)
@@ -214,11 +217,28 @@
 		}
 		c.targets[k] = known
 	}
-	share := int(connectionShare * float64(p.connections) / float64(c.daemons))
-	known.link.SetShare(min(max(share, 1), reachFactor*known.slots))
+	known.link.SetShare(min(max(c.share(p), 1), reachFactor*known.slots))
 	return known
 }
 
+// share returns the number of connections to each target of a pool that this
+// daemon may open.
+func (c *Cataloger) share(p *Pool) int {
+	all := connectionShare * float64(p.connections)
+	if !c.owners.Shared(p.name) {
+		return int(all / float64(c.daemons))
+	}
+	place := c.owners.Place(p.name)
+	if place < 0 {
+		return 1
+	}
+	return int(all * ownerShares[place])
+}
+
+// ownerShares are the parts of a target's connections that the daemons which own
+// its shard may open, by their place. The rest is for the other daemons.
+var ownerShares = []float64{0.4, 0.3}
+
 func (c *Cataloger) route(out *Catalog, r *config.Route) *Route {
 	state := c.routes[r.GetName()]
 	if state == nil {
--- /dev/null
+++ b/entryd/pkg/placer/owners.go
@@ -0,0 +1,121 @@
+package placer
+
+import (
+	"cmp"
+	"slices"
+
+	"plantaincleat/tier/pkg/hasher"
+)
+
+const (
+	// shardsPerOwner is the number of shards from which one more daemon owns
+	// some: fewer owners make fewer messages, more spread the work.
+	shardsPerOwner = 8
+	// overload is the factor by which the shards of an owner may exceed the
+	// mean.
+	overload = 1.25
+	// line is the number of owners that a shard has, the first one in charge.
+	line = 2
+)
+
+// Owners tells which daemon asks the targets of a shard. One daemon that does so
+// knows what is in flight to them, and few daemons need connections. The zero
+// value has no owners, which means that every daemon asks by itself.
+type Owners struct {
+	self  string
+	shard map[string][]Daemon
+}
+
+// ShardInput is a shard with the data centres of its replicas.
+type ShardInput struct {
+	Name        string
+	DataCentres []string
+}
+
+// NewOwners divides shards among the live daemons. Daemons that see the same
+// input choose the same owners.
+func NewOwners(self string, daemons []Daemon, shards []ShardInput) *Owners {
+	o := &Owners{
+		self: self,
+	}
+	if len(daemons) < 2 || len(shards) < 2 {
+		return o
+	}
+	elected := elect(daemons, (len(shards)+shardsPerOwner-1)/shardsPerOwner)
+	limit := int(overload*float64(len(shards))/float64(len(elected))) + 1
+	load := make(map[string]int, len(elected))
+	o.shard = make(map[string][]Daemon, len(shards))
+	ordered := slices.Clone(shards)
+	slices.SortFunc(ordered, func(a, b ShardInput) int { return cmp.Compare(a.Name, b.Name) })
+	for _, s := range ordered {
+		ranked := rank(elected, s, load, limit)
+		load[ranked[0].ID]++
+		o.shard[s.Name] = ranked[:min(line, len(ranked))]
+	}
+	return o
+}
+
+// Line returns the owners of a shard, the one in charge first. It is empty if
+// every daemon asks by itself.
+func (o *Owners) Line(shard string) []Daemon { return o.shard[shard] }
+
+// Place returns the place of this daemon among the owners of a shard, -1 if it
+// is none of them.
+func (o *Owners) Place(shard string) int {
+	return slices.IndexFunc(o.shard[shard], func(d Daemon) bool { return d.ID == o.self })
+}
+
+// Shared reports whether a shard has owners.
+func (o *Owners) Shared(shard string) bool { return len(o.shard[shard]) > 0 }
+
+// elect returns n daemons, taken in turn from the data centres.
+func elect(daemons []Daemon, n int) []Daemon {
+	by := make(map[string][]Daemon)
+	for _, d := range daemons {
+		by[d.DataCentre] = append(by[d.DataCentre], d)
+	}
+	var names []string
+	for name, list := range by {
+		names = append(names, name)
+		slices.SortFunc(list, func(a, b Daemon) int {
+			return cmp.Or(cmp.Compare(hasher.Strings("owner", a.ID), hasher.Strings("owner", b.ID)), cmp.Compare(a.ID, b.ID))
+		})
+	}
+	slices.Sort(names)
+	out := make([]Daemon, 0, n)
+	for i := 0; len(out) < min(n, len(daemons)); i++ {
+		for _, name := range names {
+			if i < len(by[name]) && len(out) < n {
+				out = append(out, by[name][i])
+			}
+		}
+	}
+	return out
+}
+
+// rank orders the elected daemons for a shard: those below the limit first, then
+// those near a replica, then by rendezvous hashing.
+func rank(elected []Daemon, s ShardInput, load map[string]int, limit int) []Daemon {
+	out := slices.Clone(elected)
+	full := func(d Daemon) int {
+		if load[d.ID] >= limit {
+			return 1
+		}
+		return 0
+	}
+	far := func(d Daemon) int {
+		if slices.Contains(s.DataCentres, d.DataCentre) {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(out, func(a, b Daemon) int {
+		return cmp.Or(
+			cmp.Compare(full(a), full(b)),
+			cmp.Compare(far(a), far(b)),
+			cmp.Compare(hasher.Strings(s.Name, b.ID), hasher.Strings(s.Name, a.ID)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	return out
+}
--- a/entryd/pkg/requester/requester.go
+++ b/entryd/pkg/requester/requester.go
@@ -89,9 +89,10 @@
 }
 
 // Do sends one request and returns the whole answer. Errors wrap one of the
-// errors above, and the context's error once ctx has ended.
-func (l *Link) Do(ctx context.Context, r *Request) (*Answer, error) {
-	c, err := l.take(ctx)
+// errors above, and the context's error once ctx has ended. queue, which ends
+// no later than ctx, bounds the wait for a connection.
+func (l *Link) Do(ctx, queue context.Context, r *Request) (*Answer, error) {
+	c, err := l.take(queue)
 	if err != nil {
 		return nil, err
 	}
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -199,6 +199,32 @@
 	return q.out
 }
 
+// Partial records units that an attempt has answered. Those still open go on
+// waiting for it.
+func (q *Query[P]) Partial(nonce uint64, covered []int, now time.Time) []Action[P] {
+	q.out = nil
+	a, ok := q.attempts[nonce]
+	if !ok || q.done {
+		q.late++
+		return nil
+	}
+	for _, u := range covered {
+		if q.waiting(u, a) {
+			q.cover(a, u)
+		}
+	}
+	q.drop(a)
+	q.settle(now)
+	return q.out
+}
+
+// Defer puts off the hedge of an attempt whose path has shown that it works.
+func (q *Query[P]) Defer(nonce uint64, until time.Time) {
+	if a, ok := q.attempts[nonce]; ok {
+		a.hedgeAt = until
+	}
+}
+
 // Lost records that an attempt's connection or path failed.
 func (q *Query[P]) Lost(nonce uint64, reason peer.Reason, now time.Time) []Action[P] {
 	q.out = nil
@@ -247,6 +273,11 @@
 // Closed reports whether a unit has no path left to try.
 func (q *Query[P]) Closed(unit int) bool { return q.units[unit].closed }
 
+// Again reports whether a unit was sent more than once.
+func (q *Query[P]) Again(unit int) bool {
+	return len(q.units[unit].tried) > 1 || q.units[unit].rounds > 0
+}
+
 // Ran reports whether an attempt has run a unit, or may do so.
 func (q *Query[P]) Ran(unit int) bool { return q.units[unit].ran > 0 }
 
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -6,100 +6,136 @@
 	"strconv"
 	"time"
 
-	"plantaincleat/entryd/pkg/cataloger"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/entryd/pkg/router"
 	"plantaincleat/tier/gen/peer"
 )
 
+// lingerFactor times the time to connect is the service time up to which an
+// attempt that is not needed any more runs to its end: closing its connection
+// would cost the target more.
+const lingerFactor = 2
+
 // attempt is one sub-request in flight.
 type attempt struct {
 	nonce  uint64
-	unit   int
-	target *cataloger.Target
+	units  []int
+	path   path
 	ticket estimator.Ticket
 	cancel context.CancelFunc
-	log    *Attempt
+	// dequeue ends the wait for a connection.
+	dequeue context.CancelFunc
+	// again is true if a unit was sent before.
+	again bool
+	// acknowledged is set by the goroutine that talks to the owner.
+	acknowledged bool
+	log          *Attempt
 }
 
 // lingers reports whether the attempt is to run to its end though its answer is
 // not needed any more.
 func (a *attempt) lingers() bool {
-	return a.target.Gauge().Service() <= lingerFactor*a.target.Link().Connects()
+	if a.path.owner != nil {
+		return false
+	}
+	return a.path.replica.Gauge().Service() <= lingerFactor*a.path.replica.Link().Connects()
 }
 
-// start sends a unit to a target.
-func (j *job) start(action router.Action[*cataloger.Replica]) {
+// start sends units on a path.
+func (j *job) start(action router.Action[path]) {
 	now := j.Clock.Now()
-	unit := action.Units[0]
-	target := action.Path.Target
 	ctx, cancel := context.WithDeadline(j.ctx, j.request.Deadline)
+	queue, dequeue := context.WithCancel(ctx)
 	a := &attempt{
-		nonce:  action.Nonce,
-		unit:   unit,
-		target: target,
-		ticket: target.Gauge().Send(now),
-		cancel: cancel,
+		nonce:   action.Nonce,
+		units:   action.Units,
+		path:    action.Path,
+		cancel:  cancel,
+		dequeue: dequeue,
 		log: &Attempt{
-			Shard:  j.pools[unit].Name(),
-			Target: target.ID(),
 			Hedge:  action.Hedge,
 			Start:  now.Sub(j.request.Received),
 			Result: "open",
 		},
 	}
+	for _, u := range a.units {
+		a.again = a.again || j.query.Again(u)
+	}
 	j.open[a.nonce] = a
 	j.attempts = append(j.attempts, a)
-	go j.send(ctx, a)
+	if o := action.Path.owner; o != nil {
+		a.log.Shard = strconv.Itoa(len(a.units)) + " shards"
+		a.log.Target = o.id
+		a.ticket = o.gauge.Send(now)
+		go j.delegate(ctx, a)
+		return
+	}
+	pool := j.pools[a.units[0]]
+	a.log.Shard = pool.Name()
+	a.log.Target = action.Path.replica.ID()
+	a.ticket = action.Path.replica.Gauge().Send(now)
+	if !a.again {
+		pool.Budget().Asked()
+	}
+	go j.send(ctx, queue, a)
 }
 
-// send runs an attempt to its end.
-func (j *job) send(ctx context.Context, a *attempt) {
+// send asks a target.
+func (j *job) send(ctx, queue context.Context, a *attempt) {
 	defer a.cancel()
 	begin := j.Clock.Now()
-	answer, err := a.target.Link().Do(ctx, &requester.Request{
+	target := a.path.replica.Target
+	answer, err := target.Link().Do(ctx, queue, &requester.Request{
 		ID:       j.request.ID,
 		Method:   j.request.Method,
 		Path:     j.request.Path,
 		Host:     j.request.Host,
 		Header:   j.request.Header,
 		Body:     j.request.Body,
-		Target:   a.target.ID(),
+		Target:   target.ID(),
 		Deadline: j.request.Deadline,
 	})
 	now := j.Clock.Now()
 	j.note(ctx, a, answer, err, begin, now)
-	select {
-	case j.events <- event{
+	sent := j.report(event{
 		attempt: a,
 		answer:  answer,
+		last:    true,
 		err:     err,
 		took:    now.Sub(begin),
-	}:
+	})
+	if !sent && answer != nil && answer.Rest != nil {
+		_ = answer.Rest.Close()
+	}
+}
+
+// report hands an event to the job, unless that has ended.
+func (j *job) report(e event) bool {
+	select {
+	case j.events <- e:
+		return true
 	default:
-		if answer != nil && answer.Rest != nil {
-			_ = answer.Rest.Close()
-		}
+		return false
 	}
 }
 
 // note lets the target's estimator learn from an attempt.
 func (j *job) note(ctx context.Context, a *attempt, answer *requester.Answer, err error, begin, now time.Time) {
-	gauge := a.target.Gauge()
+	target := a.path.replica.Target
+	gauge := target.Gauge()
 	switch {
 	case err == nil && answer.Status >= 500:
 		gauge.Fail()
 	case err == nil:
 		gauge.Answer(now, a.ticket, estimator.Report{Incarnation: 1})
-		latency := now.Sub(begin)
-		j.route.Pace().Add(now.Sub(origin), latency, gauge.Service())
+		j.route.Pace().Add(now.Sub(origin), now.Sub(begin), gauge.Service())
 	case errors.Is(err, requester.ErrMisplaced):
-		a.target.Misplaced()
+		target.Misplaced()
 		gauge.Fail()
 	case errors.Is(err, requester.ErrUnrun):
 		gauge.Shed(now, estimator.Report{Incarnation: 1})
-	case errors.Is(err, requester.ErrBusy), ctx.Err() != nil:
+	case errors.Is(err, requester.ErrBusy), errors.Is(err, context.Canceled), ctx.Err() != nil:
 		gauge.Drop()
 	default:
 		gauge.Fail()
--- /dev/null
+++ b/entryd/pkg/scatterer/collect.go
@@ -0,0 +1,153 @@
+package scatterer
+
+import (
+	"net/http"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/merger"
+	"plantaincleat/entryd/pkg/router"
+	"plantaincleat/tier/gen/peer"
+)
+
+// Scatter serves a request of another daemon for some shards: it asks their
+// targets and replies with what they answer, once all have or the goal has
+// passed, and then with each further part.
+func (s *Scatterer) Scatter(in *peer.ScatterRequest, stream peer.Peer_ScatterServer) error {
+	s.running.Add(1)
+	defer s.running.Add(-1)
+	catalog := s.Catalogs.Catalog()
+	route := catalog.Route(in.GetRoute())
+	if route == nil || len(in.GetShards()) == 0 {
+		return status.Errorf(codes.FailedPrecondition, "route %s is unknown at revision %d", in.GetRoute(), catalog.Revision())
+	}
+	if err := stream.SendHeader(metadata.MD{}); err != nil {
+		return err
+	}
+	return s.newCollector(in, catalog, route).run(stream)
+}
+
+// collector serves a request of another daemon.
+type collector struct {
+	*job
+	in *peer.ScatterRequest
+	// sent tells which units were in a reply.
+	sent []bool
+	// flushed is true once the goal has passed.
+	flushed bool
+}
+
+func (s *Scatterer) newCollector(in *peer.ScatterRequest, catalog *cataloger.Catalog, route *cataloger.Route) *collector {
+	now := s.Clock.Now()
+	r := &Request{
+		ID:       in.GetId(),
+		Method:   in.GetMethod(),
+		Path:     in.GetPath(),
+		Host:     in.GetHost(),
+		Header:   make(http.Header, len(in.GetHeaders())),
+		Body:     in.GetBody(),
+		Received: now,
+		Deadline: now.Add(time.Duration(in.GetLeft()) * time.Microsecond),
+	}
+	for _, h := range in.GetHeaders() {
+		r.Header.Add(h.GetName(), h.GetValue())
+	}
+	j := &job{
+		Scatterer: s,
+		request:   r,
+		route:     route,
+		goal:      now.Add(time.Duration(in.GetGoal()) * time.Microsecond),
+	}
+	for _, name := range in.GetShards() {
+		j.pools = append(j.pools, catalog.Pool(name))
+	}
+	j.prepare(router.Terms{
+		Deadline: r.Deadline,
+		Hedging:  true,
+		Attempts: max(int(in.GetAttempts()), 1),
+	})
+	return &collector{
+		job:  j,
+		in:   in,
+		sent: make([]bool, len(j.pools)),
+	}
+}
+
+// run serves the request until all units are answered or closed, or until the
+// other daemon wants no more.
+func (c *collector) run(stream peer.Peer_ScatterServer) error {
+	ctx := stream.Context()
+	c.begin(ctx)
+	defer c.leave()
+	timer := c.Clock.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !c.query.Done() {
+		timer.Reset(c.wake().Sub(c.Clock.Now()))
+		select {
+		case e := <-c.events:
+			c.take(e)
+		case <-timer.Chan():
+			c.do(c.query.Tick(c.Clock.Now()))
+		case <-ctx.Done():
+			return status.FromContextError(ctx.Err()).Err()
+		}
+		if err := c.flush(stream); err != nil {
+			return err
+		}
+	}
+	return stream.Send(c.reply(true))
+}
+
+// wake returns when there is something to do without an event.
+func (c *collector) wake() time.Time {
+	wake := c.query.Wake()
+	if !c.flushed && c.goal.Before(wake) {
+		return c.goal
+	}
+	return wake
+}
+
+// flush replies with what has come in, once the goal has passed.
+func (c *collector) flush(stream peer.Peer_ScatterServer) error {
+	if c.query.Done() || c.Clock.Now().Before(c.goal) {
+		return nil
+	}
+	c.flushed = true
+	reply := c.reply(false)
+	if len(reply.GetCovered()) == 0 {
+		return nil
+	}
+	return stream.Send(reply)
+}
+
+// reply returns the units that were in no reply yet, and in the last one those
+// that will not be answered.
+func (c *collector) reply(last bool) *peer.ScatterReply {
+	out := &peer.ScatterReply{Last: last}
+	var parts [][]byte
+	for _, g := range c.answers.list {
+		// Targets answer one unit each.
+		u := g.units[0]
+		if c.sent[u] {
+			continue
+		}
+		c.sent[u] = true
+		out.Covered = append(out.Covered, uint32(u))
+		out.Signatures = append(out.Signatures, g.signatures...)
+		parts = append(parts, g.records)
+	}
+	for u := range c.pools {
+		if last && !c.query.Covered(u) {
+			out.Lacks = append(out.Lacks, &peer.ScatterLack{
+				Shard:  uint32(u),
+				Reason: c.query.Reason(u),
+			})
+		}
+	}
+	out.Records = merger.Top(parts, recordWidth, int(c.in.GetTop()))
+	return out
+}
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -10,16 +10,11 @@
 	"plantaincleat/tier/gen/peer"
 )
 
-// lingerFactor times the time to connect is the service time up to which an
-// attempt that is not needed any more runs to its end: closing its connection
-// would cost the target more.
-const lingerFactor = 2
-
-// lingerTime bounds how long such attempts run on.
+// lingerTime bounds how long attempts that are not needed any more run on.
 const lingerTime = 400 * time.Millisecond
 
-// spareEvents is the room for the events of attempts beyond the first ones.
-const spareEvents = 3
+// spareEvents is the room for the events of each attempt of a unit.
+const spareEvents = 4
 
 // job is one request being served. All but the attempts runs in one goroutine.
 type job struct {
@@ -27,72 +22,83 @@
 	request *Request
 	route   *cataloger.Route
 	pools   []*cataloger.Pool
-	query   *router.Query[*cataloger.Replica]
+	// root is true for a caller's own request, false for one of another daemon.
+	root bool
+	// goal is when an answer has to leave to be in time.
+	goal  time.Time
+	query *router.Query[path]
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	events chan event
 	open   map[uint64]*attempt
-	// parts holds the answer of each unit.
-	parts []*requester.Answer
+	// answers holds those of shards.
+	answers groups
+	// whole is the answer to a request that went to one target.
+	whole *requester.Answer
 	// failure is a target's own failure, passed on if nothing better comes.
 	failure  *requester.Answer
 	attempts []*attempt
 }
 
-// event is the end of an attempt.
+// event is what an attempt reports.
 type event struct {
 	attempt *attempt
-	answer  *requester.Answer
-	err     error
-	took    time.Duration
+	// acknowledged is true if the owner has only accepted the request.
+	acknowledged bool
+	answer       *requester.Answer
+	reply        *peer.ScatterReply
+	// last is true if nothing follows.
+	last bool
+	err  error
+	took time.Duration
 }
 
-func newJob(s *Scatterer, r *Request, route *cataloger.Route) *job {
+// newRoot returns the job of a caller's request.
+func newRoot(s *Scatterer, r *Request, route *cataloger.Route) *job {
 	j := &job{
 		Scatterer: s,
 		request:   r,
 		route:     route,
 		pools:     route.Pools(),
-		open:      make(map[uint64]*attempt),
+		root:      true,
+		goal:      r.Received.Add(route.GetGoal().AsDuration() - s.Margin),
+	}
+	terms := router.Terms{
+		Deadline: r.Deadline,
+		Hedging:  route.GetIdempotent(),
+		Attempts: 1,
+	}
+	if route.GetIdempotent() {
+		terms.Attempts = max(int(route.GetAttempts()), 1)
 	}
-	if !route.Scattered() {
+	if route.Scattered() {
+		terms.Floor = route.GetFloor()
+		terms.Least = route.GetFloor()
+		terms.Goal = j.goal
+	} else {
 		j.pools = []*cataloger.Pool{route.Pick()}
 	}
-	j.parts = make([]*requester.Answer, len(j.pools))
-	j.events = make(chan event, spareEvents*len(j.pools)*max(int(route.GetAttempts()), 1))
-	j.query = router.New(len(j.pools), j.terms(), &selector{job: j}, &purse{job: j}, func() uint64 { return s.nonces.Add(1) })
+	j.prepare(terms)
 	return j
 }
 
-// terms returns what the route asks for.
-func (j *job) terms() router.Terms {
-	t := router.Terms{
-		Deadline: j.request.Deadline,
-		Hedging:  j.route.GetIdempotent(),
-		Separate: true,
-		Attempts: max(int(j.route.GetAttempts()), 1),
-	}
-	if !j.route.GetIdempotent() {
-		t.Attempts = 1
-	}
-	if j.route.Scattered() {
-		t.Floor = j.route.GetFloor()
-		t.Least = j.route.GetFloor()
-		t.Goal = j.goal()
-	}
-	return t
+// prepare makes the query.
+func (j *job) prepare(terms router.Terms) {
+	j.open = make(map[uint64]*attempt)
+	j.events = make(chan event, spareEvents*len(j.pools)*(terms.Attempts+1))
+	j.query = router.New(len(j.pools), terms, &selector{job: j}, &purse{job: j}, func() uint64 { return j.nonces.Add(1) })
 }
 
-// goal returns when an answer has to leave to be in time.
-func (j *job) goal() time.Time {
-	return j.request.Received.Add(j.route.GetGoal().AsDuration() - j.Margin)
+// start sends the units and returns a timer for step.
+func (j *job) begin(ctx context.Context) {
+	j.ctx, j.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	j.do(j.query.Start(j.Clock.Now()))
 }
 
 // run serves the request.
 func (j *job) run(ctx context.Context) {
-	j.ctx, j.cancel = context.WithCancel(context.WithoutCancel(ctx))
-	j.do(j.query.Start(j.Clock.Now()))
+	j.begin(ctx)
 	timer := j.Clock.NewTimer(time.Hour)
 	defer timer.Stop()
 	for !j.query.Done() {
@@ -114,6 +120,7 @@
 func (j *job) leave() {
 	lingering := false
 	for _, a := range j.open {
+		a.dequeue()
 		if a.lingers() {
 			lingering = true
 		} else {
@@ -128,38 +135,113 @@
 }
 
 // do starts and cancels attempts.
-func (j *job) do(actions []router.Action[*cataloger.Replica]) {
+func (j *job) do(actions []router.Action[path]) {
 	for _, a := range actions {
 		if !a.Cancel {
 			j.start(a)
 			continue
 		}
-		if one := j.open[a.Nonce]; one != nil && !one.lingers() {
+		one := j.open[a.Nonce]
+		if one == nil {
+			continue
+		}
+		one.dequeue()
+		if !one.lingers() {
 			one.cancel()
 		}
 	}
 }
 
-// take hands the end of an attempt to the query.
+// take hands what an attempt reports to the query.
 func (j *job) take(e event) {
 	a := e.attempt
-	delete(j.open, a.nonce)
-	a.log.Took = e.took
 	now := j.Clock.Now()
+	if e.acknowledged {
+		j.query.Defer(a.nonce, j.request.Deadline)
+		return
+	}
+	if e.last {
+		delete(j.open, a.nonce)
+		a.log.Took = e.took
+	}
+	if a.path.owner != nil {
+		j.takeReply(e, now)
+		return
+	}
 	reason, ok := j.judge(e)
-	if ok {
-		a.log.Result = "answered"
-		if j.query.Live(a.nonce) && j.parts[a.unit] == nil {
-			j.parts[a.unit] = e.answer
-		}
-		j.do(j.query.Answer(a.nonce, []int{a.unit}, nil, true, now))
+	if !ok {
+		a.log.Result = resultOf(e)
+		j.do(j.query.Answer(a.nonce, nil, []router.Lack{{
+			Unit:   a.units[0],
+			Reason: reason,
+		}}, true, now))
+		return
+	}
+	a.log.Result = "answered"
+	if j.query.Live(a.nonce) {
+		j.keep(a.units[0], e.answer)
+	}
+	j.do(j.query.Answer(a.nonce, a.units, nil, true, now))
+}
+
+// keep stores the answer of a unit.
+func (j *job) keep(unit int, answer *requester.Answer) {
+	if !j.route.Scattered() {
+		j.whole = answer
 		return
 	}
-	a.log.Result = resultOf(e)
-	j.do(j.query.Answer(a.nonce, nil, []router.Lack{{
-		Unit:   a.unit,
-		Reason: reason,
-	}}, true, now))
+	j.answers.add(&group{
+		units:      []int{unit},
+		signatures: []string{answer.Header.Get(j.Signature)},
+		records:    answer.Body,
+	})
+}
+
+// takeReply hands a reply of an owner to the query.
+func (j *job) takeReply(e event, now time.Time) {
+	a := e.attempt
+	if e.err != nil {
+		a.log.Result = e.err.Error()
+		j.do(j.query.Lost(a.nonce, reasonOf(e.err), now))
+		return
+	}
+	covered := j.keepReply(a, e.reply)
+	if !e.last {
+		j.do(j.query.Partial(a.nonce, covered, now))
+		return
+	}
+	a.log.Result = "replied"
+	var lacks []router.Lack
+	for _, l := range e.reply.GetLacks() {
+		if int(l.GetShard()) < len(a.units) {
+			lacks = append(lacks, router.Lack{
+				Unit:   a.units[l.GetShard()],
+				Reason: l.GetReason(),
+			})
+		}
+	}
+	j.do(j.query.Answer(a.nonce, covered, lacks, true, now))
+}
+
+// keepReply stores the answers of the units of a reply and returns these.
+func (j *job) keepReply(a *attempt, reply *peer.ScatterReply) []int {
+	if !j.query.Live(a.nonce) || len(reply.GetCovered()) != len(reply.GetSignatures()) {
+		return nil
+	}
+	one := &group{
+		signatures: reply.GetSignatures(),
+		records:    reply.GetRecords(),
+	}
+	for _, place := range reply.GetCovered() {
+		if int(place) >= len(a.units) {
+			return nil
+		}
+		one.units = append(one.units, a.units[place])
+	}
+	if len(one.units) == 0 || !j.answers.add(one) {
+		return nil
+	}
+	return one.units
 }
 
 // judge tells whether an answer is good, and the reason if it is not.
@@ -170,10 +252,7 @@
 	if j.good(e.answer) {
 		return peer.Reason_REASON_UNSPECIFIED, true
 	}
-	if j.spoiled(e.answer) {
-		return peer.Reason_REASON_FAILED, false
-	}
-	if j.route.Scattered() {
+	if j.spoiled(e.answer) || j.route.Scattered() {
 		return peer.Reason_REASON_FAILED, false
 	}
 	if e.answer.Status < 500 || !j.route.GetIdempotent() {
--- a/entryd/pkg/scatterer/result.go
+++ b/entryd/pkg/scatterer/result.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"plantaincleat/entryd/pkg/merger"
-	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/tier/gen/peer"
 )
 
@@ -43,7 +42,7 @@
 
 // single fills in the result of a request that went to one target.
 func (j *job) single(res *Result) {
-	answer := j.parts[0]
+	answer := j.whole
 	if answer == nil {
 		answer = j.failure
 	}
@@ -58,28 +57,22 @@
 
 // merge fills in the result of a request that went to all shards.
 func (j *job) merge(res *Result) {
-	var parts [][]byte
-	seen := make(map[string]bool, len(j.parts))
-	for u, a := range j.parts {
-		if a == nil || seen[j.signature(a)] {
+	for u := range j.pools {
+		if !j.query.Covered(u) {
 			res.Reason = max(res.Reason, j.query.Reason(u))
-			continue
 		}
-		seen[j.signature(a)] = true
-		res.Signatures = append(res.Signatures, j.signature(a))
-		parts = append(parts, a.Body)
 	}
-	enough := float64(len(parts)) >= j.route.GetFloor()*float64(len(j.pools))
-	if len(parts) > 0 && enough {
+	signatures, twice := j.answers.signatures()
+	enough := float64(len(signatures)) >= j.route.GetFloor()*float64(len(j.pools))
+	if len(signatures) > 0 && enough && !twice {
 		res.Outcome = Merged
-		res.Body = merger.Top(parts, recordWidth, int(j.route.GetTop()))
+		res.Signatures = signatures
+		res.Body = merger.Top(j.answers.records(), recordWidth, int(j.route.GetTop()))
 		return
 	}
 	j.refuse(res, res.Reason)
 }
 
-func (j *job) signature(a *requester.Answer) string { return a.Header.Get(j.Signature) }
-
 // refuse fills in the result of a request without an answer.
 func (j *job) refuse(res *Result, reason peer.Reason) {
 	switch {
@@ -95,8 +88,8 @@
 
 // mayHaveRun reports whether an attempt has run the request, or may do so.
 func (j *job) mayHaveRun() bool {
-	for u := range j.parts {
-		if j.parts[u] != nil || j.query.Ran(u) {
+	for u := range j.pools {
+		if j.query.Covered(u) || j.query.Ran(u) {
 			return true
 		}
 	}
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/tier/gen/peer"
 )
@@ -102,6 +104,16 @@
 	// Distance is the time by which a target of another data centre has to be
 	// sooner to be preferred. Zero takes the default.
 	Distance time.Duration
+	// ID is the daemon's own.
+	ID string
+	// Placement tells which daemons ask the targets of a shard. Without it, and
+	// without Dial, every daemon asks by itself.
+	Placement Placement
+	// Dial returns the connection to another daemon.
+	Dial Dial
+	// Catalogs returns the configuration in force, for requests of other
+	// daemons.
+	Catalogs Catalogs
 	// Isolation tells whether the daemon is cut off from other data centres. It
 	// is optional.
 	Isolation Isolation
@@ -110,6 +122,19 @@
 	Margin time.Duration
 }
 
+// Placement tells which daemons ask the targets of a shard.
+type Placement interface {
+	Owners() *placer.Owners
+}
+
+// Dial returns the connection to a daemon. It need not wait until it is ready.
+type Dial func(address string) (grpc.ClientConnInterface, error)
+
+// Catalogs returns the configuration in force.
+type Catalogs interface {
+	Catalog() *cataloger.Catalog
+}
+
 // Isolation tells whether the daemon is cut off from other data centres.
 type Isolation interface {
 	Cut() bool
@@ -126,6 +151,7 @@
 	Options
 	nonces  atomic.Uint64
 	running atomic.Int64
+	owners  owners
 }
 
 // New returns a Scatterer.
@@ -152,7 +178,7 @@
 	if res := s.outOfReach(r, route); res != nil {
 		return res
 	}
-	j := newJob(s, r, route)
+	j := newRoot(s, r, route)
 	j.run(ctx)
 	return j.result(ctx)
 }
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -7,22 +7,64 @@
 	"plantaincleat/entryd/pkg/cataloger"
 )
 
-// hedgeFactor times the median latency is the time that a hedge needs to be
-// answered before the goal.
-const hedgeFactor = 2
+const (
+	// hedgeFactor times the median latency is the time that a hedge needs to be
+	// answered before the goal.
+	hedgeFactor = 2
+	// ownerFactor times the 95th percentile of the time to an acknowledgement
+	// is when an owner that has not acknowledged counts as late.
+	ownerFactor = 3
+	// minOwnerLate and maxOwnerLate bound that time.
+	minOwnerLate = 12 * time.Millisecond
+	maxOwnerLate = 60 * time.Millisecond
+)
 
-// selector chooses among the replicas of a unit by expected finish.
+// selector chooses the path of a unit: the daemon that owns the shard, or else a
+// replica by expected finish.
 type selector struct {
 	job *job
 }
 
-// Choose implements router.Chooser. A first attempt probes a suspected target
-// now and then, so that its recovery is noticed.
-func (s *selector) Choose(unit int, tried []*cataloger.Replica, now time.Time) (*cataloger.Replica, bool) {
+// Choose implements router.Chooser.
+func (s *selector) Choose(unit int, tried []path, now time.Time) (path, bool) {
+	if p, ok := s.owner(unit, tried); ok {
+		return p, true
+	}
+	return s.replica(unit, tried, now)
+}
+
+// owner returns the first owner of a unit's shard that is in service. ok is
+// false if that is this daemon itself, or if there is none.
+func (s *selector) owner(unit int, tried []path) (path, bool) {
+	j := s.job
+	if !j.root || !j.route.Scattered() || j.Placement == nil {
+		return path{}, false
+	}
+	for _, d := range j.Placement.Owners().Line(j.pools[unit].Name()) {
+		if d.ID == j.ID {
+			return path{}, false
+		}
+		p := path{owner: j.owners.get(d)}
+		if !slices.Contains(tried, p) && !p.owner.failed(j.Clock.Now(), len(tried) == 0) {
+			return p, true
+		}
+	}
+	return path{}, false
+}
+
+// failed reports whether an owner is taken to be out of service. A first attempt
+// probes it now and then, so that its recovery is noticed.
+func (o *owner) failed(now time.Time, first bool) bool {
+	return o.gauge.Suspected() && !(first && o.gauge.Probe(now))
+}
+
+// replica returns the best replica of a unit. A first attempt probes a suspected
+// target now and then.
+func (s *selector) replica(unit int, tried []path, now time.Time) (path, bool) {
 	var best, last *cataloger.Replica
 	var least time.Duration
 	for _, r := range s.job.pools[unit].Replicas() {
-		if slices.Contains(tried, r) || r.Leaving(now) {
+		if slices.Contains(tried, path{replica: r}) || r.Leaving(now) {
 			continue
 		}
 		if r.Vanished() {
@@ -30,16 +72,16 @@
 			continue
 		}
 		if len(tried) == 0 && s.job.route.GetIdempotent() && r.Gauge().Suspected() && r.Gauge().Probe(now) {
-			return r, true
+			return path{replica: r}, true
 		}
 		if d := s.expected(r, now); best == nil || d < least {
 			best, least = r, d
 		}
 	}
-	if best != nil {
-		return best, true
+	if best == nil {
+		best = last
 	}
-	return last, last != nil
+	return path{replica: best}, best != nil
 }
 
 // expected returns when a target would answer one more request.
@@ -52,28 +94,37 @@
 }
 
 // HedgeDelay implements router.Chooser.
-func (s *selector) HedgeDelay(r *cataloger.Replica) time.Duration {
+func (s *selector) HedgeDelay(p path) time.Duration {
 	if !s.job.route.GetIdempotent() {
 		return s.job.request.Deadline.Sub(s.job.request.Received)
 	}
-	if r.Gauge().Suspected() {
+	if s.Failed(p, time.Time{}) {
 		return 0
 	}
+	if p.owner != nil {
+		return min(max(ownerFactor*p.owner.gauge.P95(), minOwnerLate), maxOwnerLate)
+	}
 	late := s.job.route.Pace().Late()
-	left := s.job.goal().Sub(s.job.Clock.Now()) - hedgeFactor*s.job.route.Pace().Median()
+	left := s.job.goal.Sub(s.job.Clock.Now()) - hedgeFactor*s.job.route.Pace().Median()
 	return min(late, max(left, late/2))
 }
 
 // Prompt implements router.Chooser.
-func (s *selector) Prompt(_ int, r *cataloger.Replica, now time.Time) bool {
-	left := s.job.goal().Sub(now)
-	d := s.expected(r, now)
+func (s *selector) Prompt(_ int, p path, now time.Time) bool {
+	if p.owner != nil {
+		return !p.owner.gauge.Suspected()
+	}
+	left := s.job.goal.Sub(now)
+	d := s.expected(p.replica, now)
 	return d <= s.job.route.Pace().Slow()+s.job.Distance || left > 0 && d < left
 }
 
 // Failed implements router.Chooser.
-func (s *selector) Failed(r *cataloger.Replica, _ time.Time) bool {
-	return r.Gone() || r.Gauge().Suspected()
+func (s *selector) Failed(p path, _ time.Time) bool {
+	if p.owner != nil {
+		return p.owner.gauge.Suspected()
+	}
+	return p.replica.Gone() || p.replica.Gauge().Suspected()
 }
 
 // purse charges extra sub-requests to the budget of their pool.
@@ -81,18 +132,27 @@
 	job *job
 }
 
-// Sent implements router.Budget.
+// Sent implements router.Budget. What is asked for is counted when it is sent to
+// a target.
 func (p *purse) Sent(int) {
+	if !p.job.root {
+		return
+	}
 	for _, one := range p.job.pools {
-		one.Budget().Sent(1)
+		one.Budget().Received()
 	}
 }
 
 // Hedge implements router.Budget.
-func (p *purse) Hedge(unit int, _ time.Time) bool { return p.job.pools[unit].Budget().Take(false) }
+func (p *purse) Hedge(unit int, _ time.Time) bool { return p.take(unit) }
 
 // Retry implements router.Budget.
-func (p *purse) Retry(unit int, _ time.Time) bool { return p.job.pools[unit].Budget().Take(false) }
+func (p *purse) Retry(unit int, _ time.Time) bool { return p.take(unit) }
 
 // Move implements router.Budget.
-func (p *purse) Move(unit int, _ time.Time) bool { return p.job.pools[unit].Budget().Take(false) }
+func (p *purse) Move(unit int, _ time.Time) bool { return p.take(unit) }
+
+func (p *purse) take(unit int) bool {
+	b := p.job.pools[unit].Budget()
+	return b.TakeAsked() || p.job.root && b.TakeReceived()
+}
--- a/entryd/pkg/server/server.go
+++ b/entryd/pkg/server/server.go
@@ -39,6 +39,11 @@
 	Mutate(ctx context.Context, in *peer.MutateRequest) (*target.Outcome, error)
 }
 
+// Scatterer sends plain requests to the targets of shards.
+type Scatterer interface {
+	Scatter(in *peer.ScatterRequest, stream peer.Peer_ScatterServer) error
+}
+
 // Options are the services behind a Server. A nil one is not offered.
 type Options struct {
 	Gatherer Gatherer
@@ -46,6 +51,8 @@
 	Fetcher  Fetcher
 	Claimer  Claimer
 	Mutator  Mutator
+	// Scatterer is that of a daemon which serves plain requests.
+	Scatterer Scatterer
 }
 
 // Server implements the Peer service.
@@ -68,6 +75,14 @@
 	return s.Gatherer.Serve(stream)
 }
 
+// Scatter implements peer.PeerServer.
+func (s *Server) Scatter(in *peer.ScatterRequest, stream peer.Peer_ScatterServer) error {
+	if s.Scatterer == nil {
+		return unoffered("scatter")
+	}
+	return s.Scatterer.Scatter(in, stream)
+}
+
 // Gossip implements peer.PeerServer.
 func (s *Server) Gossip(ctx context.Context, in *peer.Views) (*peer.Views, error) {
 	if s.Gossiper == nil {
