--- a/entryd/pkg/placer/owners.go
+++ b/entryd/pkg/placer/owners.go
@@ -50,11 +50,26 @@
 	for _, s := range ordered {
 		ranked := rank(elected, s, load, limit)
 		load[ranked[0].ID]++
-		o.shard[s.Name] = ranked[:min(line, len(ranked))]
+		o.shard[s.Name] = lineUp(ranked)
 	}
 	return o
 }
 
+// lineUp returns the first daemon and the first one of another data centre, so
+// that the loss of one data centre leaves an owner.
+func lineUp(ranked []Daemon) []Daemon {
+	out := ranked[:1:1]
+	for _, d := range ranked[1:] {
+		if len(out) < line && d.DataCentre != out[0].DataCentre {
+			out = append(out, d)
+		}
+	}
+	if len(out) < line && len(ranked) > 1 {
+		out = append(out, ranked[1])
+	}
+	return out
+}
+
 // Line returns the owners of a shard, the one in charge first. It is empty if
 // every daemon asks by itself.
 func (o *Owners) Line(shard string) []Daemon { return o.shard[shard] }
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -28,6 +28,8 @@
 	dequeue context.CancelFunc
 	// again is true if a unit was sent before.
 	again bool
+	// accepted is true once the owner's acknowledgement was taken in.
+	accepted bool
 	// acknowledged is set by the goroutine that talks to the owner.
 	acknowledged bool
 	log          *Attempt
@@ -67,7 +69,7 @@
 	if o := action.Path.owner; o != nil {
 		a.log.Shard = strconv.Itoa(len(a.units)) + " shards"
 		a.log.Target = o.id
-		a.ticket = o.gauge.Send(now)
+		a.ticket = o.acks.Send(now)
 		go j.delegate(ctx, a)
 		return
 	}
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -116,11 +116,12 @@
 	if c.query.Done() || c.Clock.Now().Before(c.goal) {
 		return nil
 	}
-	c.flushed = true
 	reply := c.reply(false)
-	if len(reply.GetCovered()) == 0 {
+	if c.flushed && len(reply.GetCovered()) == 0 {
 		return nil
 	}
+	// The first one is sent even if it is empty: it shows that this daemon works.
+	c.flushed = true
 	return stream.Send(reply)
 }
 
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -11,26 +11,50 @@
 )
 
 // returnTime is what an owner's reply needs to arrive and to be merged.
-const returnTime = 4 * time.Millisecond
+const returnTime = 5 * time.Millisecond
+
+// goalGrace is the time after the goal from which a reply counts as late.
+const goalGrace = 5 * time.Millisecond
 
 // delegate asks the owner of some shards for their merged answer.
 func (j *job) delegate(ctx context.Context, a *attempt) {
 	defer a.cancel()
 	begin := j.Clock.Now()
+	o := a.path.owner
+	ackTimer := time.AfterFunc(o.late(), func() { o.miss(lateAck) })
+	defer ackTimer.Stop()
 	stream, err := j.call(ctx, a, begin)
 	if err == nil {
-		err = j.acknowledge(stream, a)
+		_, err = stream.Header()
 	}
 	if err != nil {
 		j.lost(ctx, a, err, begin)
 		return
 	}
+	if ackTimer.Stop() {
+		o.heard()
+	}
+	o.acks.Answer(j.Clock.Now(), a.ticket, estimator.Report{Incarnation: 1})
+	a.acknowledged = true
+	j.report(event{
+		attempt:      a,
+		acknowledged: true,
+	})
+	j.receive(ctx, a, stream, begin)
+}
+
+// receive reports the replies of an owner.
+func (j *job) receive(ctx context.Context, a *attempt, stream peer.Peer_ScatterClient, begin time.Time) {
+	o := a.path.owner
+	goalTimer := time.AfterFunc(j.goal.Sub(begin)+goalGrace, func() { o.miss(lateReply) })
+	defer goalTimer.Stop()
 	for {
 		reply, err := stream.Recv()
 		if err != nil {
 			j.lost(ctx, a, err, begin)
 			return
 		}
+		goalTimer.Stop()
 		j.report(event{
 			attempt: a,
 			reply:   reply,
@@ -88,28 +112,16 @@
 	return in
 }
 
-// acknowledge waits until the owner has accepted the request.
-func (j *job) acknowledge(stream peer.Peer_ScatterClient, a *attempt) error {
-	if _, err := stream.Header(); err != nil {
-		return fmt.Errorf("daemon %s: acknowledge: %w", a.path.owner.id, err)
-	}
-	a.path.owner.gauge.Answer(j.Clock.Now(), a.ticket, estimator.Report{Incarnation: 1})
-	a.acknowledged = true
-	j.report(event{
-		attempt:      a,
-		acknowledged: true,
-	})
-	return nil
-}
-
 // lost reports that an owner has failed.
 func (j *job) lost(ctx context.Context, a *attempt, err error, begin time.Time) {
-	switch {
-	case a.acknowledged:
-	case ctx.Err() != nil:
-		a.path.owner.gauge.Drop()
-	default:
-		a.path.owner.gauge.Fail()
+	if !a.acknowledged {
+		a.path.owner.acks.Drop()
+	}
+	if ctx.Err() == nil {
+		a.path.owner.miss(lateAck)
+		if !a.acknowledged {
+			err = fmt.Errorf("daemon %s: %w: %w", a.path.owner.id, requester.ErrUnsent, err)
+		}
 	}
 	j.report(event{
 		attempt: a,
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -157,6 +157,7 @@
 	a := e.attempt
 	now := j.Clock.Now()
 	if e.acknowledged {
+		a.accepted = true
 		j.query.Defer(a.nonce, j.request.Deadline)
 		return
 	}
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -11,12 +11,6 @@
 	// hedgeFactor times the median latency is the time that a hedge needs to be
 	// answered before the goal.
 	hedgeFactor = 2
-	// ownerFactor times the 95th percentile of the time to an acknowledgement
-	// is when an owner that has not acknowledged counts as late.
-	ownerFactor = 3
-	// minOwnerLate and maxOwnerLate bound that time.
-	minOwnerLate = 12 * time.Millisecond
-	maxOwnerLate = 60 * time.Millisecond
 )
 
 // selector chooses the path of a unit: the daemon that owns the shard, or else a
@@ -27,7 +21,7 @@
 
 // Choose implements router.Chooser.
 func (s *selector) Choose(unit int, tried []path, now time.Time) (path, bool) {
-	if p, ok := s.owner(unit, tried); ok {
+	if p, ok := s.owner(unit, tried, now); ok {
 		return p, true
 	}
 	return s.replica(unit, tried, now)
@@ -35,7 +29,7 @@
 
 // owner returns the first owner of a unit's shard that is in service. ok is
 // false if that is this daemon itself, or if there is none.
-func (s *selector) owner(unit int, tried []path) (path, bool) {
+func (s *selector) owner(unit int, tried []path, now time.Time) (path, bool) {
 	j := s.job
 	if !j.root || !j.route.Scattered() || j.Placement == nil {
 		return path{}, false
@@ -45,19 +39,16 @@
 			return path{}, false
 		}
 		p := path{owner: j.owners.get(d)}
-		if !slices.Contains(tried, p) && !p.owner.failed(j.Clock.Now(), len(tried) == 0) {
+		if slices.Contains(tried, p) {
+			continue
+		}
+		if !p.owner.failed() || len(tried) == 0 && p.owner.probe(now) {
 			return p, true
 		}
 	}
 	return path{}, false
 }
 
-// failed reports whether an owner is taken to be out of service. A first attempt
-// probes it now and then, so that its recovery is noticed.
-func (o *owner) failed(now time.Time, first bool) bool {
-	return o.gauge.Suspected() && !(first && o.gauge.Probe(now))
-}
-
 // replica returns the best replica of a unit. A first attempt probes a suspected
 // target now and then.
 func (s *selector) replica(unit int, tried []path, now time.Time) (path, bool) {
@@ -102,7 +93,7 @@
 		return 0
 	}
 	if p.owner != nil {
-		return min(max(ownerFactor*p.owner.gauge.P95(), minOwnerLate), maxOwnerLate)
+		return p.owner.late()
 	}
 	late := s.job.route.Pace().Late()
 	left := s.job.goal.Sub(s.job.Clock.Now()) - hedgeFactor*s.job.route.Pace().Median()
@@ -112,7 +103,7 @@
 // Prompt implements router.Chooser.
 func (s *selector) Prompt(_ int, p path, now time.Time) bool {
 	if p.owner != nil {
-		return !p.owner.gauge.Suspected()
+		return !p.owner.failed()
 	}
 	left := s.job.goal.Sub(now)
 	d := s.expected(p.replica, now)
@@ -122,7 +113,7 @@
 // Failed implements router.Chooser.
 func (s *selector) Failed(p path, _ time.Time) bool {
 	if p.owner != nil {
-		return p.owner.gauge.Suspected()
+		return p.owner.failed()
 	}
 	return p.replica.Gone() || p.replica.Gauge().Suspected()
 }
@@ -149,8 +140,16 @@
 // Retry implements router.Budget.
 func (p *purse) Retry(unit int, _ time.Time) bool { return p.take(unit) }
 
-// Move implements router.Budget.
-func (p *purse) Move(unit int, _ time.Time) bool { return p.take(unit) }
+// Move implements router.Budget. Leaving an owner that has not acknowledged is
+// free: no target was asked.
+func (p *purse) Move(unit int, _ time.Time) bool {
+	for _, a := range p.job.open {
+		if a.path.owner == nil && slices.Contains(a.units, unit) || a.accepted && slices.Contains(a.units, unit) {
+			return p.take(unit)
+		}
+	}
+	return true
+}
 
 func (p *purse) take(unit int) bool {
 	b := p.job.pools[unit].Budget()
