--- a/entryd/pkg/surveyor/surveyor.go
+++ b/entryd/pkg/surveyor/surveyor.go
@@ -1,5 +1,5 @@
 // Package surveyor tells whether this daemon's data centre is cut off from the
-// others, by what its requests to targets see.
+// others, by connections that it tries to open.
 //
 // A daemon that is cut off still serves what its own data centre holds. Callers
 // that need more are better served elsewhere, so that it asks the balancer for
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,16 +21,13 @@
 )
 
 const (
-	// interval lies between two looks at the targets, and between two probes of
-	// a data centre.
-	interval = 100 * time.Millisecond
-	// probeTimeout bounds one probe.
-	probeTimeout = 300 * time.Millisecond
-	// minTargets is the number of targets from which a data centre is judged.
-	minTargets = 3
-	// lostShare is the part of a data centre's targets that have to be silent or
-	// failing for it to count as lost.
-	lostShare = 0.7
+	// interval lies between two rounds.
+	interval = 250 * time.Millisecond
+	// probeTimeout bounds one connection.
+	probeTimeout = 250 * time.Millisecond
+	// missLimit is the number of rounds without a connection after which a data
+	// centre counts as lost.
+	missLimit = 2
 	// minOthers is the number of other data centres that have to be lost. With
 	// one other, neither side knows which of the two is cut off.
 	minOthers = 2
@@ -39,23 +38,33 @@
 	Catalog() *cataloger.Catalog
 }
 
+// Peers returns the addresses of the daemons by data centre, also of those that
+// were lost lately.
+type Peers func() map[string][]string
+
+// Options set up a Surveyor. All fields are needed.
+type Options struct {
+	// DataCentre is the daemon's own.
+	DataCentre string
+	Catalogs   Catalogs
+	Peers      Peers
+	Clock      clockwork.Clock
+	Dial       requester.Dial
+}
+
 // Surveyor judges and probes. It is safe for concurrent use.
 type Surveyor struct {
-	datacentre string
-	catalogs   Catalogs
-	clock      clockwork.Clock
-	dial       requester.Dial
-	cut        atomic.Bool
-	turn       int
+	Options
+	cut    atomic.Bool
+	turn   int
+	misses map[string]int
 }
 
-// New returns a Surveyor for a daemon of a data centre.
-func New(datacentre string, catalogs Catalogs, clock clockwork.Clock, dial requester.Dial) *Surveyor {
+// New returns a Surveyor.
+func New(o Options) *Surveyor {
 	return &Surveyor{
-		datacentre: datacentre,
-		catalogs:   catalogs,
-		clock:      clock,
-		dial:       dial,
+		Options: o,
+		misses:  make(map[string]int),
 	}
 }
 
@@ -64,121 +73,109 @@
 
 // Run judges until ctx ends.
 func (s *Surveyor) Run(ctx context.Context) {
-	ticker := s.clock.NewTicker(interval)
+	ticker := s.Clock.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-		}
-		if !s.Cut() {
-			s.judge()
-		} else if s.probe(ctx) {
-			slog.Info("data centre reaches others again", "datacentre", s.datacentre)
-			s.cut.Store(false)
+			s.round(ctx)
 		}
 	}
 }
 
-// judge sets whether the data centre is cut off.
-func (s *Surveyor) judge() {
-	found := survey(s.catalogs.Catalog(), s.datacentre)
-	if found.cut() {
-		slog.Warn("data centre is cut off", "datacentre", s.datacentre, "others", found.others, "lost", found.lost)
-		s.cut.Store(true)
+// round probes each other data centre once: a daemon, and if that does not
+// answer, a target. Either shows that the path works.
+func (s *Surveyor) round(ctx context.Context) {
+	s.turn++
+	peers, targets := s.Peers(), s.targets()
+	reached := s.reached(ctx, peers, targets)
+	lost, others := 0, 0
+	for datacentre := range targets {
+		if datacentre == s.DataCentre {
+			continue
+		}
+		others++
+		if reached[datacentre] {
+			s.misses[datacentre] = 0
+			continue
+		}
+		s.misses[datacentre]++
+		if s.misses[datacentre] >= missLimit {
+			lost++
+		}
 	}
+	s.set(others >= minOthers && lost == others, others)
 }
 
-// findings count data centres with targets, but for the daemon's own.
-type findings struct {
-	others int
-	lost   int
-	// alone is true if the targets of the daemon's own data centre are lost too.
-	alone bool
-}
-
-// cut reports whether all other data centres are lost, and this one is not.
-func (f findings) cut() bool {
-	return f.others >= minOthers && f.lost == f.others && !f.alone
-}
-
-// census counts the targets of one data centre.
-type census struct {
-	all, lost int
-}
-
-// survey counts the data centres whose targets are silent or failing.
-func survey(c *cataloger.Catalog, own string) findings {
-	by := make(map[string]*census)
-	for _, t := range targets(c) {
-		one := by[t.DataCentre()]
-		if one == nil {
-			one = &census{}
-			by[t.DataCentre()] = one
-		}
-		one.all++
-		if t.Gauge().Suspected() {
-			one.lost++
-		}
+// set records the verdict. A path that works again ends the suspicion of the
+// targets behind it.
+func (s *Surveyor) set(cut bool, others int) {
+	if s.cut.Swap(cut) == cut {
+		return
 	}
-	var f findings
-	for datacentre, one := range by {
-		lost := float64(one.lost) >= lostShare*float64(one.all)
-		switch {
-		case one.all < minTargets:
-		case datacentre == own:
-			f.alone = lost
-		default:
-			f.others++
-			if lost {
-				f.lost++
+	if cut {
+		slog.Warn("data centre is cut off", "datacentre", s.DataCentre, "others", others)
+		return
+	}
+	slog.Info("data centre reaches others again", "datacentre", s.DataCentre)
+	for _, p := range s.Catalogs.Catalog().Pools() {
+		for _, r := range p.Replicas() {
+			if r.DataCentre() != s.DataCentre {
+				r.Gauge().Forgive()
 			}
 		}
 	}
-	return f
 }
 
-// targets returns the targets of the routes' pools that are in use.
-func targets(c *cataloger.Catalog) []*cataloger.Target {
-	var out []*cataloger.Target
-	for _, p := range c.Pools() {
-		if !p.Routed() {
+// reached probes the data centres at the same time.
+func (s *Surveyor) reached(ctx context.Context, peers, targets map[string][]string) map[string]bool {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := make(map[string]bool)
+	for datacentre := range targets {
+		if datacentre == s.DataCentre {
 			continue
 		}
-		for _, r := range p.Replicas() {
-			if !r.Vanished() {
-				out = append(out, r.Target)
-			}
-		}
+		wg.Go(func() {
+			ok := s.probe(ctx, peers[datacentre]) || s.probe(ctx, targets[datacentre])
+			mu.Lock()
+			defer mu.Unlock()
+			out[datacentre] = ok
+		})
 	}
+	wg.Wait()
 	return out
 }
 
-// probe opens a connection to a target of another data centre and reports
-// whether it answered. Then all targets elsewhere are taken to be sound.
-func (s *Surveyor) probe(ctx context.Context) bool {
-	var far []*cataloger.Target
-	for _, t := range targets(s.catalogs.Catalog()) {
-		if t.DataCentre() != s.datacentre {
-			far = append(far, t)
-		}
-	}
-	if len(far) == 0 {
-		return true
+// probe opens a connection to one of the addresses, in turn, and reports
+// whether that was accepted.
+func (s *Surveyor) probe(ctx context.Context, addresses []string) bool {
+	if len(addresses) == 0 {
+		return false
 	}
-	s.turn++
-	t := far[s.turn%len(far)]
-	ctx, cancel := clockwork.WithTimeout(ctx, s.clock, probeTimeout)
+	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, probeTimeout)
 	defer cancel()
-	conn, err := s.dial(ctx, "tcp", t.Address())
+	conn, err := s.Dial(ctx, "tcp", addresses[s.turn%len(addresses)])
 	if err != nil {
 		return false
 	}
 	// The connection was only made to see that it can be.
 	_ = conn.Close()
-	for _, t := range far {
-		t.Gauge().Forgive()
-	}
 	return true
 }
+
+// targets returns the addresses of the targets by data centre.
+func (s *Surveyor) targets() map[string][]string {
+	out := make(map[string][]string)
+	for _, p := range s.Catalogs.Catalog().Pools() {
+		for _, r := range p.Replicas() {
+			out[r.DataCentre()] = append(out[r.DataCentre()], r.Address())
+		}
+	}
+	for _, addresses := range out {
+		slices.Sort(addresses)
+	}
+	return out
+}
--- a/tier/pkg/logger/bounded.go
+++ b/tier/pkg/logger/bounded.go
@@ -8,6 +8,9 @@
 // boundedLines is the number of lines that wait to be written.
 const boundedLines = 2048
 
+// batchBytes is the size in bytes from which lines are written at once.
+const batchBytes = 16 << 10
+
 // Bounded is a writer of log lines that never blocks. Lines that find the queue
 // full are dropped and counted.
 type Bounded struct {
@@ -24,17 +27,37 @@
 	}
 	go func() {
 		defer close(b.done)
-		for line := range b.lines {
-			if line == nil {
-				return
-			}
+		for more := true; more; {
+			var batch []byte
+			batch, more = b.batch()
 			// There is nowhere to report a failure to.
-			_, _ = w.Write(line)
+			_, _ = w.Write(batch)
 		}
 	}()
 	return b
 }
 
+// batch returns the lines that wait, at least one, and false once the writer is
+// closed.
+func (b *Bounded) batch() ([]byte, bool) {
+	batch := <-b.lines
+	if batch == nil {
+		return nil, false
+	}
+	for len(batch) < batchBytes {
+		select {
+		case line := <-b.lines:
+			if line == nil {
+				return batch, false
+			}
+			batch = append(batch, line...)
+		default:
+			return batch, true
+		}
+	}
+	return batch, true
+}
+
 // Write implements io.Writer.
 func (b *Bounded) Write(line []byte) (int, error) {
 	select {
