--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -149,6 +149,15 @@
 			})
 		}
 	}
+	now := c.Clock.Now()
+	for u, p := range c.pools {
+		if d := c.finish(p, now); d >= busyFinish {
+			out.Loads = append(out.Loads, &peer.ScatterLoad{
+				Shard:  uint32(u),
+				Finish: uint32(d.Milliseconds()),
+			})
+		}
+	}
 	out.Records = merger.Top(parts, recordWidth, int(c.in.GetTop()))
 	return out
 }
--- /dev/null
+++ b/entryd/pkg/scatterer/forecast.go
@@ -0,0 +1,78 @@
+package scatterer
+
+import (
+	"time"
+
+	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/forecaster"
+	"plantaincleat/tier/gen/peer"
+)
+
+// busyFinish is the expected finish from which an owner tells others of it.
+const busyFinish = 20 * time.Millisecond
+
+// finish returns when the best replica of a pool would answer one more request.
+func (s *Scatterer) finish(p *cataloger.Pool, now time.Time) time.Duration {
+	var best time.Duration
+	found := false
+	for _, r := range p.Replicas() {
+		if r.Leaving(now) || r.Vanished() {
+			continue
+		}
+		if d := r.Gauge().Finish(now); !found || d < best {
+			best, found = d, true
+		}
+	}
+	return best
+}
+
+// hear takes in what an owner says of the queues of its shards.
+func (j *job) hear(a *attempt, reply *peer.ScatterReply, now time.Time) {
+	finishes := make(map[uint32]time.Duration, len(reply.GetLoads()))
+	for _, l := range reply.GetLoads() {
+		finishes[l.GetShard()] = time.Duration(l.GetFinish()) * time.Millisecond
+	}
+	for place, u := range a.units {
+		j.forecast.Hear(now, j.pools[u].Name(), finishes[uint32(place)])
+	}
+}
+
+// overloaded refuses a request at once if too few of its shards would answer in
+// time.
+func (s *Scatterer) overloaded(r *Request, route *cataloger.Route) *Result {
+	if !route.Scattered() {
+		return nil
+	}
+	now := s.Clock.Now()
+	q := forecaster.Query{
+		Route: route.GetName(),
+		Left:  route.GetGoal().AsDuration() - s.Margin,
+		Floor: route.GetFloor(),
+	}
+	for _, p := range route.Pools() {
+		q.Finishes = append(q.Finishes, s.expected(p, now))
+	}
+	wait, ok := s.forecast.Admit(now, q)
+	if ok {
+		return nil
+	}
+	limit := time.Duration(patienceShare * float64(r.Deadline.Sub(now)))
+	return &Result{
+		Outcome:    Refused,
+		Shards:     len(route.Pools()),
+		Reason:     peer.Reason_REASON_SHED,
+		RetryAfter: min(max(wait, minRetry), max(limit, minRetry)),
+	}
+}
+
+// expected returns when a shard would answer one more request, by its owner's
+// word or, without an owner, by this daemon's own.
+func (s *Scatterer) expected(p *cataloger.Pool, now time.Time) time.Duration {
+	if s.Placement != nil {
+		owners := s.Placement.Owners()
+		if line := owners.Line(p.Name()); len(line) > 0 && line[0].ID != s.ID {
+			return s.forecast.Finish(now, p.Name())
+		}
+	}
+	return s.finish(p, now)
+}
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -206,6 +206,7 @@
 		j.do(j.query.Lost(a.nonce, reasonOf(e.err), now))
 		return
 	}
+	j.hear(a, e.reply, now)
 	covered := j.keepReply(a, e.reply)
 	if !e.last {
 		j.do(j.query.Partial(a.nonce, covered, now))
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/forecaster"
 	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/tier/gen/peer"
@@ -149,9 +150,10 @@
 // Scatterer serves requests. It is safe for concurrent use.
 type Scatterer struct {
 	Options
-	nonces  atomic.Uint64
-	running atomic.Int64
-	owners  owners
+	nonces   atomic.Uint64
+	running  atomic.Int64
+	owners   owners
+	forecast forecaster.Forecaster
 }
 
 // New returns a Scatterer.
@@ -178,6 +180,9 @@
 	if res := s.outOfReach(r, route); res != nil {
 		return res
 	}
+	if res := s.overloaded(r, route); res != nil {
+		return res
+	}
 	j := newRoot(s, r, route)
 	j.run(ctx)
 	return j.result(ctx)
