Requests wait at the daemon by their goal, fewer at the target

Cause: what is queued at a target cannot be taken back without a new connection, and answers that were late anyway went before others.

--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -24,7 +24,7 @@
 	connectionShare = 0.9
 	// reachFactor times the slots is the most connections to one target that a
 	// daemon opens.
-	reachFactor = 4
+	reachFactor = 2
 )
 
 // Options set up a Cataloger.
--- a/entryd/pkg/requester/link.go
+++ b/entryd/pkg/requester/link.go
@@ -41,7 +41,7 @@
 	open   int
 	share  int
 	closed bool
-	queue  []chan *conn
+	queue  queue
 	// connects is the time that the last connection took to be made.
 	connects time.Duration
 }
@@ -113,9 +113,9 @@
 }
 
 // take returns a connection that carries no request.
-func (l *Link) take(ctx context.Context) (*conn, error) {
+func (l *Link) take(ctx context.Context, goal time.Time) (*conn, error) {
 	for {
-		c, wait, err := l.reserve()
+		c, wait, err := l.reserve(goal)
 		if err != nil {
 			return nil, err
 		}
@@ -136,7 +136,7 @@
 
 // reserve returns an idle connection, a channel to wait for one, or neither if
 // a new one may be made.
-func (l *Link) reserve() (*conn, chan *conn, error) {
+func (l *Link) reserve(goal time.Time) (*conn, chan *conn, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
@@ -157,9 +157,7 @@
 	if len(l.queue) >= queueFactor*l.share {
 		return nil, nil, fmt.Errorf("target %s: %w", l.address, ErrBusy)
 	}
-	wait := make(chan *conn, 1)
-	l.queue = append(l.queue, wait)
-	return nil, wait, nil
+	return nil, l.queue.add(goal), nil
 }
 
 // await returns what the queue hands out: a connection, or nil for leave to
@@ -171,14 +169,11 @@
 	case <-ctx.Done():
 	}
 	l.mu.Lock()
-	for i, w := range l.queue {
-		if w == wait {
-			l.queue = append(l.queue[:i], l.queue[i+1:]...)
-			l.mu.Unlock()
-			return nil, fmt.Errorf("target %s: %w: %w", l.address, ErrUnsent, ctx.Err())
-		}
-	}
+	waited := l.queue.remove(wait)
 	l.mu.Unlock()
+	if waited {
+		return nil, fmt.Errorf("target %s: %w: %w", l.address, ErrUnsent, ctx.Err())
+	}
 	// The connection was handed over meanwhile.
 	if c := <-wait; c != nil {
 		l.put(c)
@@ -216,7 +211,7 @@
 		return
 	}
 	if len(l.queue) > 0 {
-		l.next() <- c
+		l.queue.next(l.clock.Now()) <- c
 		return
 	}
 	l.idle = append(l.idle, c)
@@ -232,17 +227,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.queue) > 0 && l.open <= l.share {
-		l.next() <- nil
+		l.queue.next(l.clock.Now()) <- nil
 		return
 	}
 	l.open--
 }
 
-// next takes the first channel from the queue.
-func (l *Link) next() chan *conn {
-	wait := l.queue[0]
-	l.queue = l.queue[1:]
-	return wait
-}
-
 var errUnexpected = errors.New("bytes that belong to no request")
--- /dev/null
+++ b/entryd/pkg/requester/queue.go
@@ -0,0 +1,53 @@
+package requester
+
+import (
+	"slices"
+	"time"
+)
+
+// queue holds the requests that wait for a connection. The zero value is empty.
+type queue []waiter
+
+type waiter struct {
+	// handed gets a connection, or nil for leave to make one.
+	handed chan *conn
+	goal   time.Time
+}
+
+// add appends a request that is of most use before its goal.
+func (q *queue) add(goal time.Time) chan *conn {
+	w := waiter{
+		handed: make(chan *conn, 1),
+		goal:   goal,
+	}
+	*q = append(*q, w)
+	return w.handed
+}
+
+// remove takes a request out, and reports whether it was still waiting.
+func (q *queue) remove(handed chan *conn) bool {
+	i := slices.IndexFunc(*q, func(w waiter) bool { return w.handed == handed })
+	if i < 0 {
+		return false
+	}
+	*q = slices.Delete(*q, i, i+1)
+	return true
+}
+
+// next takes out the request with the earliest goal that has not passed, or the
+// one that has waited longest if all have: answers that are late anyway use what
+// the others leave.
+func (q *queue) next(now time.Time) chan *conn {
+	best := 0
+	for i, w := range *q {
+		if !w.goal.After(now) {
+			continue
+		}
+		if b := (*q)[best]; !b.goal.After(now) || w.goal.Before(b.goal) {
+			best = i
+		}
+	}
+	handed := (*q)[best].handed
+	*q = slices.Delete(*q, best, best+1)
+	return handed
+}
--- a/entryd/pkg/requester/requester.go
+++ b/entryd/pkg/requester/requester.go
@@ -42,6 +42,9 @@
 	// Target is the id of the only target that may run the request.
 	Target   string
 	Deadline time.Time
+	// Goal is the time by which an answer is of most use. It orders the requests
+	// that wait for a connection.
+	Goal time.Time
 }
 
 // Answer is a target's whole answer.
@@ -92,7 +95,7 @@
 // errors above, and the context's error once ctx has ended. queue, which ends
 // no later than ctx, bounds the wait for a connection.
 func (l *Link) Do(ctx, queue context.Context, r *Request) (*Answer, error) {
-	c, err := l.take(queue)
+	c, err := l.take(queue, r.Goal)
 	if err != nil {
 		return nil, err
 	}
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -97,6 +97,7 @@
 		Body:     j.request.Body,
 		Target:   target.ID(),
 		Deadline: j.request.Deadline,
+		Goal:     j.goal,
 	})
 	now := j.Clock.Now()
 	j.note(ctx, a, answer, err, begin, now)
