Owners out of service are probed without work; new budgets are small

Two ways in which extra requests went uncounted: queries that probed a slow owner were moved free of charge and ran twice, and each daemon that started filled its budgets as if it were alone. Requests held up on the way are refused by their age.

--- a/entryd/pkg/cataloger/budget.go
+++ b/entryd/pkg/cataloger/budget.go
@@ -20,6 +20,10 @@
 // has spent at most the rest within the window.
 const startShare = 0.5
 
+// startDaemons is the least number of daemons among which what a new budget
+// holds is divided: one that has just started does not know the others yet.
+const startDaemons = 12
+
 // moveShare is the part of the allowance that is earned where a request is
 // received. The rest is earned by the daemon that asks the targets.
 const moveShare = 0.25
@@ -40,8 +44,9 @@
 		asked:    budgeter.New((1 - moveShare) * safety * e.Ratio),
 	}
 	b.divide(e, daemons)
-	b.received.Fill(startShare * moveShare * part(e, daemons))
-	b.asked.Fill(startShare * (1 - moveShare) * part(e, daemons))
+	start := startShare * part(e, max(daemons, startDaemons))
+	b.received.Fill(moveShare * start)
+	b.asked.Fill((1 - moveShare) * start)
 	return b
 }
 
--- a/entryd/pkg/forecaster/forecaster.go
+++ b/entryd/pkg/forecaster/forecaster.go
@@ -13,7 +13,7 @@
 const (
 	// usable is the part of the time to the goal that may be spent waiting: a
 	// shard whose next answer is expected later is taken to be late.
-	usable = 0.6
+	usable = 0.5
 	// life is the age from which what another daemon has said no longer counts.
 	life = 400 * time.Millisecond
 	// trickle is the time between two requests that are let through whatever the
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -14,15 +14,25 @@
 	"plantaincleat/tier/gen/peer"
 )
 
+// maxAge is the time on the way after which a request is refused. It allows for
+// clocks that differ.
+const maxAge = 500 * time.Millisecond
+
 // Scatter serves a request of another daemon for some shards: it asks their
 // targets and replies with what they answer, once all have or the goal has
 // passed, and then with each further part.
 func (s *Scatterer) Scatter(in *peer.ScatterRequest, stream peer.Peer_ScatterServer) error {
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	if age := s.Clock.Now().UnixMilli() - in.GetSent(); age > maxAge.Milliseconds() {
+		return status.Errorf(codes.DeadlineExceeded, "request %s was sent %d ms ago", in.GetId(), age)
+	}
+	if len(in.GetShards()) == 0 {
+		return stream.SendHeader(metadata.MD{})
+	}
 	catalog := s.Catalogs.Catalog()
 	route := catalog.Route(in.GetRoute())
-	if route == nil || len(in.GetShards()) == 0 {
+	if route == nil {
 		return status.Errorf(codes.FailedPrecondition, "route %s is unknown at revision %d", in.GetRoute(), catalog.Revision())
 	}
 	if err := stream.SendHeader(metadata.MD{}); err != nil {
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/tier/gen/peer"
@@ -94,6 +98,7 @@
 		Attempts: max(j.route.GetAttempts(), 1),
 		Left:     j.request.Deadline.Sub(now).Microseconds(),
 		Goal:     (j.goal.Sub(now) - returnTime).Microseconds(),
+		Sent:     now.UnixMilli(),
 	}
 	for name, values := range j.request.Header {
 		for _, v := range values {
@@ -130,3 +135,26 @@
 		took:    j.Clock.Since(begin),
 	})
 }
+
+// probe asks an owner that is out of service whether it answers in time again.
+func (s *Scatterer) probe(o *owner) {
+	ctx, cancel := clockwork.WithTimeout(context.Background(), s.Clock, ownerProbe)
+	defer cancel()
+	begin := s.Clock.Now()
+	conn, err := s.Dial(o.address)
+	if err != nil {
+		return
+	}
+	stream, err := peer.NewPeerClient(conn).Scatter(ctx, &peer.ScatterRequest{
+		Sent: begin.UnixMilli(),
+	})
+	if err != nil {
+		return
+	}
+	if _, err = stream.Header(); err != nil {
+		return
+	}
+	if _, err = stream.Recv(); errors.Is(err, io.EOF) && s.Clock.Since(begin) <= maxOwnerLate {
+		o.heard()
+	}
+}
--- a/entryd/pkg/scatterer/owner.go
+++ b/entryd/pkg/scatterer/owner.go
@@ -18,7 +18,7 @@
 	lateAck   = 2
 	lateReply = 1
 	missLimit = 3
-	// ownerProbe is the time between two requests to an owner that is out of
+	// ownerProbe is the time between two probes of an owner that is out of
 	// service.
 	ownerProbe = 400 * time.Millisecond
 	// ownerFactor times the 95th percentile of the time to an acknowledgement,
@@ -75,9 +75,9 @@
 	return o.misses >= missLimit
 }
 
-// probe reports whether an owner that is out of service is to be tried now. It
-// is true for one caller in each interval.
-func (o *owner) probe(now time.Time) bool {
+// due reports whether an owner that is out of service is to be probed now. It is
+// true for one caller in each interval.
+func (o *owner) due(now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if now.Sub(o.probed) < ownerProbe {
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -42,9 +42,12 @@
 		if slices.Contains(tried, p) {
 			continue
 		}
-		if !p.owner.failed() || len(tried) == 0 && p.owner.probe(now) {
+		if !p.owner.failed() {
 			return p, true
 		}
+		if p.owner.due(now) {
+			go j.probe(p.owner)
+		}
 	}
 	return path{}, false
 }
