Owners on the largest hosts; unacknowledged requests are withdrawn when sent again

Cause: on the grown deployment 47 requests ran on three targets of a shard whose route allows two (the owner had hedged, the root had sent again), and roots on 0.19 core spent their time on calls to 17 owners.

--- a/entryd/pkg/gossiper/machine.go
+++ b/entryd/pkg/gossiper/machine.go
@@ -110,6 +110,7 @@
 		address:     cfg.Self.Address,
 		datacentre:  cfg.Self.DataCentre,
 		admin:       cfg.Self.Admin,
+		capacity:    cfg.Self.Capacity,
 		incarnation: uint64(now.UnixMilli()),
 		state:       peer.State_STATE_ALIVE,
 		reachable:   true,
--- a/entryd/pkg/gossiper/member.go
+++ b/entryd/pkg/gossiper/member.go
@@ -20,6 +20,8 @@
 	beat        uint64
 	revision    uint64
 	reachable   bool
+	// capacity is in thousandths of a core, 0 if unknown.
+	capacity uint32
 }
 
 // Identity is what a daemon states about itself.
@@ -32,6 +34,9 @@
 	DataCentre string
 	// Admin is the address of the operators' listener.
 	Admin string
+	// Capacity is the processor share of the host in thousandths of a core, 0 if
+	// unknown.
+	Capacity uint32
 }
 
 // ID is the daemon's unique name.
@@ -60,6 +65,10 @@
 // have adopted.
 func (m Member) Revision() uint64 { return m.revision }
 
+// Capacity is the processor share of the daemon's host in thousandths of a core,
+// 0 if unknown.
+func (m Member) Capacity() uint32 { return m.capacity }
+
 // Reachable tells whether the member's data centre answers this one.
 func (m Member) Reachable() bool { return m.reachable }
 
@@ -98,6 +107,7 @@
 	out.state = max(a.state, b.state)
 	out.beat = max(a.beat, b.beat)
 	out.revision = max(a.revision, b.revision)
+	out.capacity = max(a.capacity, b.capacity)
 	return out
 }
 
@@ -128,6 +138,7 @@
 		Beat:        m.beat,
 		Revision:    m.revision,
 		Admin:       m.admin,
+		Capacity:    m.capacity,
 	}
 }
 
@@ -142,6 +153,7 @@
 		state:       p.GetState(),
 		beat:        p.GetBeat(),
 		revision:    p.GetRevision(),
+		capacity:    p.GetCapacity(),
 		reachable:   true,
 	}
 	known := m.state >= peer.State_STATE_ALIVE && m.state <= peer.State_STATE_LEFT
@@ -150,6 +162,6 @@
 
 // encodedSize bounds the bytes of a member on the wire.
 func (m Member) encodedSize() int {
-	const numbers = 36
+	const numbers = 42
 	return numbers + len(m.id) + len(m.address) + len(m.datacentre) + len(m.admin)
 }
--- a/entryd/pkg/placer/owners.go
+++ b/entryd/pkg/placer/owners.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"plantaincleat/tier/pkg/hasher"
@@ -14,6 +15,10 @@
 	// overload is the factor by which the shards of an owner may exceed the
 	// mean.
 	overload = 1.25
+	// largeShare of the largest host's capacity makes a host a large one.
+	largeShare = 0.7
+	// minLarge is the number of large hosts from which they own all shards.
+	minLarge = 3
 	// line is the number of owners that a shard has, the first one in charge.
 	line = 2
 )
@@ -41,7 +46,7 @@
 	if len(daemons) < 2 || len(shards) < 2 {
 		return o
 	}
-	elected := elect(daemons, (len(shards)+shardsPerOwner-1)/shardsPerOwner)
+	elected := elect(daemons, ownerCount(daemons, len(shards)))
 	limit := int(overload*float64(len(shards))/float64(len(elected))) + 1
 	load := make(map[string]int, len(elected))
 	o.shard = make(map[string][]Daemon, len(shards))
@@ -83,22 +88,26 @@
 // Shared reports whether a shard has owners.
 func (o *Owners) Shared(shard string) bool { return len(o.shard[shard]) > 0 }
 
-// elect returns n daemons, taken in turn from the data centres.
+// elect returns n daemons, taken in turn from the data centres, those on the
+// largest hosts first.
 func elect(daemons []Daemon, n int) []Daemon {
 	by := make(map[string][]Daemon)
 	for _, d := range daemons {
 		by[d.DataCentre] = append(by[d.DataCentre], d)
 	}
-	var names []string
-	for name, list := range by {
-		names = append(names, name)
+	names := slices.Sorted(maps.Keys(by))
+	for _, list := range by {
 		slices.SortFunc(list, func(a, b Daemon) int {
-			return cmp.Or(cmp.Compare(hasher.Strings("owner", a.ID), hasher.Strings("owner", b.ID)), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(
+				cmp.Compare(b.Capacity, a.Capacity),
+				cmp.Compare(hasher.Strings("owner", a.ID), hasher.Strings("owner", b.ID)),
+				cmp.Compare(a.ID, b.ID),
+			)
 		})
 	}
-	slices.Sort(names)
+	n = min(n, len(daemons))
 	out := make([]Daemon, 0, n)
-	for i := 0; len(out) < min(n, len(daemons)); i++ {
+	for i := 0; len(out) < n; i++ {
 		for _, name := range names {
 			if i < len(by[name]) && len(out) < n {
 				out = append(out, by[name][i])
@@ -108,6 +117,28 @@
 	return out
 }
 
+// ownerCount returns how many daemons own shards: one for each shardsPerOwner, but
+// no more than there are on the largest hosts if those can carry the work.
+func ownerCount(daemons []Daemon, shards int) int {
+	n := (shards + shardsPerOwner - 1) / shardsPerOwner
+	var largest uint32
+	for _, d := range daemons {
+		largest = max(largest, d.Capacity)
+	}
+	large, others := 0, 0
+	for _, d := range daemons {
+		if float64(d.Capacity) >= largeShare*float64(largest) {
+			large++
+		} else {
+			others++
+		}
+	}
+	if others > 0 && large >= minLarge {
+		return min(n, large)
+	}
+	return n
+}
+
 // rank orders the elected daemons for a shard: those below the limit first, then
 // those near a replica, then by rendezvous hashing.
 func rank(elected []Daemon, s ShardInput, load map[string]int, limit int) []Daemon {
--- a/entryd/pkg/placer/placer.go
+++ b/entryd/pkg/placer/placer.go
@@ -32,6 +32,8 @@
 	ID         string
 	Address    string
 	DataCentre string
+	// Capacity is in thousandths of a core, 0 if unknown.
+	Capacity uint32
 }
 
 // Input is what a placement depends on.
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -64,6 +65,7 @@
 	for _, u := range a.units {
 		a.again = a.again || j.query.Again(u)
 	}
+	j.withdraw(a)
 	j.open[a.nonce] = a
 	j.attempts = append(j.attempts, a)
 	if o := action.Path.owner; o != nil {
@@ -83,6 +85,20 @@
 	go j.send(ctx, queue, a)
 }
 
+// withdraw cancels what was sent to owners that have not acknowledged it, if a
+// unit of it is sent again: what they may still ask the targets would come on top
+// of the attempts that the route allows.
+func (j *job) withdraw(again *attempt) {
+	if !again.again {
+		return
+	}
+	for _, a := range j.open {
+		if a.path.owner != nil && !a.accepted && slices.ContainsFunc(a.units, func(u int) bool { return slices.Contains(again.units, u) }) {
+			a.cancel()
+		}
+	}
+}
+
 // send asks a target.
 func (j *job) send(ctx, queue context.Context, a *attempt) {
 	defer a.cancel()
--- a/entryd/pkg/scatterer/owner.go
+++ b/entryd/pkg/scatterer/owner.go
@@ -24,8 +24,8 @@
 	// ownerFactor times the 95th percentile of the time to an acknowledgement,
 	// within the two bounds, is when one counts as late.
 	ownerFactor  = 3
-	minOwnerLate = 10 * time.Millisecond
-	maxOwnerLate = 30 * time.Millisecond
+	minOwnerLate = 12 * time.Millisecond
+	maxOwnerLate = 50 * time.Millisecond
 )
 
 // owner is another daemon that asks the targets of some shards. A sound owner
--- a/tier/pkg/checker/settings.go
+++ b/tier/pkg/checker/settings.go
@@ -9,6 +9,9 @@
 	"plantaincleat/tier/gen/settings"
 )
 
+// maxCapacity is the number of cores that a host may state.
+const maxCapacity = 4096
+
 // levels are the names of the log levels. Empty means the default.
 var levels = map[string]bool{
 	"":      true,
@@ -33,6 +36,9 @@
 	}
 	r.fraction("trace.sample", s.GetTrace().GetSample())
 	r.extra(s.GetExtra())
+	if s.GetCapacity() < 0 || math.IsNaN(s.GetCapacity()) || s.GetCapacity() > maxCapacity {
+		r.add("capacity", "%v is not a number of cores from 0 to %d", s.GetCapacity(), maxCapacity)
+	}
 	return r.problems
 }
 
