--- a/entryd/pkg/adopter/adopter.go
+++ b/entryd/pkg/adopter/adopter.go
@@ -36,6 +36,10 @@
 	Patience time.Duration
 	// Takeover is the staleness at which further daemons become readers.
 	Takeover time.Duration
+	// Hold is how long after its start a daemon that knows no other one waits
+	// before it reads the store: the others may have the configuration, or may be
+	// the readers. Zero waits for nothing.
+	Hold time.Duration
 }
 
 // Defaults of Config.
@@ -165,6 +169,9 @@
 
 // Reader tells whether the daemon reads the store.
 func (m *Machine) Reader(now time.Time) bool {
+	if len(m.fleet.peers) == 0 && now.Sub(m.started) < m.cfg.Hold {
+		return false
+	}
 	return m.fleet.rank < m.cfg.Readers || now.Before(m.extraUntil)
 }
 
--- /dev/null
+++ b/entryd/pkg/cataloger/cataloger_test.go
@@ -0,0 +1,248 @@
+package cataloger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"pgregory.net/rapid"
+
+	"plantaincleat/entryd/pkg/placer"
+	"plantaincleat/tier/gen/config"
+)
+
+func newCataloger(clock clockwork.Clock) *Cataloger {
+	return New(Options{
+		Clock: clock,
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			return nil, errors.New("no network")
+		},
+		Extra: Extra{
+			Ratio: 0.2,
+			Slack: 60,
+		},
+	})
+}
+
+func target(id, pool string, leaving bool) *config.Target {
+	return &config.Target{
+		Id:         id,
+		Address:    "10.0.0.1:" + id,
+		Datacentre: "dc-1",
+		Slots:      2,
+		Leaving:    leaving,
+		Pool:       pool,
+	}
+}
+
+func accepted(revision uint64, targets ...*config.Target) *config.Accepted {
+	return &config.Accepted{
+		Head: &config.Head{Revision: revision},
+		Config: &config.Config{
+			Targets: targets,
+			Pools: []*config.Pool{
+				{
+					Name:        "p",
+					Connections: 20,
+				},
+			},
+			Routes: []*config.Route{
+				{
+					Name:   "r",
+					Host:   "h",
+					Prefix: "/a/",
+					Shards: []string{"p"},
+				},
+				{
+					Name:   "longer",
+					Host:   "h",
+					Prefix: "/a/b/",
+					Shards: []string{"p"},
+				},
+			},
+		},
+	}
+}
+
+func TestLongestPrefixHolds(t *testing.T) {
+	c := newCataloger(clockwork.NewFakeClock())
+	c.Adopt(accepted(1))
+	tests := []struct {
+		host, path, want string
+	}{
+		{host: "h", path: "/a/x", want: "r"},
+		{host: "h", path: "/a/b/x", want: "longer"},
+		{host: "h", path: "/a/bx", want: "r"},
+		{host: "h", path: "/a", want: ""},
+		{host: "other", path: "/a/x", want: ""},
+	}
+	for _, test := range tests {
+		if got := nameOf(c.Catalog().Match(test.host, test.path)); got != test.want {
+			t.Errorf("%s%s: route %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+// nameOf is the name of a route that may be missing.
+func nameOf(r *Route) string {
+	if r == nil {
+		return ""
+	}
+	return r.GetName()
+}
+
+func TestLowerRevisionIsNeverAdopted(t *testing.T) {
+	c := newCataloger(clockwork.NewFakeClock())
+	c.Adopt(accepted(5, target("1", "p", false)))
+	c.Adopt(accepted(4))
+	if c.Catalog().Revision() != 5 || len(c.Catalog().Pool("p").Replicas()) != 1 {
+		t.Errorf("revision %d", c.Catalog().Revision())
+	}
+}
+
+// TestVanishedTargets checks that a target whose entry has lapsed is a last
+// resort for a short while, and that one which has said that it leaves, or came
+// back as another process, is none.
+func TestVanishedTargets(t *testing.T) {
+	again := target("1", "p", false)
+	again.Started = 7
+	tests := []struct {
+		name          string
+		before, after []*config.Target
+		want          int
+	}{
+		{name: "lapsed", before: []*config.Target{target("1", "p", false)}, want: 1},
+		{name: "left", before: []*config.Target{target("1", "p", true)}},
+		{name: "started again", before: []*config.Target{target("1", "p", false)}, after: []*config.Target{again}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			c := newCataloger(clock)
+			c.Adopt(accepted(1, test.before...))
+			c.Adopt(accepted(2, test.after...))
+			usable := func() int {
+				n := 0
+				for _, r := range c.Catalog().Pool("p").Replicas() {
+					if r.Vanished() && !r.Leaving(clock.Now()) {
+						n++
+					}
+				}
+				return n
+			}
+			if usable() != test.want {
+				t.Errorf("%d last resorts, want %d", usable(), test.want)
+			}
+			clock.Advance(vanishedFor)
+			if usable() != 0 {
+				t.Error("still a last resort")
+			}
+		})
+	}
+}
+
+func TestStateOfTargetsOutlivesRevisions(t *testing.T) {
+	c := newCataloger(clockwork.NewFakeClock())
+	c.Adopt(accepted(1, target("1", "p", false)))
+	first := c.Catalog().Pool("p").Replicas()[0].Target
+	c.Adopt(accepted(2, target("1", "p", false), target("2", "p", false)))
+	if c.Catalog().Pool("p").Replicas()[0].Target != first {
+		t.Error("what was learned of a target is lost")
+	}
+}
+
+func TestSharesFollowTheWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var d divider
+		var shares []*config.Share
+		total := 0.0
+		for i := range rapid.IntRange(1, 5).Draw(t, "shares") {
+			w := rapid.Float64Range(0.01, 10).Draw(t, "weight")
+			total += w
+			shares = append(shares, &config.Share{
+				Pool:   fmt.Sprint(i),
+				Weight: w,
+			})
+		}
+		counts := make([]float64, len(shares))
+		n := 400
+		for range n {
+			counts[d.next(shares)]++
+		}
+		for i, s := range shares {
+			want := float64(n) * s.GetWeight() / total
+			if math.Abs(counts[i]-want) > float64(len(shares)) {
+				t.Errorf("share %d got %v of %d, want %v", i, counts[i], n, want)
+			}
+		}
+	})
+}
+
+// TestBudgetsOfTheFleet checks that the extra requests of all daemons to a pool
+// stay within the bound in every window, for any division of the requests, with
+// daemons that start in the middle.
+func TestBudgetsOfTheFleet(t *testing.T) {
+	extra := Extra{
+		Ratio: 0.2,
+		Slack: 60,
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "daemons")
+		budgets := make([]*Budget, n)
+		for i := range budgets {
+			// A daemon that has just started knows no other.
+			budgets[i] = newBudget(extra, 1)
+			budgets[i].divide(extra, n)
+		}
+		sent, taken := 0, 0
+		for range rapid.IntRange(0, 3000).Draw(t, "requests") {
+			root := budgets[rapid.IntRange(0, n-1).Draw(t, "root")]
+			owner := budgets[rapid.IntRange(0, n-1).Draw(t, "owner")]
+			root.Received()
+			owner.Asked()
+			sent++
+			if owner.TakeAsked() {
+				taken++
+			}
+			if root.TakeReceived() {
+				taken++
+			}
+			if limit := extra.Ratio*float64(sent) + extra.Slack; float64(taken) > limit {
+				t.Fatalf("%d extra of %d, limit %v", taken, sent, limit)
+			}
+		}
+	})
+}
+
+func TestConnectionsOfTheFleet(t *testing.T) {
+	shards := []placer.ShardInput{{Name: "p"}, {Name: "q"}}
+	for _, n := range []int{1, 2, 6, 9, 30, 84} {
+		var daemons []placer.Daemon
+		for i := range n {
+			daemons = append(daemons, placer.Daemon{
+				ID:         fmt.Sprint(i),
+				DataCentre: fmt.Sprint(i % 3),
+			})
+		}
+		for _, connections := range []uint32{26, 64} {
+			owning := 0
+			for _, d := range daemons {
+				c := newCataloger(clockwork.NewFakeClock())
+				a := accepted(1, target("1", "p", false))
+				a.Config.Pools[0].Connections = connections
+				c.Adopt(a)
+				c.SetFleet(n, placer.NewOwners(d.ID, daemons, shards))
+				if c.share(c.Catalog().Pool("p")) > 1 {
+					owning += c.share(c.Catalog().Pool("p"))
+				}
+			}
+			if owning > int(connections) {
+				t.Errorf("%d daemons: %d of %d connections", n, owning, connections)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/entryd/pkg/forecaster/forecaster_test.go
@@ -0,0 +1,101 @@
+package forecaster
+
+import (
+	"testing"
+	"time"
+)
+
+var begin = time.Unix(1000, 0)
+
+const ms = time.Millisecond
+
+func finishes(busy int, d time.Duration, idle int) []time.Duration {
+	out := make([]time.Duration, busy+idle)
+	for i := range busy {
+		out[i] = d
+	}
+	return out
+}
+
+// TestPatternsOfLoad names the pattern that each case answers.
+func TestPatternsOfLoad(t *testing.T) {
+	tests := []struct {
+		name string
+		q    Query
+		want bool
+	}{
+		{
+			name: "idle",
+			q:    Query{Left: 200 * ms, Floor: 0.9, Finishes: finishes(0, 0, 20)},
+			want: true,
+		},
+		{
+			name: "two stragglers, which may be left out",
+			q:    Query{Left: 200 * ms, Floor: 0.9, Finishes: finishes(2, time.Second, 18)},
+			want: true,
+		},
+		{
+			name: "data centre lost: two thirds of the shards have half their replicas",
+			q:    Query{Left: 200 * ms, Floor: 0.9, Finishes: finishes(13, 180*ms, 7)},
+		},
+		{
+			name: "the same queues are short enough for a later goal",
+			q:    Query{Left: 500 * ms, Floor: 0.9, Finishes: finishes(13, 180*ms, 7)},
+			want: true,
+		},
+		{
+			name: "all replicas of too many shards are down",
+			q:    Query{Left: 80 * ms, Floor: 0.75, Finishes: finishes(6, 2*time.Second, 14)},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var f Forecaster
+			f.passed = map[string]time.Time{"": begin}
+			wait, ok := f.Admit(begin, test.q)
+			if ok != test.want {
+				t.Errorf("admitted %v, want %v", ok, test.want)
+			}
+			if !ok && wait <= 0 {
+				t.Error("refused without a time to come back")
+			}
+		})
+	}
+}
+
+// TestTrickle checks that one request passes now and then, so that an end of the
+// overload is noticed.
+func TestTrickle(t *testing.T) {
+	var f Forecaster
+	passed := 0
+	for i := range 100 {
+		if _, ok := f.Admit(begin.Add(time.Duration(i)*10*ms), Query{Route: "r", Left: 100 * ms, Floor: 0.9, Finishes: finishes(5, time.Second, 5)}); ok {
+			passed++
+		}
+	}
+	if passed != 4 {
+		t.Errorf("%d requests passed in a second, want 4", passed)
+	}
+}
+
+func TestWhatWasHeardDrainsAndAges(t *testing.T) {
+	var f Forecaster
+	f.Hear(begin, "s", 100*ms)
+	tests := []struct {
+		after, want time.Duration
+	}{
+		{after: 0, want: 100 * ms},
+		{after: 40 * ms, want: 60 * ms},
+		{after: 150 * ms, want: 0},
+		{after: life, want: 0},
+	}
+	for _, test := range tests {
+		if got := f.Finish(begin.Add(test.after), "s"); got != test.want {
+			t.Errorf("after %v: %v, want %v", test.after, got, test.want)
+		}
+	}
+	f.Hear(begin, "s", 0)
+	if f.Finish(begin, "s") != 0 {
+		t.Error("a shard that is idle again still counts as busy")
+	}
+}
--- a/entryd/pkg/pacer/pacer.go
+++ b/entryd/pkg/pacer/pacer.go
@@ -35,7 +35,8 @@
 	service quantile
 }
 
-// Add records the latency of an answer at an offset from any fixed time, and the service time behind it.
+// Add records the latency of an answer at an offset from any fixed time, and
+// the service time behind it.
 func (p *Pace) Add(at, latency, service time.Duration) {
 	p.latency.add(at, latency, 0.95)
 	p.median.add(at, latency, 0.5)
--- a/entryd/pkg/requester/conn.go
+++ b/entryd/pkg/requester/conn.go
@@ -68,6 +68,10 @@
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		return nil, fmt.Errorf("target %s: %w: %w", l.address, ErrUnsent, err)
 	}
+	if r.Gate != nil && !r.Gate.Enter() {
+		c.reusable = true
+		return nil, fmt.Errorf("target %s: withdrawn: %w", l.address, ErrUnsent)
+	}
 	sent := make(chan error, 1)
 	message := l.headers.encode(r, now)
 	if len(message) <= bodyLimit/8 {
@@ -100,6 +104,7 @@
 // read returns the answer to a request, past those to others.
 func (c *conn) read(l *Link, r *Request, begin time.Time) (*Answer, error) {
 	for range strayLimit {
+		//nolint:bodyclose // The body is read to its end, or the connection is closed.
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, fmt.Errorf("target %s: read: %w: %w", l.address, ErrBroken, err)
--- a/entryd/pkg/requester/requester.go
+++ b/entryd/pkg/requester/requester.go
@@ -45,6 +45,8 @@
 	// Goal is the time by which an answer is of most use. It orders the requests
 	// that wait for a connection.
 	Goal time.Time
+	// Gate, if there is one, is entered before the first byte is sent.
+	Gate *Gate
 }
 
 // Answer is a target's whole answer.
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -218,10 +218,16 @@
 	return q.out
 }
 
-// Defer puts off the hedge of an attempt whose path has shown that it works.
-func (q *Query[P]) Defer(nonce uint64, until time.Time) {
-	if a, ok := q.attempts[nonce]; ok {
-		a.hedgeAt = until
+// Accept records that the path of an attempt has taken its units over, and may
+// run each of them as often as is allowed: they are not sent again.
+func (q *Query[P]) Accept(nonce uint64) {
+	a, ok := q.attempts[nonce]
+	if !ok {
+		return
+	}
+	a.hedgeAt = q.terms.Deadline
+	for _, u := range a.units {
+		q.units[u].ran += q.terms.Attempts
 	}
 }
 
@@ -278,9 +284,6 @@
 	return len(q.units[unit].tried) > 1 || q.units[unit].rounds > 0
 }
 
-// Ran reports whether an attempt has run a unit, or may do so.
-func (q *Query[P]) Ran(unit int) bool { return q.units[unit].ran > 0 }
-
 // Reason returns why a unit is missing.
 func (q *Query[P]) Reason(unit int) peer.Reason { return q.units[unit].reason }
 
--- a/entryd/pkg/router/router_test.go
+++ b/entryd/pkg/router/router_test.go
@@ -398,3 +398,32 @@
 		t.Errorf("Answer() sends %d units, want 3", units)
 	}
 }
+
+// TestAcceptedUnitsAreNotSentAgain checks the bound on the paths that may run a
+// unit: a path that has taken it over may use all of it, and its loss is final.
+func TestAcceptedUnitsAreNotSentAgain(t *testing.T) {
+	tests := []struct {
+		name     string
+		accepted bool
+		sent     int
+	}{
+		{name: "lost before it was accepted", sent: 2},
+		{name: "lost after it was accepted", accepted: true, sent: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ch := &fixed{paths: []string{"a", "b"}, delay: time.Second}
+			nonce := uint64(0)
+			q := New(1, Terms{Deadline: epoch.Add(time.Second), Hedging: true, Attempts: 2}, ch, &purse{hedges: 9, retries: 9}, func() uint64 { nonce++; return nonce })
+			q.Start(epoch)
+			if test.accepted {
+				q.Accept(1)
+			}
+			q.Lost(1, peer.Reason_REASON_FAILED, epoch)
+			q.Lost(2, peer.Reason_REASON_FAILED, epoch)
+			if q.Sent() != test.sent || !q.Done() {
+				t.Errorf("sent %d times, want %d; done %v", q.Sent(), test.sent, q.Done())
+			}
+		})
+	}
+}
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -27,6 +27,10 @@
 	cancel context.CancelFunc
 	// dequeue ends the wait for a connection.
 	dequeue context.CancelFunc
+	// gate is entered before a target is sent anything.
+	gate requester.Gate
+	// unrun is true if the attempt has ended without having run.
+	unrun bool
 	// again is true if a unit was sent before.
 	again bool
 	// accepted is true once the owner's acknowledgement was taken in.
@@ -114,6 +118,7 @@
 		Target:   target.ID(),
 		Deadline: j.request.Deadline,
 		Goal:     j.goal,
+		Gate:     &a.gate,
 	})
 	now := j.Clock.Now()
 	j.note(ctx, a, answer, err, begin, now)
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -97,14 +97,23 @@
 	defer timer.Stop()
 	for !c.query.Done() {
 		timer.Reset(c.wake().Sub(c.Clock.Now()))
+		var e *event
 		select {
-		case e := <-c.events:
-			c.take(e)
+		case one := <-c.events:
+			e = &one
 		case <-timer.Chan():
-			c.do(c.query.Tick(c.Clock.Now()))
 		case <-ctx.Done():
+		}
+		// Nothing more is sent once the other daemon has withdrawn the request: it
+		// may have gone elsewhere.
+		if ctx.Err() != nil {
 			return status.FromContextError(ctx.Err()).Err()
 		}
+		if e != nil {
+			c.take(*e)
+		} else {
+			c.do(c.query.Tick(c.Clock.Now()))
+		}
 		if err := c.flush(stream); err != nil {
 			return err
 		}
--- /dev/null
+++ b/entryd/pkg/scatterer/group_test.go
@@ -0,0 +1,101 @@
+package scatterer
+
+import (
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/entryd/pkg/placer"
+)
+
+func TestGroupsHoldEachUnitOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		groups [][]int
+		used   []bool
+		// units is the number of units that are held in the end.
+		units int
+	}{
+		{name: "apart", groups: [][]int{{0}, {1, 2}}, used: []bool{true, true}, units: 3},
+		{name: "a larger one replaces parts of it", groups: [][]int{{0}, {1}, {0, 1, 2}}, used: []bool{true, true, true}, units: 3},
+		{name: "an overlap is not used", groups: [][]int{{0, 1}, {1, 2}}, used: []bool{true, false}, units: 2},
+		{name: "the same again", groups: [][]int{{0, 1}, {0, 1}}, used: []bool{true, true}, units: 2},
+		{name: "a part of another", groups: [][]int{{0, 1}, {1}}, used: []bool{true, false}, units: 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var g groups
+			for i, units := range test.groups {
+				signatures := make([]string, len(units))
+				for k, u := range units {
+					signatures[k] = string(rune('a' + u))
+				}
+				if g.add(&group{units: units, signatures: signatures}) != test.used[i] {
+					t.Errorf("group %d: used %v", i, !test.used[i])
+				}
+			}
+			all, twice := g.signatures()
+			if len(all) != test.units || twice {
+				t.Errorf("%v, twice %v", all, twice)
+			}
+		})
+	}
+}
+
+// TestOwnersOutOfService names the pattern that each case answers.
+func TestOwnersOutOfService(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps func(o *owner)
+		want  bool
+	}{
+		{name: "one late acknowledgement", steps: func(o *owner) { o.miss(lateAck) }},
+		{name: "slow host: late again and again", steps: func(o *owner) { o.miss(lateAck); o.miss(lateAck) }, want: true},
+		{name: "frozen after acknowledging: replies stay away", steps: func(o *owner) { o.miss(lateReply); o.miss(lateReply); o.miss(lateReply) }, want: true},
+		{name: "now and then late", steps: func(o *owner) { o.miss(lateAck); o.heard(); o.miss(lateAck) }},
+		{name: "back", steps: func(o *owner) { o.miss(lateAck); o.miss(lateAck); o.heard() }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var all owners
+			o := all.get(placer.Daemon{ID: "d", Address: "a"})
+			test.steps(o)
+			if o.failed() != test.want {
+				t.Errorf("failed %v, want %v", o.failed(), test.want)
+			}
+			now := clockwork.NewFakeClock().Now()
+			if !o.due(now) || o.due(now.Add(ownerProbe/2)) || !o.due(now.Add(ownerProbe)) {
+				t.Error("want one probe in each interval")
+			}
+		})
+	}
+}
+
+func TestUnsentRequestsAreRefused(t *testing.T) {
+	sent := &attempt{}
+	sent.gate.Enter()
+	tests := []struct {
+		name     string
+		attempts []*attempt
+		want     bool
+	}{
+		{name: "none"},
+		{name: "waits for a connection", attempts: []*attempt{{}}},
+		{name: "was refused by the target", attempts: []*attempt{{unrun: true}}},
+		{name: "was sent", attempts: []*attempt{sent}, want: true},
+		{name: "was handed to another daemon", attempts: []*attempt{{path: path{owner: &owner{}}}}, want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := &job{attempts: test.attempts}
+			if j.mayHaveRun() != test.want {
+				t.Errorf("may have run %v, want %v", !test.want, test.want)
+			}
+			for _, a := range test.attempts {
+				if !test.want && !a.unrun && a.gate.Enter() {
+					t.Error("a request that was refused as not run can still be sent")
+				}
+			}
+		})
+	}
+}
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -158,12 +158,13 @@
 	now := j.Clock.Now()
 	if e.acknowledged {
 		a.accepted = true
-		j.query.Defer(a.nonce, j.request.Deadline)
+		j.query.Accept(a.nonce)
 		return
 	}
 	if e.last {
 		delete(j.open, a.nonce)
 		a.log.Took = e.took
+		a.unrun = e.err != nil && unrun(e.err)
 	}
 	if a.path.owner != nil {
 		j.takeReply(e, now)
--- a/entryd/pkg/scatterer/result.go
+++ b/entryd/pkg/scatterer/result.go
@@ -86,10 +86,12 @@
 	}
 }
 
-// mayHaveRun reports whether an attempt has run the request, or may do so.
+// mayHaveRun reports whether an attempt has run the request, or may still do so.
+// Those that have not been sent yet never will be.
 func (j *job) mayHaveRun() bool {
-	for u := range j.pools {
-		if j.query.Covered(u) || j.query.Ran(u) {
+	for _, a := range j.attempts {
+		sent := a.path.owner != nil || !a.gate.Close()
+		if sent && !a.unrun {
 			return true
 		}
 	}
--- a/standin/pkg/platformer/store.go
+++ b/standin/pkg/platformer/store.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -55,7 +56,7 @@
 	page   atomic.Int32
 
 	mu     sync.Mutex
-	leases map[int64]*time.Timer
+	leases map[int64]running
 	calls  map[string]int
 }
 
@@ -63,7 +64,7 @@
 func NewStore(clock clockwork.Clock) *Store {
 	s := &Store{
 		clock:  clock,
-		leases: make(map[int64]*time.Timer),
+		leases: make(map[int64]running),
 		calls:  make(map[string]int),
 	}
 	s.page.Store(defaultPage)
@@ -124,6 +125,8 @@
 	case Reset:
 		panic(http.ErrAbortHandler)
 	case Silent:
+		// The server notices that a caller has left once the body is read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -317,6 +320,12 @@
 	}
 }
 
+// running is a lease with the timer of its end.
+type running struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
 type lease struct {
 	Lease int64 `json:"lease,omitempty"`
 	TTL   int64 `json:"ttl-ms"`
@@ -335,7 +344,11 @@
 	}
 	in.Lease = id
 	s.mu.Lock()
-	s.leases[id] = time.AfterFunc(time.Duration(in.TTL)*time.Millisecond, func() { s.memory.Expire(id) })
+	ttl := time.Duration(in.TTL) * time.Millisecond
+	s.leases[id] = running{
+		ttl:   ttl,
+		timer: time.AfterFunc(ttl, func() { s.memory.Expire(id) }),
+	}
 	s.mu.Unlock()
 	reply(w, http.StatusOK, in)
 }
@@ -346,17 +359,16 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	ttl, err := s.memory.Renew(context.Background(), n)
-	if err != nil || ttl == 0 {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
+	left, err := s.memory.Renew(context.Background(), n)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if t := s.leases[n]; t != nil {
-		t.Reset(time.Duration(ttl) * time.Millisecond)
+	one, ok := s.leases[n]
+	if err != nil || left == 0 || !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
 	}
-	reply(w, http.StatusOK, lease{TTL: ttl})
+	one.timer.Reset(one.ttl)
+	reply(w, http.StatusOK, lease{TTL: one.ttl.Milliseconds()})
 }
 
 func (s *Store) end(w http.ResponseWriter, id string) {
