--- a/entryd/pkg/router/attempt.go
+++ b/entryd/pkg/router/attempt.go
@@ -13,7 +13,9 @@
 	path  P
 	units []int
 	// open is the number of units that the attempt may still answer.
-	open    int
+	open int
+	// runs is how often the attempt may run each unit.
+	runs    int
 	hedgeAt time.Time
 }
 
@@ -23,6 +25,7 @@
 		path:    path,
 		units:   units,
 		open:    len(units),
+		runs:    1,
 		hedgeAt: now.Add(q.chooser.HedgeDelay(path)),
 	}
 	for _, u := range units {
@@ -103,7 +106,7 @@
 	}
 	s.reason = worse(s.reason, l.Reason)
 	if !mayRun[l.Reason] {
-		s.ran--
+		s.ran -= a.runs
 	}
 	return len(s.waits) == 0
 }
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -219,13 +219,15 @@
 }
 
 // Accept records that the path of an attempt has taken its units over, and may
-// run each of them as often as is allowed: they are not sent again.
+// run each of them as often as is allowed. They are not sent again unless it says
+// that they were not run.
 func (q *Query[P]) Accept(nonce uint64) {
 	a, ok := q.attempts[nonce]
 	if !ok {
 		return
 	}
 	a.hedgeAt = q.terms.Deadline
+	a.runs += q.terms.Attempts
 	for _, u := range a.units {
 		q.units[u].ran += q.terms.Attempts
 	}
--- a/tier/pkg/checker/settings.go
+++ b/tier/pkg/checker/settings.go
@@ -35,6 +35,7 @@
 		r.add("log.level", "%q is not one of debug, info, warn, error", level)
 	}
 	r.fraction("trace.sample", s.GetTrace().GetSample())
+	r.duration("hold", s.GetHold(), true)
 	r.extra(s.GetExtra())
 	if s.GetCapacity() < 0 || math.IsNaN(s.GetCapacity()) || s.GetCapacity() > maxCapacity {
 		r.add("capacity", "%v is not a number of cores from 0 to %d", s.GetCapacity(), maxCapacity)
