--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -33,6 +33,8 @@
 	unrun bool
 	// again is true if a unit was sent before.
 	again bool
+	// withdrawn is true once a unit was sent again before the owner accepted it.
+	withdrawn bool
 	// accepted is true once the owner's acknowledgement was taken in.
 	accepted bool
 	// acknowledged is set by the goroutine that talks to the owner.
@@ -98,11 +100,22 @@
 	}
 	for _, a := range j.open {
 		if a.path.owner != nil && !a.accepted && slices.ContainsFunc(a.units, func(u int) bool { return slices.Contains(again.units, u) }) {
+			a.withdrawn = true
 			a.cancel()
 		}
 	}
 }
 
+// lossOf returns the reason that an error of an owner stands for. What was
+// withdrawn before the owner has accepted it goes elsewhere free of charge: there
+// may be units among it that were not sent again yet.
+func (a *attempt) lossOf(err error) peer.Reason {
+	if a.withdrawn && !a.accepted {
+		return peer.Reason_REASON_UNREACHABLE
+	}
+	return reasonOf(err)
+}
+
 // send asks a target.
 func (j *job) send(ctx, queue context.Context, a *attempt) {
 	defer a.cancel()
--- a/entryd/pkg/scatterer/group_test.go
+++ b/entryd/pkg/scatterer/group_test.go
@@ -1,11 +1,14 @@
 package scatterer
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/placer"
+	"plantaincleat/entryd/pkg/requester"
+	"plantaincleat/tier/gen/peer"
 )
 
 func TestGroupsHoldEachUnitOnce(t *testing.T) {
@@ -99,3 +102,27 @@
 		})
 	}
 }
+
+// TestLossOfOwners checks that the units of a withdrawn attempt which were not sent
+// again go elsewhere free of charge, though its call ends with an error.
+func TestLossOfOwners(t *testing.T) {
+	err := errors.New("cancelled")
+	tests := []struct {
+		name string
+		a    *attempt
+		err  error
+		want peer.Reason
+	}{
+		{name: "withdrawn", a: &attempt{withdrawn: true}, err: err, want: peer.Reason_REASON_UNREACHABLE},
+		{name: "withdrawn after it was accepted", a: &attempt{withdrawn: true, accepted: true}, err: err, want: peer.Reason_REASON_FAILED},
+		{name: "broken", a: &attempt{}, err: err, want: peer.Reason_REASON_FAILED},
+		{name: "not reached", a: &attempt{}, err: requester.ErrUnsent, want: peer.Reason_REASON_UNREACHABLE},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.a.lossOf(test.err); got != test.want {
+				t.Errorf("reason %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -204,7 +204,7 @@
 	a := e.attempt
 	if e.err != nil {
 		a.log.Result = e.err.Error()
-		j.do(j.query.Lost(a.nonce, reasonOf(e.err), now))
+		j.do(j.query.Lost(a.nonce, a.lossOf(e.err), now))
 		return
 	}
 	j.hear(a, e.reply, now)
--- a/standin/pkg/commander/root.go
+++ b/standin/pkg/commander/root.go
@@ -32,6 +32,7 @@
 		newTarget(),
 		newRelay(),
 		newHosts(),
+		newPlatform(),
 	}
 }
 
