--- /dev/null
+++ b/entryd/pkg/router/partial.go
@@ -0,0 +1,37 @@
+package router
+
+import "time"
+
+// Partial records units that an attempt has answered. Those still open go on
+// waiting for it.
+func (q *Query[P]) Partial(nonce uint64, covered []int, now time.Time) []Action[P] {
+	q.out = nil
+	a, ok := q.attempts[nonce]
+	if !ok || q.done {
+		q.late++
+		return nil
+	}
+	for _, u := range covered {
+		if q.waiting(u, a) {
+			q.cover(a, u)
+		}
+	}
+	q.drop(a)
+	q.settle(now)
+	return q.out
+}
+
+// Accept records that the path of an attempt has taken its units over, and may
+// run each of them as often as is allowed. They are not sent again unless it says
+// that they were not run.
+func (q *Query[P]) Accept(nonce uint64) {
+	a, ok := q.attempts[nonce]
+	if !ok {
+		return
+	}
+	a.hedgeAt = q.terms.Deadline
+	a.runs += q.terms.Attempts
+	for _, u := range a.units {
+		q.units[u].ran += q.terms.Attempts
+	}
+}
--- a/tier/pkg/checker/checker_test.go
+++ b/tier/pkg/checker/checker_test.go
@@ -57,6 +57,21 @@
 	}
 }
 
+func TestPlainRequestsAreConfiguredElsewhere(t *testing.T) {
+	problems := Config(&config.Config{
+		Routes: []*config.Route{{Name: "r"}},
+		Pools:  []*config.Pool{{Name: "p"}},
+		Limits: &config.Limits{},
+	})
+	var fields []string
+	for _, p := range problems {
+		fields = append(fields, p.Field)
+	}
+	if got := strings.Join(fields, " "); got != "routes pools limits" {
+		t.Errorf("problems of %q, want routes, pools and limits", got)
+	}
+}
+
 // TestPartition compares the verdict on random ranges with a search for each
 // key of a small key space.
 func TestPartition(t *testing.T) {
--- a/tier/pkg/checker/config.go
+++ b/tier/pkg/checker/config.go
@@ -29,10 +29,26 @@
 	}
 	r.institutions(cfg.GetInstitutions())
 	r.policy(cfg.GetPolicy())
+	r.plain(cfg)
 	r.sizes(cfg)
 	return r.problems
 }
 
+// plain refuses what is written elsewhere: plain requests are configured in the
+// store of the platform that their daemon runs on.
+func (r *report) plain(cfg *config.Config) {
+	const reason = "is not served from a configuration file"
+	if len(cfg.GetRoutes()) > 0 {
+		r.add("routes", reason)
+	}
+	if len(cfg.GetPools()) > 0 {
+		r.add("pools", reason)
+	}
+	if cfg.GetLimits() != nil {
+		r.add("limits", reason)
+	}
+}
+
 // targets returns the set of the known ids.
 func (r *report) targets(targets []*config.Target) map[string]string {
 	ids, addresses := map[string]string{}, map[string]string{}
