--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -90,7 +90,7 @@
 	j.query = router.New(len(j.pools), terms, &selector{job: j}, &purse{job: j}, func() uint64 { return j.nonces.Add(1) })
 }
 
-// start sends the units and returns a timer for step.
+// begin sends the units on their first paths.
 func (j *job) begin(ctx context.Context) {
 	j.ctx, j.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	j.do(j.query.Start(j.Clock.Now()))
--- a/entryd/pkg/scatterer/owner.go
+++ b/entryd/pkg/scatterer/owner.go
@@ -54,7 +54,7 @@
 	before := o.misses
 	o.misses = min(o.misses+weight, missLimit)
 	if before < missLimit && o.misses == missLimit {
-		slog.Info("owner is out of service", "daemon", o.id)
+		slog.Info("owner is out of service", "owner", o.id, "misses", o.misses)
 	}
 }
 
@@ -63,7 +63,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.misses == missLimit {
-		slog.Info("owner is back in service", "daemon", o.id)
+		slog.Info("owner is back in service", "owner", o.id)
 	}
 	o.misses = 0
 }
