--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -42,9 +42,6 @@
 // DataCentre returns the target's data centre.
 func (t *Target) DataCentre() string { return t.datacentre }
 
-// Slots returns the number of requests that the target runs at once.
-func (t *Target) Slots() int { return t.slots }
-
 // Gauge returns the estimator of the target.
 func (t *Target) Gauge() *estimator.Estimator { return t.gauge }
 
--- a/entryd/pkg/mirrorer/mirrorer.go
+++ b/entryd/pkg/mirrorer/mirrorer.go
@@ -47,6 +47,8 @@
 	revision int64
 	accepted *config.Accepted
 	heard    time.Time
+	// stale is true while items have changed since the configuration was made.
+	stale    bool
 	watching bool
 	watches  int
 }
@@ -87,7 +89,7 @@
 	if revision < m.revision {
 		return m.accepted.GetHead(), m.revision, nil
 	}
-	m.items, m.revision = items, revision
+	m.items, m.revision, m.stale = items, revision, true
 	if err := m.renew(); err != nil {
 		return nil, 0, err
 	}
@@ -146,6 +148,7 @@
 	if change.Item.Modified <= m.revision || !m.matters(change.Item.Key) {
 		return nil
 	}
+	m.stale = true
 	if change.Deleted {
 		delete(m.items, change.Item.Key)
 	} else {
@@ -161,6 +164,9 @@
 		return nil
 	}
 	m.revision = revision
+	if !m.stale {
+		return nil
+	}
 	before := m.accepted.GetHead().GetRevision()
 	if err := m.renew(); err != nil {
 		klog.ErrorS(nil, "configuration not translated", "revision", revision, "err", err.Error())
@@ -188,6 +194,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "translate store revision %d", m.revision)
 	}
+	m.stale = false
 	if cfg == nil {
 		return nil
 	}
--- a/entryd/pkg/mirrorer/mirrorer_test.go
+++ b/entryd/pkg/mirrorer/mirrorer_test.go
@@ -111,6 +111,34 @@
 	}
 }
 
+// TestNothingIsTranslatedWithoutAChange checks that changes of other keys cost no
+// translation of all items.
+func TestNothingIsTranslatedWithoutAChange(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	memory := &storer.Memory{}
+	put(t, memory, "c", "")
+	m := newMirror(memory, clockwork.NewFakeClock())
+	translations := 0
+	m.Translate = func(items map[string]storer.Item) (*config.Config, error) {
+		translations++
+		return translate(items)
+	}
+	_, revision, err := m.Head(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	heads := m.Watch(ctx, revision)
+	for range 5 {
+		put(t, memory, "other", "x")
+	}
+	put(t, memory, "t/1", "a")
+	<-heads
+	if translations != 2 {
+		t.Errorf("%d translations of two states", translations)
+	}
+}
+
 // TestCallsWhileTheWatchIsFresh checks that a watch which has told its progress
 // saves the calls of the checks.
 func TestCallsWhileTheWatchIsFresh(t *testing.T) {
--- a/standin/pkg/commander/platform.go
+++ b/standin/pkg/commander/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -63,16 +64,10 @@
 	}
 	cmd.Printf("store %s, settings in %s\n", world.Address(), f.directory)
 	// The stand-in ends with its parent, which holds the other end.
-	_, err = os.Stdin.WriteTo(discard{})
+	_, err = io.Copy(io.Discard, os.Stdin)
 	return err
 }
 
-// discard takes everything.
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
-
 // address returns one of a daemon's addresses.
 func (f *platformFlags) address(daemon, place int) string {
 	return fmt.Sprintf("127.0.0.1:%d", f.port+daemon*portsPerDaemon+place)
