A fault soak of real daemons; advertise and source hold on the platform

Cause: nothing disrupted the platform's daemons from outside as processes; advertise and source were checked in the settings and ignored by frontd.

--- a/entryd/pkg/dialer/dialer.go
+++ b/entryd/pkg/dialer/dialer.go
@@ -47,15 +47,9 @@
 // is empty. With insecure credentials, addresses other than loopback are
 // refused unless plain is true. The bytes of the connections are counted.
 func New(creds credentials.TransportCredentials, source string, plain bool, bytes *meterer.Bytes) (*Dialer, error) {
-	nd := Net(connectTimeout)
-	if source != "" {
-		ip := net.ParseIP(source)
-		if ip == nil {
-			return nil, eris.Errorf("source: %q is not an IP address", source)
-		}
-		nd.LocalAddr = &net.TCPAddr{
-			IP: ip,
-		}
+	nd, err := Net(connectTimeout, source)
+	if err != nil {
+		return nil, err
 	}
 	dial := securer.Dial(nd.DialContext)
 	if creds.Info().SecurityProtocol == insecure.NewCredentials().Info().SecurityProtocol && !plain {
--- a/entryd/pkg/dialer/socket.go
+++ b/entryd/pkg/dialer/socket.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
 )
 
@@ -20,10 +21,21 @@
 )
 
 // Net returns a dialer whose connections end within seconds once the peer has
-// fallen silent.
-func Net(timeout time.Duration) *net.Dialer {
+// fallen silent. They leave from the source IP address unless it is empty.
+func Net(timeout time.Duration, source string) (*net.Dialer, error) {
+	var local net.Addr
+	if source != "" {
+		ip := net.ParseIP(source)
+		if ip == nil {
+			return nil, eris.Errorf("source: %q is not an IP address", source)
+		}
+		local = &net.TCPAddr{
+			IP: ip,
+		}
+	}
 	return &net.Dialer{
-		Timeout: timeout,
+		Timeout:   timeout,
+		LocalAddr: local,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     probeIdle,
@@ -40,5 +52,5 @@
 			}
 			return failure
 		},
-	}
+	}, nil
 }
--- a/prover/pkg/deployer/builder.go
+++ b/prover/pkg/deployer/builder.go
@@ -52,6 +52,17 @@
 		"./entryd/cmd/entryd", "./standin/cmd/standin", "./plantainctl/cmd/plantainctl")
 }
 
+// BuildFrontd builds the platform's daemon into a directory and returns its
+// path.
+func BuildFrontd(ctx context.Context, directory string) (string, error) {
+	root, err := workspace(ctx)
+	if err != nil {
+		return "", err
+	}
+	program := filepath.Join(directory, "frontd")
+	return program, run(ctx, root, "go", "build", "-o", program, "./platform/cmd/frontd")
+}
+
 // Mutate returns the programs with a daemon that contains the faults. It
 // builds the daemon into a directory; the source files stay as they are.
 func (p Programs) Mutate(ctx context.Context, directory string, mutants ...Mutant) (Programs, error) {
--- a/prover/pkg/deployer/deployer.go
+++ b/prover/pkg/deployer/deployer.go
@@ -80,7 +80,7 @@
 // daemon is ready. All processes end with the test.
 func New(t testing.TB, o Options) *Deployment {
 	t.Helper()
-	port, lock, err := claimPorts()
+	port, lock, err := ClaimPorts()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -202,7 +202,7 @@
 
 func (d *Deployment) spawn(name, program string, args ...string) *Process {
 	d.t.Helper()
-	p, err := startProcess(name, d.file(name+".log"), program, args...)
+	p, err := Start(name, d.file(name+".log"), program, args...)
 	if err != nil {
 		d.t.Fatal(err)
 	}
--- a/prover/pkg/deployer/ports.go
+++ b/prover/pkg/deployer/ports.go
@@ -16,9 +16,9 @@
 	block = 400
 )
 
-// claimPorts returns the first port of a block that no other deployment on
+// ClaimPorts returns the first port of a block that no other deployment on
 // this machine uses, and the listener that holds the block.
-func claimPorts() (int, net.Listener, error) {
+func ClaimPorts() (int, net.Listener, error) {
 	const blocks = (lastPort - firstPort) / block
 	for i := range blocks {
 		base := firstPort + (os.Getpid()+i)%blocks*block
--- a/prover/pkg/deployer/process.go
+++ b/prover/pkg/deployer/process.go
@@ -39,8 +39,8 @@
 	return requests
 })
 
-// startProcess starts a program whose output is appended to a file.
-func startProcess(name, log, program string, args ...string) (*Process, error) {
+// Start starts a program whose output is appended to a file.
+func Start(name, log, program string, args ...string) (*Process, error) {
 	file, err := os.OpenFile(log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, fileMode)
 	if err != nil {
 		return nil, eris.Wrapf(err, "start %s", name)
--- a/prover/pkg/deployer/tls.go
+++ b/prover/pkg/deployer/tls.go
@@ -45,7 +45,7 @@
 // until it is in force, and returns what the operators' tool printed.
 func NewSecure(t testing.TB, o Options) (*Secure, Command) {
 	t.Helper()
-	port, lock, err := claimPorts()
+	port, lock, err := ClaimPorts()
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/prover/pkg/soaker/soak_test.go
@@ -0,0 +1,100 @@
+package soaker
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"plantaincleat/prover/pkg/deployer"
+)
+
+const (
+	buildLimit = 5 * time.Minute
+	daemons    = 6
+	gap        = 350 * time.Millisecond
+	// shortLength and longLength are how long disruptions come in CI and by hand.
+	shortLength = 8 * time.Second
+	longLength  = 15 * time.Second
+	logTail     = 1500
+)
+
+var (
+	fresh = flag.Int("fresh", 0, "number of runs with new seeds")
+	seed  = flag.Uint64("seed", 0, "one run with this seed, as long as those with new seeds")
+	keep  = flag.String("keep", "", "directory for the logs of runs that find something")
+)
+
+func buildDaemon(t *testing.T) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), buildLimit)
+	defer cancel()
+	program, err := deployer.BuildFrontd(ctx, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return program
+}
+
+// soak runs one seed and reports what it finds.
+func soak(t *testing.T, program string, seed uint64, length time.Duration) {
+	t.Helper()
+	directory := t.TempDir()
+	findings, story, err := Run(Options{
+		Program:   program,
+		Directory: directory,
+		Daemons:   daemons,
+		Seed:      seed,
+		Length:    length,
+		Gap:       gap,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range findings {
+		t.Errorf("seed %d: %s", seed, f)
+	}
+	t.Logf("seed %d:\n%s", seed, strings.Join(story, "\n"))
+	if len(findings) > 0 {
+		save(t, directory, seed)
+	}
+}
+
+// save keeps the logs of a run.
+func save(t *testing.T, directory string, seed uint64) {
+	t.Helper()
+	if *keep == "" {
+		return
+	}
+	if err := os.CopyFS(filepath.Join(*keep, fmt.Sprint(seed)), os.DirFS(directory)); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestSoak runs the seeds of CI, those that once found something, and those
+// that the flags ask for.
+func TestSoak(t *testing.T) {
+	program := buildDaemon(t)
+	seeds := []struct {
+		name string
+		seed uint64
+	}{
+		{name: "first", seed: 1},
+		{name: "second", seed: 2},
+	}
+	for _, one := range seeds {
+		t.Run(one.name, func(t *testing.T) { soak(t, program, one.seed, shortLength) })
+	}
+	if *seed > 0 {
+		soak(t, program, *seed, longLength)
+	}
+	for range *fresh {
+		n := uint64(rand.Uint32())
+		t.Run(fmt.Sprint(n), func(t *testing.T) { soak(t, program, n, longLength) })
+	}
+}
--- a/standin/pkg/platformer/world.go
+++ b/standin/pkg/platformer/world.go
@@ -21,6 +21,7 @@
 	targets []*Target
 	version int64
 	doc     Document
+	through func(id, address string) string
 }
 
 // Target is a target with its entry in the store.
@@ -28,6 +29,8 @@
 	*responder.Responder
 	Service string
 	Zone    string
+	// Registered is the address in the target's entry.
+	Registered string
 }
 
 // Route is a route of the operators' configuration.
@@ -86,6 +89,9 @@
 	Replicas int
 	// Zones are the data centres of the targets, in turn.
 	Zones []string
+	// Through returns the address at which a target is registered, given its
+	// name and its own address, which is taken without it.
+	Through func(id, address string) string
 }
 
 const (
@@ -98,7 +104,8 @@
 // the first configuration.
 func NewWorld(size Size) (*World, error) {
 	w := &World{
-		store: NewStore(clockwork.NewRealClock()),
+		store:   NewStore(clockwork.NewRealClock()),
+		through: size.Through,
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -180,6 +187,9 @@
 // Address returns the store's address.
 func (w *World) Address() string { return w.address }
 
+// All returns all targets.
+func (w *World) All() []*Target { return w.targets }
+
 // Targets returns those of a service.
 func (w *World) Targets(service string) []*Target {
 	var out []*Target
@@ -204,9 +214,13 @@
 			return err
 		}
 		t := &Target{
-			Responder: r,
-			Service:   name,
-			Zone:      zone,
+			Responder:  r,
+			Service:    name,
+			Zone:       zone,
+			Registered: r.Address(),
+		}
+		if w.through != nil {
+			t.Registered = w.through(t.ID(), t.Address())
 		}
 		w.targets = append(w.targets, t)
 		if err := w.Register(t, "ready"); err != nil {
@@ -232,7 +246,7 @@
 func (w *World) Register(t *Target, state string) error {
 	value, err := json.Marshal(entry{
 		Service: t.Service,
-		Address: t.Address(),
+		Address: t.Registered,
 		Zone:    t.Zone,
 		Version: "v1",
 		Slots:   slots,
--- a/standin/pkg/responder/responder.go
+++ b/standin/pkg/responder/responder.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -148,6 +149,13 @@
 	return r.runs[request]
 }
 
+// Counts returns how often each request was begun.
+func (r *Responder) Counts() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.runs)
+}
+
 // Body returns the body of a request that was begun.
 func (r *Responder) Body(request string) string {
 	r.mu.Lock()
