Second targets are asked once the other daemon counts on the owner

Cause: the soak's, slow links between daemons: an owner whose acknowledgement came late went on to hedge while the daemon that had given it up asked other targets; a request ran three times on a shard (bound two). A lost acknowledgement also counted as not sent, so that a 503 could follow a run. Ruled out: second owners (they ask one target), hedges of direct requests. Change: Scatter is a stream both ways; the owner asks one target of a shard until it is told that its acknowledgement was taken in. Until then failures wait. An owner without acknowledgement counts as having run the request once; a refusal by it counts as unsent.

--- a/entryd/pkg/router/reason.go
+++ b/entryd/pkg/router/reason.go
@@ -13,8 +13,9 @@
 
 // mayRun holds the reasons of attempts that may have run their units.
 var mayRun = map[peer.Reason]bool{
-	peer.Reason_REASON_FAILED: true,
-	peer.Reason_REASON_LATE:   true,
+	peer.Reason_REASON_FAILED:         true,
+	peer.Reason_REASON_LATE:           true,
+	peer.Reason_REASON_UNACKNOWLEDGED: true,
 }
 
 // passing holds the reasons that may not hold for the next attempt.
@@ -24,15 +25,16 @@
 
 // rank orders reasons by how much they explain: the highest one is reported.
 var rank = map[peer.Reason]int{
-	peer.Reason_REASON_UNSPECIFIED: 0,
-	peer.Reason_REASON_UNREACHABLE: 1,
-	peer.Reason_REASON_LEAVING:     2,
-	peer.Reason_REASON_LATE:        3,
-	peer.Reason_REASON_FAILED:      4,
-	peer.Reason_REASON_SHED:        5,
-	peer.Reason_REASON_BUDGET:      6,
-	peer.Reason_REASON_DROPPED:     7,
-	peer.Reason_REASON_QUARANTINED: 8,
+	peer.Reason_REASON_UNSPECIFIED:    0,
+	peer.Reason_REASON_UNREACHABLE:    1,
+	peer.Reason_REASON_UNACKNOWLEDGED: 2,
+	peer.Reason_REASON_LEAVING:        3,
+	peer.Reason_REASON_LATE:           4,
+	peer.Reason_REASON_FAILED:         5,
+	peer.Reason_REASON_SHED:           6,
+	peer.Reason_REASON_BUDGET:         7,
+	peer.Reason_REASON_DROPPED:        8,
+	peer.Reason_REASON_QUARANTINED:    9,
 }
 
 func worse(a, b peer.Reason) peer.Reason {
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -39,7 +39,9 @@
 	accepted bool
 	// acknowledged is set by the goroutine that talks to the owner.
 	acknowledged bool
-	log          *Attempt
+	// accept tells the owner that its acknowledgement was taken in.
+	accept func()
+	log    *Attempt
 }
 
 // lingers reports whether the attempt is to run to its end though its answer is
@@ -106,12 +108,12 @@
 	}
 }
 
-// lossOf returns the reason that an error of an owner stands for. What was
-// withdrawn before the owner has accepted it goes elsewhere free of charge: there
-// may be units among it that were not sent again yet.
+// lossOf returns the reason that an error of an owner stands for. One that was
+// not told that its acknowledgement was taken in has asked one target of each
+// shard at most.
 func (a *attempt) lossOf(err error) peer.Reason {
-	if a.withdrawn && !a.accepted {
-		return peer.Reason_REASON_UNREACHABLE
+	if !a.accepted && !unrun(err) {
+		return peer.Reason_REASON_UNACKNOWLEDGED
 	}
 	return reasonOf(err)
 }
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -21,11 +21,15 @@
 // Scatter serves a request of another daemon for some shards: it asks their
 // targets and replies with what they answer, once all have or the goal has
 // passed, and then with each further part.
-func (s *Scatterer) Scatter(in *peer.ScatterRequest, stream peer.Peer_ScatterServer) error {
+func (s *Scatterer) Scatter(stream peer.Peer_ScatterServer) error {
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	in, err := stream.Recv()
+	if err != nil {
+		return err
+	}
 	if age := s.Clock.Now().UnixMilli() - in.GetSent(); age > maxAge.Milliseconds() {
-		return status.Errorf(codes.DeadlineExceeded, "request %s was sent %d ms ago", in.GetId(), age)
+		return status.Errorf(codes.FailedPrecondition, "request %s was sent %d ms ago", in.GetId(), age)
 	}
 	if len(in.GetShards()) == 0 {
 		return stream.SendHeader(metadata.MD{})
@@ -49,6 +53,11 @@
 	sent []bool
 	// flushed is true once the goal has passed.
 	flushed bool
+	// accepted gets the other daemon's word that it counts on this one.
+	accepted chan struct{}
+	// failures are events that wait for that word, as other targets may have to be
+	// asked.
+	failures []event
 }
 
 func (s *Scatterer) newCollector(in *peer.ScatterRequest, catalog *cataloger.Catalog, route *cataloger.Route) *collector {
@@ -81,9 +90,10 @@
 		Attempts: max(int(in.GetAttempts()), 1),
 	})
 	return &collector{
-		job:  j,
-		in:   in,
-		sent: make([]bool, len(j.pools)),
+		job:      j,
+		in:       in,
+		sent:     make([]bool, len(j.pools)),
+		accepted: make(chan struct{}),
 	}
 }
 
@@ -93,6 +103,7 @@
 	ctx := stream.Context()
 	c.begin(ctx)
 	defer c.leave()
+	go c.listen(stream, c.accepted)
 	timer := c.Clock.NewTimer(time.Hour)
 	defer timer.Stop()
 	for !c.query.Done() {
@@ -101,6 +112,8 @@
 		select {
 		case one := <-c.events:
 			e = &one
+		case <-c.accepted:
+			c.confirm()
 		case <-timer.Chan():
 		case <-ctx.Done():
 		}
@@ -109,10 +122,13 @@
 		if ctx.Err() != nil {
 			return status.FromContextError(ctx.Err()).Err()
 		}
-		if e != nil {
-			c.take(*e)
-		} else {
+		switch {
+		case e == nil:
 			c.do(c.query.Tick(c.Clock.Now()))
+		case !c.confirmed && !c.sound(*e):
+			c.failures = append(c.failures, *e)
+		default:
+			c.take(*e)
 		}
 		if err := c.flush(stream); err != nil {
 			return err
@@ -121,6 +137,23 @@
 	return stream.Send(c.reply(true))
 }
 
+// listen waits until the other daemon says that it counts on this one.
+func (c *collector) listen(stream peer.Peer_ScatterServer, accepted chan<- struct{}) {
+	if in, err := stream.Recv(); err == nil && in.GetAccepted() {
+		close(accepted)
+	}
+}
+
+// confirm lets second targets be asked, and takes in what has waited for that.
+func (c *collector) confirm() {
+	c.confirmed = true
+	c.accepted = nil
+	for _, e := range c.failures {
+		c.take(e)
+	}
+	c.failures = nil
+}
+
 // wake returns when there is something to do without an event.
 func (c *collector) wake() time.Time {
 	wake := c.query.Wake()
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -24,6 +24,9 @@
 	pools   []*cataloger.Pool
 	// root is true for a caller's own request, false for one of another daemon.
 	root bool
+	// confirmed is false while another daemon may still take the request elsewhere:
+	// then no target is asked in place of one that may run it.
+	confirmed bool
 	// goal is when an answer has to leave to be in time.
 	goal  time.Time
 	query *router.Query[path]
@@ -62,6 +65,7 @@
 		route:     route,
 		pools:     route.Pools(),
 		root:      true,
+		confirmed: true,
 		goal:      r.Received.Add(route.GetGoal().AsDuration() - s.Margin),
 	}
 	terms := router.Terms{
@@ -157,8 +161,7 @@
 	a := e.attempt
 	now := j.Clock.Now()
 	if e.acknowledged {
-		a.accepted = true
-		j.query.Accept(a.nonce)
+		j.acceptOwner(a)
 		return
 	}
 	if e.last {
@@ -186,6 +189,17 @@
 	j.do(j.query.Answer(a.nonce, a.units, nil, true, now))
 }
 
+// acceptOwner counts on an owner that has acknowledged, unless its units went
+// elsewhere meanwhile. Only an owner that is told so asks second targets.
+func (j *job) acceptOwner(a *attempt) {
+	if a.withdrawn {
+		return
+	}
+	a.accepted = true
+	j.query.Accept(a.nonce)
+	a.accept()
+}
+
 // keep stores the answer of a unit.
 func (j *job) keep(unit int, answer *requester.Answer) {
 	if !j.route.Scattered() {
@@ -265,6 +279,9 @@
 	return peer.Reason_REASON_FAILED, false
 }
 
+// sound reports whether an event brings a good answer.
+func (j *job) sound(e event) bool { return e.err == nil && j.good(e.answer) }
+
 // good reports whether an answer is a target's own success.
 func (j *job) good(a *requester.Answer) bool {
 	success := a.Status >= 200 && a.Status < 300
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -155,6 +155,9 @@
 }
 
 func (p *purse) take(unit int) bool {
+	if !p.job.confirmed {
+		return false
+	}
 	b := p.job.pools[unit].Budget()
 	return b.TakeAsked() || p.job.root && b.TakeReceived()
 }
--- a/entryd/pkg/server/server.go
+++ b/entryd/pkg/server/server.go
@@ -41,7 +41,7 @@
 
 // Scatterer sends plain requests to the targets of shards.
 type Scatterer interface {
-	Scatter(in *peer.ScatterRequest, stream peer.Peer_ScatterServer) error
+	Scatter(stream peer.Peer_ScatterServer) error
 }
 
 // Options are the services behind a Server. A nil one is not offered.
@@ -76,11 +76,11 @@
 }
 
 // Scatter implements peer.PeerServer.
-func (s *Server) Scatter(in *peer.ScatterRequest, stream peer.Peer_ScatterServer) error {
+func (s *Server) Scatter(stream peer.Peer_ScatterServer) error {
 	if s.Scatterer == nil {
 		return unoffered("scatter")
 	}
-	return s.Scatterer.Scatter(in, stream)
+	return s.Scatterer.Scatter(stream)
 }
 
 // Gossip implements peer.PeerServer.
