--- a/entryd/pkg/scatterer/forecast.go
+++ b/entryd/pkg/scatterer/forecast.go
@@ -46,7 +46,7 @@
 	now := s.Clock.Now()
 	q := forecaster.Query{
 		Route: route.GetName(),
-		Left:  route.GetGoal().AsDuration() - s.Margin,
+		Left:  s.goal(r, route).Sub(now),
 		Floor: route.GetFloor(),
 	}
 	for _, p := range route.Pools() {
--- /dev/null
+++ b/entryd/pkg/scatterer/goal_test.go
@@ -0,0 +1,49 @@
+package scatterer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/tier/gen/config"
+)
+
+// TestGoalLeavesTimeForTheWay names the pattern: far callers on new connections
+// get the answer of a small host in time.
+func TestGoalLeavesTimeForTheWay(t *testing.T) {
+	received := clockwork.NewFakeClock().Now()
+	tests := []struct {
+		name     string
+		capacity float64
+		way      time.Duration
+		goal     time.Duration
+		want     time.Duration
+	}{
+		{name: "near, whole core", goal: 100 * time.Millisecond, want: 95800 * time.Microsecond},
+		{name: "far", way: 12 * time.Millisecond, goal: 100 * time.Millisecond, want: 83800 * time.Microsecond},
+		{name: "small host", capacity: 0.2, goal: 100 * time.Millisecond, want: 91 * time.Millisecond},
+		{name: "far and small", capacity: 0.2, way: 12 * time.Millisecond, goal: 200 * time.Millisecond, want: 176 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := New(Options{
+				Capacity: test.capacity,
+			})
+			r := &Request{
+				Received: received,
+				Way:      test.way,
+			}
+			route := &cataloger.Route{
+				Route: &config.Route{
+					Goal: durationpb.New(test.goal),
+				},
+			}
+			if got := s.goal(r, route).Sub(received); got != test.want {
+				t.Errorf("goal after %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -66,7 +66,7 @@
 		pools:     route.Pools(),
 		root:      true,
 		confirmed: true,
-		goal:      r.Received.Add(route.GetGoal().AsDuration() - s.Margin),
+		goal:      s.goal(r, route),
 	}
 	terms := router.Terms{
 		Deadline: r.Deadline,
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -34,6 +34,9 @@
 	Body   []byte
 	// Received is when the request arrived.
 	Received time.Time
+	// Way is the time that the request and its answer spend between the caller and
+	// the daemon, zero if unknown.
+	Way time.Duration
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
@@ -118,9 +121,8 @@
 	// Isolation tells whether the daemon is cut off from other data centres. It
 	// is optional.
 	Isolation Isolation
-	// Margin is the time before the goal at which an answer has to leave, for
-	// the way back to the caller. Zero takes the default.
-	Margin time.Duration
+	// Capacity is the daemon's share of a core. Zero counts as one.
+	Capacity float64
 }
 
 // Placement tells which daemons ask the targets of a shard.
@@ -141,10 +143,16 @@
 	Cut() bool
 }
 
-// Defaults of Options.
+// DefaultDistance is that of Options.
+const DefaultDistance = 4 * time.Millisecond
+
 const (
-	DefaultDistance = 4 * time.Millisecond
-	DefaultMargin   = 10 * time.Millisecond
+	// sendWork is the processor time of a core in which a request is read and its
+	// answer is merged and sent.
+	sendWork = 1200 * time.Microsecond
+	// goalMargin is the part of a latency goal that is left for waits on a busy
+	// host.
+	goalMargin = 0.03
 )
 
 // Scatterer serves requests. It is safe for concurrent use.
@@ -161,14 +169,22 @@
 	if o.Distance <= 0 {
 		o.Distance = DefaultDistance
 	}
-	if o.Margin <= 0 {
-		o.Margin = DefaultMargin
+	if o.Capacity <= 0 {
+		o.Capacity = 1
 	}
 	return &Scatterer{
 		Options: o,
 	}
 }
 
+// goal returns when the answer to a request has to be merged to reach the caller
+// in time.
+func (s *Scatterer) goal(r *Request, route *cataloger.Route) time.Time {
+	latency := route.GetGoal().AsDuration()
+	margin := time.Duration(float64(sendWork)/s.Capacity + goalMargin*float64(latency))
+	return r.Received.Add(latency - r.Way - margin)
+}
+
 // Running returns the number of requests that are being served.
 func (s *Scatterer) Running() int64 { return s.running.Load() }
 
