--- a/entryd/pkg/idler/idler.go
+++ b/entryd/pkg/idler/idler.go
@@ -1,5 +1,6 @@
-// Package idler closes callers' connections that have been unused for longer
-// than a limit that may change while the server runs.
+// Package idler closes callers' connections that have been unused, or on which no
+// request has come at all, for longer than limits that may change while the
+// server runs.
 package idler
 
 import (
@@ -14,6 +15,8 @@
 // concurrent use.
 type Idler struct {
 	limit atomic.Int64
+	// first bounds the time to the headers of the first request.
+	first atomic.Int64
 
 	mu     sync.Mutex
 	timers map[net.Conn]*time.Timer
@@ -23,6 +26,10 @@
 // next use on. Zero is no limit.
 func (i *Idler) SetLimit(d time.Duration) { i.limit.Store(int64(d)) }
 
+// SetFirst changes the time in which the headers of the first request of a
+// connection have to come. Zero is no limit.
+func (i *Idler) SetFirst(d time.Duration) { i.first.Store(int64(d)) }
+
 // Observe is the ConnState hook of an http.Server.
 func (i *Idler) Observe(c net.Conn, s http.ConnState) {
 	i.mu.Lock()
@@ -31,8 +38,8 @@
 		t.Stop()
 		delete(i.timers, c)
 	}
-	limit := time.Duration(i.limit.Load())
-	if s != http.StateIdle || limit <= 0 {
+	limit := i.wait(s)
+	if limit <= 0 {
 		return
 	}
 	if i.timers == nil {
@@ -41,7 +48,18 @@
 	i.timers[c] = time.AfterFunc(limit, func() { i.expire(c) })
 }
 
-// expire closes a connection that is still unused.
+// wait returns how long a connection may stay in a state, zero if for ever.
+func (i *Idler) wait(s http.ConnState) time.Duration {
+	switch s {
+	case http.StateNew:
+		return time.Duration(i.first.Load())
+	case http.StateIdle:
+		return time.Duration(i.limit.Load())
+	}
+	return 0
+}
+
+// expire closes a connection that is still in that state.
 func (i *Idler) expire(c net.Conn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/entryd/pkg/idler/idler_test.go
+++ b/entryd/pkg/idler/idler_test.go
@@ -21,12 +21,16 @@
 		{name: "unused for too long", limit: limit, state: http.StateIdle, wait: 3 * limit},
 		{name: "unused for four fifths", limit: limit, state: http.StateIdle, wait: 4 * limit / 5, open: true},
 		{name: "in use", limit: limit, state: http.StateActive, wait: 3 * limit, open: true},
+		{name: "no headers", limit: limit, state: http.StateNew, wait: 3 * limit},
+		{name: "headers may come", limit: limit, state: http.StateNew, wait: 4 * limit / 5, open: true},
+		{name: "no limit for headers", state: http.StateNew, wait: 3 * limit, open: true},
 		{name: "no limit", state: http.StateIdle, wait: 3 * limit, open: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var i Idler
 			i.SetLimit(test.limit)
+			i.SetFirst(test.limit)
 			a, b := net.Pipe()
 			i.Observe(a, test.state)
 			if err := b.SetReadDeadline(time.Now().Add(test.wait)); err != nil {
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -7,10 +7,13 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/entryd/pkg/router"
 	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/tracer"
 )
 
 // lingerFactor times the time to connect is the service time up to which an
@@ -137,6 +140,7 @@
 	})
 	now := j.Clock.Now()
 	j.note(ctx, a, answer, err, begin, now)
+	j.trace(a, begin, now)
 	sent := j.report(event{
 		attempt: a,
 		answer:  answer,
@@ -149,6 +153,14 @@
 	}
 }
 
+// trace records the span of an attempt.
+func (j *job) trace(a *attempt, begin, end time.Time) {
+	if tracer.Sampled(j.ctx) {
+		tracer.Record(j.ctx, "attempt", begin, end,
+			attribute.String("target", a.log.Target), attribute.Bool("hedge", a.log.Hedge))
+	}
+}
+
 // report hands an event to the job, unless that has ended.
 func (j *job) report(e event) bool {
 	select {
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
@@ -12,6 +13,7 @@
 	"plantaincleat/entryd/pkg/merger"
 	"plantaincleat/entryd/pkg/router"
 	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/tracer"
 )
 
 // maxAge is the time on the way after which a request is refused. It allows for
@@ -100,7 +102,8 @@
 // run serves the request until all units are answered or closed, or until the
 // other daemon wants no more.
 func (c *collector) run(stream peer.Peer_ScatterServer) error {
-	ctx := stream.Context()
+	ctx, span := tracer.Start(tracer.Extract(stream.Context(), c.in.GetTrace()), "scatter", attribute.String("id", c.in.GetId()))
+	defer span.End()
 	c.begin(ctx)
 	defer c.leave()
 	go c.listen(stream, c.accepted)
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -14,6 +14,7 @@
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/tracer"
 )
 
 // returnTime is what an owner's reply needs to arrive and to be merged.
@@ -26,6 +27,7 @@
 func (j *job) delegate(ctx context.Context, a *attempt) {
 	defer a.cancel()
 	begin := j.Clock.Now()
+	defer func() { j.trace(a, begin, j.Clock.Now()) }()
 	o := a.path.owner
 	ackTimer := time.AfterFunc(o.late(), func() { o.miss(lateAck) })
 	defer ackTimer.Stop()
@@ -122,6 +124,7 @@
 		Left:     j.request.Deadline.Sub(now).Microseconds(),
 		Goal:     (j.goal.Sub(now) - returnTime).Microseconds(),
 		Sent:     now.UnixMilli(),
+		Trace:    tracer.Inject(j.ctx),
 	}
 	for name, values := range j.request.Header {
 		for _, v := range values {
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/attribute"
 	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/cataloger"
@@ -20,6 +21,7 @@
 	"plantaincleat/entryd/pkg/placer"
 	"plantaincleat/entryd/pkg/requester"
 	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/tracer"
 )
 
 // Request is a caller's request.
@@ -199,6 +201,9 @@
 	if res := s.overloaded(r, route); res != nil {
 		return res
 	}
+	ctx, span := tracer.Start(tracer.Extract(ctx, r.Header.Get("Traceparent")), "request",
+		attribute.String("id", r.ID), attribute.String("route", route.GetName()))
+	defer span.End()
 	j := newRoot(s, r, route)
 	j.run(ctx)
 	return j.result(ctx)
