Targets that refuse or fail a part cost more; owners spend the slack of second sends

A refusal told the estimator nothing, so such targets looked idle and were preferred; 636 of 637 searches then failed with the budget spent, and each of 84 daemons held a like part of the slack though one asks for each shard: 1.6 tokens of 208. Ruled out: capacity (targets at a fifth), the rule itself (310 extra allowed to a shard in ten seconds). Change: the estimator learns the part of refusals and failures; the cost by which a replica is chosen grows with it, the forecast of overload does not. The first owner of a shard holds 0.45 of the slack, the second 0.15; growth is earned. Budgets of pools that no list names outlive configurations too. TestCostOfRefusals and TestOwnersSpendTheSlack fail without it.

--- a/entryd/pkg/cataloger/budget.go
+++ b/entryd/pkg/cataloger/budget.go
@@ -28,9 +28,18 @@
 // received. The rest is earned by the daemon that asks the targets.
 const moveShare = 0.25
 
+// ownerSlack are the parts of the slack that the daemons which own a shard may
+// spend for asking its targets, by their place: nearly all requests to these come
+// from the first. otherSlack is divided among all daemons, which ask when owners
+// fail. With moveShare, they make up the whole.
+var ownerSlack = []float64{0.45, 0.15}
+
+const otherSlack = 0.15
+
 // Budget is one daemon's part of the extra requests to a pool. What is earned by
 // a daemon's own requests is its own, and the slack is divided by the number of
-// live daemons, so that no message is needed to keep the sum.
+// live daemons and by who owns the shard, so that no message is needed to keep
+// the sum.
 type Budget struct {
 	// received and asked are earned by the requests that the daemon has received
 	// from callers, and by those for which it asks the targets.
@@ -38,25 +47,49 @@
 	asked    *budgeter.Budget
 }
 
-func newBudget(e Extra, daemons int) *Budget {
+// part is a daemon's place in the fleet, as far as a pool is concerned.
+type part struct {
+	daemons int
+	// shared tells whether the pool has owners, and place which of them the daemon
+	// is, -1 if none.
+	shared bool
+	place  int
+}
+
+// asked returns the part of the slack that the daemon may spend for asking.
+func (p part) asked() float64 {
+	each := 1 / float64(max(p.daemons, 1))
+	switch {
+	case !p.shared:
+		return (1 - moveShare) * each
+	case p.place < 0:
+		return otherSlack * each
+	}
+	return ownerSlack[p.place]
+}
+
+// received returns the part of the slack that the daemon may spend for what it
+// has received.
+func (p part) received() float64 { return moveShare / float64(max(p.daemons, 1)) }
+
+func newBudget(e Extra, p part) *Budget {
 	b := &Budget{
 		received: budgeter.New(moveShare * safety * e.Ratio),
 		asked:    budgeter.New((1 - moveShare) * safety * e.Ratio),
 	}
-	b.divide(e, daemons)
-	start := startShare * part(e, max(daemons, startDaemons))
-	b.received.Fill(moveShare * start)
-	b.asked.Fill((1 - moveShare) * start)
+	b.divide(e, p)
+	start := part{
+		daemons: max(p.daemons, startDaemons),
+	}
+	b.received.Fill(startShare * safety * e.Slack * start.received())
+	b.asked.Fill(startShare * safety * e.Slack * start.asked())
 	return b
 }
 
-// part returns a daemon's part of the slack.
-func part(e Extra, daemons int) float64 { return safety * e.Slack / float64(max(daemons, 1)) }
-
-// divide sets the part of the slack.
-func (b *Budget) divide(e Extra, daemons int) {
-	b.received.SetBurst(moveShare * part(e, daemons))
-	b.asked.SetBurst((1 - moveShare) * part(e, daemons))
+// divide sets the parts of the slack. What they grow by has to be earned.
+func (b *Budget) divide(e Extra, p part) {
+	b.received.SetBurst(safety * e.Slack * p.received())
+	b.asked.SetBurst(safety * e.Slack * p.asked())
 }
 
 // Received earns for a request that a caller has sent.
--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -168,7 +168,7 @@
 	}
 	return &Pool{
 		name:   name,
-		budget: newBudget(Extra{}, 1),
+		budget: newBudget(Extra{}, part{}),
 	}
 }
 
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -82,8 +82,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.daemons, c.owners = max(daemons, 1), owners
-	for _, b := range c.budgets {
-		b.divide(c.options.Extra, c.daemons)
+	for name, b := range c.budgets {
+		b.divide(c.options.Extra, c.part(name))
 	}
 	if c.accepted != nil {
 		c.build()
@@ -158,15 +158,29 @@
 }
 
 func (c *Cataloger) pool(p *config.Pool) *Pool {
-	budget := c.budgets[p.GetName()]
-	if budget == nil {
-		budget = newBudget(c.options.Extra, c.daemons)
-		c.budgets[p.GetName()] = budget
-	}
 	return &Pool{
 		name:        p.GetName(),
 		connections: int(p.GetConnections()),
-		budget:      budget,
+		budget:      c.budget(p.GetName()),
+	}
+}
+
+// budget returns the budget of a pool, which outlives configurations.
+func (c *Cataloger) budget(pool string) *Budget {
+	b := c.budgets[pool]
+	if b == nil {
+		b = newBudget(c.options.Extra, c.part(pool))
+		c.budgets[pool] = b
+	}
+	return b
+}
+
+// part returns this daemon's place in the fleet for a pool.
+func (c *Cataloger) part(pool string) part {
+	return part{
+		daemons: c.daemons,
+		shared:  c.owners.Shared(pool),
+		place:   c.owners.Place(pool),
 	}
 }
 
@@ -260,7 +274,7 @@
 		if p == nil {
 			p = &Pool{
 				name:   name,
-				budget: newBudget(c.options.Extra, c.daemons),
+				budget: c.budget(name),
 			}
 			out.pools[name] = p
 		}
--- a/entryd/pkg/cataloger/cataloger_test.go
+++ b/entryd/pkg/cataloger/cataloger_test.go
@@ -193,10 +193,19 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "daemons")
 		budgets := make([]*Budget, n)
+		owned := rapid.Bool().Draw(t, "owned")
 		for i := range budgets {
+			place := i
+			if i >= len(ownerSlack) {
+				place = -1
+			}
 			// A daemon that has just started knows no other.
-			budgets[i] = newBudget(extra, 1)
-			budgets[i].divide(extra, n)
+			budgets[i] = newBudget(extra, part{daemons: 1})
+			budgets[i].divide(extra, part{
+				daemons: n,
+				shared:  owned && n > 1,
+				place:   place,
+			})
 		}
 		sent, taken := 0, 0
 		for range rapid.IntRange(0, 3000).Draw(t, "requests") {
@@ -218,6 +227,30 @@
 	})
 }
 
+// TestOwnersSpendTheSlack names the pattern: many targets of all shards refuse a
+// part of their requests, in a large fleet where one daemon asks for each shard.
+func TestOwnersSpendTheSlack(t *testing.T) {
+	extra := Extra{
+		Ratio: 0.2,
+		Slack: 200,
+	}
+	b := newBudget(extra, part{daemons: 1})
+	b.divide(extra, part{
+		daemons: 80,
+		shared:  true,
+	})
+	for range 1000 {
+		b.Asked()
+	}
+	taken := 0
+	for b.TakeAsked() {
+		taken++
+	}
+	if want := int(0.3 * extra.Slack); taken < want {
+		t.Errorf("the first owner may send %d extra requests at once, want %d", taken, want)
+	}
+}
+
 func TestConnectionsOfTheFleet(t *testing.T) {
 	shards := []placer.ShardInput{{Name: "p"}, {Name: "q"}}
 	for _, n := range []int{1, 2, 6, 9, 30, 84} {
--- a/entryd/pkg/coordinator/receive.go
+++ b/entryd/pkg/coordinator/receive.go
@@ -121,7 +121,7 @@
 	case err == nil:
 		p.hear(now)
 	case errors.Is(err, exchanger.ErrLost), errors.Is(err, exchanger.ErrNotSent):
-		p.peer.gauge.Fail()
+		p.peer.gauge.Fail(now)
 	default:
 		p.peer.gauge.Shed(now, estimator.Report{})
 	}
--- a/entryd/pkg/estimator/estimator.go
+++ b/entryd/pkg/estimator/estimator.go
@@ -47,6 +47,17 @@
 	maxProbe    = 2 * time.Second
 	// penalty is added to the expected finish of a suspected target.
 	penalty = time.Second
+
+	// badWeight is the weight of the last outcome in the part of the requests that
+	// a target refuses or fails.
+	badWeight = 1.0 / 12
+	// badLife is the time without an outcome after which that part counts half.
+	badLife = 2 * time.Second
+	// badCost times the expected finish is what an attempt costs that another
+	// target has to repeat.
+	badCost = 3
+	// maxBad bounds the part for which the cost still grows.
+	maxBad = 0.95
 )
 
 // Settings describe one target. Zero fields take defaults.
@@ -96,6 +107,11 @@
 	foreign  atomic.Uint64
 	reported atomic.Int64
 
+	// bad is the part of the requests that were refused or failed, as float bits,
+	// and judged when the last outcome was.
+	bad    atomic.Uint64
+	judged atomic.Int64
+
 	// Published quantiles in nanoseconds.
 	service, p50, p95 atomic.Int64
 
@@ -159,6 +175,7 @@
 	}
 	e.heard(at)
 	e.failures.Store(0)
+	e.judge(at, 0)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.incarnation.Load() != r.Incarnation {
@@ -178,14 +195,30 @@
 	at := e.group.since(now)
 	e.heard(at)
 	e.failures.Store(0)
+	e.judge(at, 1)
 	e.report(at, r)
 }
 
 // Fail records a request that ended with an error of the target or of its
 // connection.
-func (e *Estimator) Fail() {
+func (e *Estimator) Fail(now time.Time) {
 	e.flight.Add(-1)
 	e.failures.Add(1)
+	e.judge(e.group.since(now), 1)
+}
+
+// judge takes an outcome into the part of bad ones. Of outcomes at the same
+// time, one may be lost.
+func (e *Estimator) judge(at time.Duration, bad float64) {
+	before := e.badPart(at)
+	e.bad.Store(math.Float64bits(before + badWeight*(bad-before)))
+	e.judged.Store(int64(at))
+}
+
+// badPart returns the part of the requests that were refused or failed lately.
+func (e *Estimator) badPart(at time.Duration) float64 {
+	age := float64(at-time.Duration(e.judged.Load())) / float64(badLife)
+	return math.Float64frombits(e.bad.Load()) * math.Exp2(-max(age, 0))
 }
 
 // Drop records a request that was given up here: cancelled, or past its
@@ -230,6 +263,13 @@
 	return finish
 }
 
+// Cost returns the expected finish, increased for a target that refuses or fails
+// a part of its requests, which another one then has to repeat.
+func (e *Estimator) Cost(now time.Time) time.Duration {
+	bad := min(e.badPart(e.group.since(now)), maxBad)
+	return time.Duration(float64(e.Finish(now)) * (1 + badCost*bad/(1-bad)))
+}
+
 // P50 returns the median latency of recent answers.
 func (e *Estimator) P50() time.Duration {
 	return time.Duration(e.p50.Load())
@@ -376,4 +416,5 @@
 	e.p50.Store(int64(e.prior))
 	e.p95.Store(int64(2 * e.prior))
 	e.foreign.Store(0)
+	e.bad.Store(0)
 }
--- a/entryd/pkg/estimator/estimator_test.go
+++ b/entryd/pkg/estimator/estimator_test.go
@@ -191,7 +191,7 @@
 	e := g.New(Settings{})
 	for range failureLimit {
 		e.Send(start)
-		e.Fail()
+		e.Fail(start)
 	}
 	if !e.Suspected() {
 		t.Error("not suspected after consecutive failures")
@@ -202,6 +202,44 @@
 	}
 }
 
+// TestCostOfRefusals names the pattern: sound-looking targets refuse or fail a
+// part of their requests at once, and would attract more by never being busy.
+func TestCostOfRefusals(t *testing.T) {
+	tests := []struct {
+		name string
+		end  func(e *Estimator, now time.Time)
+	}{
+		{name: "refuses", end: func(e *Estimator, now time.Time) { e.Shed(now, Report{Incarnation: 1}) }},
+		{name: "fails", end: func(e *Estimator, now time.Time) { e.Fail(now) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var g Group
+			bad, sound := g.New(Settings{Slots: 2}), g.New(Settings{Slots: 2})
+			now := start
+			for i := range 60 {
+				now = now.Add(20 * time.Millisecond)
+				answer(sound, now, 10*time.Millisecond, Report{Incarnation: 1})
+				if i%2 == 0 {
+					answer(bad, now, 10*time.Millisecond, Report{Incarnation: 1})
+					continue
+				}
+				bad.Send(now)
+				test.end(bad, now.Add(time.Millisecond))
+			}
+			sound.Send(now)
+			sound.Send(now)
+			if bad.Cost(now) <= sound.Cost(now) {
+				t.Errorf("costs %v, a sound target with two requests in flight %v", bad.Cost(now), sound.Cost(now))
+			}
+			later := now.Add(20 * time.Second)
+			if got, want := bad.Cost(later), bad.Finish(later); got > want*11/10 {
+				t.Errorf("still costs %v after a while, finish %v", got, want)
+			}
+		})
+	}
+}
+
 func BenchmarkSendAnswer(b *testing.B) {
 	var g Group
 	e := g.New(Settings{Slots: 2})
--- a/entryd/pkg/gatherer/lane.go
+++ b/entryd/pkg/gatherer/lane.go
@@ -269,7 +269,7 @@
 // record updates the estimate of the target. l.mu is held.
 func (l *lane) record(r *request, a *target.Answer, err error) {
 	if err != nil {
-		l.gauge.Fail()
+		l.gauge.Fail(l.clock.Now())
 		l.limit.Release(r.permit, limiter.Neutral, 0)
 		if errors.Is(err, exchanger.ErrLost) {
 			l.watch.Lost(l.clock.Now(), r.run)
@@ -295,7 +295,7 @@
 		l.gauge.Answer(now, r.ticket, report)
 		l.heard(now.Sub(r.sent), l.gauge.Service())
 	case target.Status_STATUS_FAILED:
-		l.gauge.Fail()
+		l.gauge.Fail(l.clock.Now())
 	default:
 		l.gauge.Shed(l.clock.Now(), report)
 	}
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -177,19 +177,19 @@
 	gauge := target.Gauge()
 	switch {
 	case err == nil && answer.Status >= 500:
-		gauge.Fail()
+		gauge.Fail(now)
 	case err == nil:
 		gauge.Answer(now, a.ticket, estimator.Report{Incarnation: 1})
 		j.route.Pace().Add(now.Sub(origin), now.Sub(begin), gauge.Service())
 	case errors.Is(err, requester.ErrMisplaced):
 		target.Misplaced()
-		gauge.Fail()
+		gauge.Fail(now)
 	case errors.Is(err, requester.ErrUnrun):
 		gauge.Shed(now, estimator.Report{Incarnation: 1})
 	case errors.Is(err, requester.ErrBusy), errors.Is(err, context.Canceled), ctx.Err() != nil:
 		gauge.Drop()
 	default:
-		gauge.Fail()
+		gauge.Fail(now)
 	}
 }
 
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -78,9 +78,10 @@
 	return path{replica: best}, best != nil
 }
 
-// expected returns when a target would answer one more request.
+// expected returns when a target would answer one more request, the repetition of
+// what it refuses or fails included.
 func (s *selector) expected(r *cataloger.Replica, now time.Time) time.Duration {
-	d := r.Gauge().Finish(now)
+	d := r.Gauge().Cost(now)
 	if r.DataCentre() != s.job.DataCentre {
 		d += s.job.Distance
 	}
