--- a/entryd/pkg/requester/requester.go
+++ b/entryd/pkg/requester/requester.go
@@ -42,8 +42,8 @@
 	// Target is the id of the only target that may run the request.
 	Target   string
 	Deadline time.Time
-	// Goal is the time by which an answer is of most use. It orders the requests
-	// that wait for a connection.
+	// Goal is the last time at which the request can be sent to be answered while
+	// that is of most use. It orders the requests that wait for a connection.
 	Goal time.Time
 	// Gate, if there is one, is entered before the first byte is sent.
 	Gate *Gate
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -135,7 +135,7 @@
 		Body:     j.request.Body,
 		Target:   target.ID(),
 		Deadline: j.request.Deadline,
-		Goal:     j.goal,
+		Goal:     j.goal.Add(-target.Gauge().Service()),
 		Gate:     &a.gate,
 	})
 	now := j.Clock.Now()
