A data centre that is cut off and holds all shards goes on serving; others' targets are left at once

Change: once cut off, replicas and owners of other data centres count as failed; what is in reach is what the own data centre holds; readiness fails only if that does not do for some route over shards.

--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -126,13 +128,13 @@
 	return r.pools[r.state.divider.next(r.GetPools())]
 }
 
-// Reach returns the fraction of the route's pools that have a replica which is
-// neither leaving nor suspected.
-func (r *Route) Reach(now time.Time) float64 {
+// Reach returns the fraction of the route's pools that have a replica in a data
+// centre which is neither leaving nor suspected.
+func (r *Route) Reach(now time.Time, datacentre string) float64 {
 	n := 0
 	for _, p := range r.pools {
 		if slices.ContainsFunc(p.replicas, func(one *Replica) bool {
-			return !one.Leaving(now) && !one.gauge.Suspected()
+			return one.DataCentre() == datacentre && !one.Leaving(now) && !one.gauge.Suspected()
 		}) {
 			n++
 		}
@@ -161,6 +163,9 @@
 // Route returns a route by name, nil if there is none.
 func (c *Catalog) Route(name string) *Route { return c.names[name] }
 
+// Routes returns all routes, in no order.
+func (c *Catalog) Routes() iter.Seq[*Route] { return maps.Values(c.names) }
+
 // Pool returns a pool by name, an empty one if there is none.
 func (c *Catalog) Pool(name string) *Pool {
 	if p := c.pools[name]; p != nil {
--- /dev/null
+++ b/entryd/pkg/scatterer/cut.go
@@ -0,0 +1,63 @@
+package scatterer
+
+import (
+	"time"
+
+	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/tier/gen/peer"
+)
+
+const (
+	// minReach is the fraction of pools without which a route without a floor is
+	// out of reach.
+	minReach = 0.01
+	// patienceShare is the part of the time left that callers wait before they
+	// come back.
+	patienceShare = 0.33
+)
+
+// cut reports whether the daemon is cut off from other data centres.
+func (s *Scatterer) cut() bool { return s.Isolation != nil && s.Isolation.Cut() }
+
+// cutFrom reports whether the daemon is cut off from a data centre.
+func (s *Scatterer) cutFrom(datacentre string) bool {
+	return datacentre != s.DataCentre && s.cut()
+}
+
+// outOfReach reports whether the daemon is cut off from too many of the shards of
+// a route.
+func (s *Scatterer) outOfReach(route *cataloger.Route, now time.Time) bool {
+	return s.cut() && route.Reach(now, s.DataCentre) < max(route.GetFloor(), minReach)
+}
+
+// Helpless reports whether callers are better served elsewhere: the daemon is cut
+// off, and what its own data centre holds does not do for some route over shards.
+// If it does, the data centre goes on serving.
+func (s *Scatterer) Helpless() bool {
+	if !s.cut() {
+		return false
+	}
+	now := s.Clock.Now()
+	for route := range s.Catalogs.Catalog().Routes() {
+		if route.Scattered() && s.outOfReach(route, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuseOutOfReach refuses a request at once if its route is out of reach. The
+// caller is told to come back when the balancer, which asks for readiness, has had
+// time to send it elsewhere.
+func (s *Scatterer) refuseOutOfReach(r *Request, route *cataloger.Route) *Result {
+	now := s.Clock.Now()
+	if !s.outOfReach(route, now) {
+		return nil
+	}
+	return &Result{
+		Outcome:    Refused,
+		Shards:     len(route.Pools()),
+		Reason:     peer.Reason_REASON_UNREACHABLE,
+		RetryAfter: max(time.Duration(patienceShare*float64(r.Deadline.Sub(now))), minRetry),
+	}
+}
--- /dev/null
+++ b/entryd/pkg/scatterer/cut_test.go
@@ -0,0 +1,117 @@
+package scatterer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/requester"
+	"plantaincleat/tier/gen/config"
+)
+
+// isolation tells whether the daemon is cut off.
+type isolation bool
+
+// Cut implements Isolation.
+func (i isolation) Cut() bool { return bool(i) }
+
+// newWorld returns a catalog of ten shards. The first own ones have a replica in
+// the data centre near, and all have one in the data centre far.
+func newWorld(own int) *cataloger.Cataloger {
+	c := cataloger.New(cataloger.Options{
+		Clock:   clockwork.NewFakeClock(),
+		Headers: &requester.Headers{},
+	})
+	route := &config.Route{
+		Name:       "all",
+		Host:       "h",
+		Prefix:     "/",
+		Idempotent: true,
+		Goal:       durationpb.New(100 * time.Millisecond),
+		Attempts:   2,
+		Floor:      0.9,
+	}
+	cfg := &config.Config{
+		Routes: []*config.Route{route},
+	}
+	for i := range 10 {
+		name := fmt.Sprintf("shard-%d", i)
+		route.Shards = append(route.Shards, name)
+		cfg.Pools = append(cfg.Pools, &config.Pool{
+			Name:        name,
+			Connections: 10,
+		})
+		for _, datacentre := range []string{"far", "near"} {
+			if datacentre == "near" && i >= own {
+				continue
+			}
+			cfg.Targets = append(cfg.Targets, &config.Target{
+				Id:         name + datacentre,
+				Address:    "127.0.0.1:1",
+				Datacentre: datacentre,
+				Slots:      2,
+				Pool:       name,
+			})
+		}
+	}
+	c.Adopt(&config.Accepted{
+		Head: &config.Head{
+			Revision: 1,
+		},
+		Config: cfg,
+	})
+	return c
+}
+
+// TestCutOff names the patterns: a data centre is cut off that holds all shards,
+// nearly all, or too few of them.
+func TestCutOff(t *testing.T) {
+	tests := []struct {
+		name     string
+		cut      bool
+		own      int
+		helpless bool
+	}{
+		{name: "not cut off", own: 3},
+		{name: "holds all shards", cut: true, own: 10},
+		{name: "holds as many as an answer needs", cut: true, own: 9},
+		{name: "holds too few", cut: true, own: 8, helpless: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			catalogs := newWorld(test.own)
+			clock := clockwork.NewFakeClock()
+			s := New(Options{
+				Clock:      clock,
+				DataCentre: "near",
+				Catalogs:   catalogs,
+				Isolation:  isolation(test.cut),
+			})
+			if got := s.Helpless(); got != test.helpless {
+				t.Errorf("helpless %v, want %v", got, test.helpless)
+			}
+			r := &Request{
+				Received: clock.Now(),
+				Deadline: clock.Now().Add(time.Second),
+			}
+			route := catalogs.Catalog().Route("all")
+			if refused := s.refuseOutOfReach(r, route) != nil; refused != test.helpless {
+				t.Errorf("refused %v, want %v", refused, test.helpless)
+			}
+			near := 0
+			choose := &selector{job: newRoot(s, r, route)}
+			for unit := range route.Pools() {
+				if p, ok := choose.Choose(unit, nil, clock.Now()); ok && p.replica.DataCentre() == "near" {
+					near++
+				}
+			}
+			if test.cut && near != test.own {
+				t.Errorf("%d of %d shards are asked in the own data centre", near, test.own)
+			}
+		})
+	}
+}
--- a/entryd/pkg/scatterer/owner.go
+++ b/entryd/pkg/scatterer/owner.go
@@ -32,8 +32,9 @@
 // acknowledges each request at once and replies by the goal, whatever its
 // targets do. It is safe for concurrent use.
 type owner struct {
-	id      string
-	address string
+	id         string
+	address    string
+	datacentre string
 	// acks learns the time to an acknowledgement.
 	acks *estimator.Estimator
 
@@ -107,8 +108,9 @@
 		o.all = make(map[string]*owner)
 	}
 	one = &owner{
-		id:      d.ID,
-		address: d.Address,
+		id:         d.ID,
+		address:    d.Address,
+		datacentre: d.DataCentre,
 		acks: o.group.New(estimator.Settings{
 			Slots: ownerSlots,
 		}),
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -195,7 +195,7 @@
 func (s *Scatterer) Serve(ctx context.Context, r *Request, route *cataloger.Route) *Result {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if res := s.outOfReach(r, route); res != nil {
+	if res := s.refuseOutOfReach(r, route); res != nil {
 		return res
 	}
 	if res := s.overloaded(r, route); res != nil {
@@ -209,34 +209,6 @@
 	return j.result(ctx)
 }
 
-// outOfReach refuses a request at once if the daemon is cut off from too many of
-// its shards. The caller is told to come back when the balancer, which asks for
-// readiness, has had time to send it elsewhere.
-func (s *Scatterer) outOfReach(r *Request, route *cataloger.Route) *Result {
-	if s.Isolation == nil || !s.Isolation.Cut() {
-		return nil
-	}
-	now := s.Clock.Now()
-	if route.Reach(now) >= max(route.GetFloor(), minReach) {
-		return nil
-	}
-	return &Result{
-		Outcome:    Refused,
-		Shards:     len(route.Pools()),
-		Reason:     peer.Reason_REASON_UNREACHABLE,
-		RetryAfter: max(time.Duration(patienceShare*float64(r.Deadline.Sub(now))), minRetry),
-	}
-}
-
-const (
-	// minReach is the fraction of pools without which a route without a floor is
-	// out of reach.
-	minReach = 0.01
-	// patienceShare is the part of the time left that callers wait before they
-	// come back.
-	patienceShare = 0.33
-)
-
 // unrun reports whether an attempt that ended with err certainly did not run.
 func unrun(err error) bool {
 	return errors.Is(err, requester.ErrUnsent) || errors.Is(err, requester.ErrBusy) ||
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -39,7 +39,7 @@
 			return path{}, false
 		}
 		p := path{owner: j.owners.get(d)}
-		if slices.Contains(tried, p) {
+		if slices.Contains(tried, p) || j.cutFrom(d.DataCentre) {
 			continue
 		}
 		if !p.owner.failed() {
@@ -61,7 +61,7 @@
 		if slices.Contains(tried, path{replica: r}) || r.Leaving(now) {
 			continue
 		}
-		if r.Vanished() {
+		if r.Vanished() || s.job.cutFrom(r.DataCentre()) {
 			last = r
 			continue
 		}
@@ -117,9 +117,9 @@
 // Failed implements router.Chooser.
 func (s *selector) Failed(p path, _ time.Time) bool {
 	if p.owner != nil {
-		return p.owner.failed()
+		return p.owner.failed() || s.job.cutFrom(p.owner.datacentre)
 	}
-	return p.replica.Gone() || p.replica.Gauge().Suspected()
+	return p.replica.Gone() || p.replica.Gauge().Suspected() || s.job.cutFrom(p.replica.DataCentre())
 }
 
 // purse charges extra sub-requests to the budget of their pool.
--- a/prover/pkg/soaker/caller.go
+++ b/prover/pkg/soaker/caller.go
@@ -89,13 +89,22 @@
 
 // call sends one request, on a new connection if there is none.
 func (c *caller) call() *call {
+	if c.conn == nil {
+		c.daemon = c.soak.pick(c.random)
+	}
+	return c.callTo(c.daemon, c.route())
+}
+
+// callTo sends one request to the daemon that the caller is connected to, or
+// connects to it first.
+func (c *caller) callTo(d *daemon, route string) *call {
 	c.sent++
+	c.daemon = d
 	one := &call{
 		id:    fmt.Sprintf("s%d-c%d-%d", c.soak.seed, c.number, c.sent),
-		route: c.route(),
+		route: route,
 	}
 	if c.conn == nil {
-		c.daemon = c.soak.pick(c.random)
 		conn, err := net.DialTimeout("tcp", c.daemon.link, dialTimeout)
 		if err != nil {
 			one.err = err
--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -256,10 +256,15 @@
 // zoneCut cuts a data centre's daemons off from the others.
 func (s *Soak) zoneCut(r *rand.Rand, lasts time.Duration) {
 	defer s.ledger.disrupted(s.all()...)()
-	zone := r.IntN(len(zones))
 	action := []relayer.Action{relayer.Cut, relayer.Reset}[r.IntN(2)]
+	defer s.fleet.disrupt(s.fleet.zoneRules(r.IntN(len(zones)), action)...)()
+	time.Sleep(lasts)
+}
+
+// zoneRules cut a data centre off from the others. The store stays in reach.
+func (f *fleet) zoneRules(zone int, action relayer.Action) []relayer.Rule {
 	var rules []relayer.Rule
-	for _, d := range s.fleet.daemons {
+	for _, d := range f.daemons {
 		for from := range zones {
 			if own := d.number % len(zones); own != from && (own == zone || from == zone) {
 				rules = append(rules, relayer.Rule{
@@ -270,7 +275,7 @@
 			}
 		}
 	}
-	for _, t := range s.fleet.world.All() {
+	for _, t := range f.world.All() {
 		for from, name := range zones {
 			if t.Zone != name && (t.Zone == zones[zone] || from == zone) {
 				rules = append(rules, relayer.Rule{
@@ -281,8 +286,7 @@
 			}
 		}
 	}
-	defer s.fleet.disrupt(rules...)()
-	time.Sleep(lasts)
+	return rules
 }
 
 func (s *Soak) compact(_ *rand.Rand, _ time.Duration) { s.fleet.world.Store().Memory().Compact() }
--- a/prover/pkg/soaker/fleet.go
+++ b/prover/pkg/soaker/fleet.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	shards   = 12
+	shards = 12
+	// replicas is the number of targets of each shard, in as many data centres.
 	replicas = 2
 	// grace is what daemons are given to stop, and graceSlack what they may
 	// need beyond it on a busy host.
@@ -75,8 +76,9 @@
 	ready       atomic.Bool
 }
 
-// newFleet starts the world, the links and n daemons.
-func newFleet(program, directory string, n int) (*fleet, error) {
+// newFleet starts a world with some replicas of each shard, the links and n
+// daemons.
+func newFleet(program, directory string, n, replicas int) (*fleet, error) {
 	f := &fleet{
 		program:   program,
 		directory: directory,
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -69,7 +69,7 @@
 		options: o,
 		seed:    o.Seed,
 	}
-	if s.fleet, err = newFleet(o.Program, o.Directory, o.Daemons); err != nil {
+	if s.fleet, err = newFleet(o.Program, o.Directory, o.Daemons, replicas); err != nil {
 		return nil, nil, err
 	}
 	defer s.fleet.close()
