--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -85,8 +85,10 @@
 	for name, b := range c.budgets {
 		b.divide(c.options.Extra, c.part(name))
 	}
-	if c.accepted != nil {
-		c.build()
+	for _, p := range c.Catalog().pools {
+		for _, r := range p.replicas {
+			c.limit(r.Target, p)
+		}
 	}
 }
 
@@ -231,10 +233,15 @@
 		}
 		c.targets[k] = known
 	}
-	known.link.SetShare(min(max(c.share(p), 1), reachFactor*known.slots))
+	c.limit(known, p)
 	return known
 }
 
+// limit sets the number of connections to a target of a pool.
+func (c *Cataloger) limit(t *Target, p *Pool) {
+	t.link.SetShare(min(max(c.share(p), 1), reachFactor*t.slots))
+}
+
 // share returns the number of connections to each target of a pool that this
 // daemon may open.
 func (c *Cataloger) share(p *Pool) int {
--- a/tier/pkg/encoder/encoder.go
+++ b/tier/pkg/encoder/encoder.go
@@ -7,11 +7,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
 	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/pkg/hasher"
 )
 
 // ValueLimit is the size in bytes of the largest value that can be stored.
@@ -37,11 +39,8 @@
 // Encode returns the parts of a configuration in the order in which Decode
 // needs them.
 func Encode(cfg *config.Config) ([]Part, error) {
-	sections := []section{
-		{
-			field:   "targets",
-			content: &config.Config{Targets: cfg.GetTargets()},
-		},
+	sections := targetSections(cfg.GetTargets())
+	sections = append(sections, []section{
 		{
 			field:   "institutions",
 			content: &config.Config{Institutions: cfg.GetInstitutions()},
@@ -50,7 +49,7 @@
 			field:   "policy",
 			content: &config.Config{Policy: cfg.GetPolicy()},
 		},
-	}
+	}...)
 	if len(cfg.GetRoutes()) > 0 || len(cfg.GetPools()) > 0 || cfg.GetLimits() != nil {
 		sections = append(sections, section{
 			field: "routes",
@@ -81,6 +80,46 @@
 	return parts, nil
 }
 
+const (
+	// meanTargets is the mean number of targets in a part, and maxTargets the most.
+	meanTargets = 16
+	maxTargets  = 64
+)
+
+// targetSections returns the targets in one section, or in several if there are
+// targets of pools: those announce themselves and change by the hour. The sections
+// end at targets that are picked by their ids, so that a target which comes or goes
+// changes one or two of them.
+func targetSections(targets []*config.Target) []section {
+	var out []section
+	pooled := slices.ContainsFunc(targets, func(t *config.Target) bool { return t.GetPool() != "" })
+	begin := 0
+	for i, t := range targets {
+		if !pooled || i+1 == len(targets) {
+			break
+		}
+		if hasher.Strings("part", t.GetId())%meanTargets != 0 && i+1-begin < maxTargets {
+			continue
+		}
+		out = append(out, newTargetSection(len(out), targets[begin:i+1]))
+		begin = i + 1
+	}
+	return append(out, newTargetSection(len(out), targets[begin:]))
+}
+
+func newTargetSection(n int, targets []*config.Target) section {
+	field := "targets"
+	if n > 0 {
+		field = fmt.Sprintf("targets[%d]", n)
+	}
+	return section{
+		field: field,
+		content: &config.Config{
+			Targets: targets,
+		},
+	}
+}
+
 func newPart(field string, content *config.Config) (Part, error) {
 	value, err := marshal(content)
 	if err != nil {
--- a/tier/pkg/encoder/encoder_test.go
+++ b/tier/pkg/encoder/encoder_test.go
@@ -1,6 +1,9 @@
 package encoder
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
@@ -110,3 +113,62 @@
 		})
 	}
 }
+
+// TestTargetsOfPoolsInParts names the pattern: in a large deployment, targets that
+// announce themselves come and go one by one, and every daemon takes each change.
+func TestTargetsOfPoolsInParts(t *testing.T) {
+	const (
+		targets = 675
+		// limit is the part of all bytes that one change may cost, names included.
+		limit = 0.2
+	)
+	cfg := &config.Config{}
+	for i := range targets {
+		cfg.Targets = append(cfg.Targets, &config.Target{
+			Id:         fmt.Sprintf("i-%08x", i*2654435761%(1<<32)),
+			Address:    fmt.Sprintf("10.1.%d.%d:8144", i/250, i%250),
+			Datacentre: "dc-1",
+			Slots:      2,
+			Pool:       fmt.Sprintf("shard-%d", i/3),
+			Started:    1_700_000_000_000 + int64(i),
+		})
+	}
+	slices.SortFunc(cfg.Targets, func(a, b *config.Target) int { return cmp.Compare(a.Id, b.Id) })
+	changes := []struct {
+		name   string
+		change func(c *config.Config)
+	}{
+		{name: "one has gone", change: func(c *config.Config) { c.Targets = slices.Delete(c.Targets, 300, 301) }},
+		{name: "one is leaving", change: func(c *config.Config) { c.Targets[400].Leaving = true }},
+		{name: "one has come", change: func(c *config.Config) {
+			c.Targets = slices.Insert(c.Targets, 100, &config.Target{Id: c.Targets[99].Id + "a", Pool: "shard-1"})
+		}},
+		{name: "nothing", change: func(*config.Config) {}},
+	}
+	for _, test := range changes {
+		t.Run(test.name, func(t *testing.T) {
+			own, err := NewParts(cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			changed := proto.CloneOf(cfg)
+			test.change(changed)
+			next, err := NewParts(changed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			parts, values := next.Export(own.Stamps())
+			got, err := own.Import(parts, values)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !proto.Equal(got, changed) {
+				t.Error("the configuration that another daemon puts together differs")
+			}
+			sent, all := proto.Size(&config.Accepted{Parts: parts, Values: values}), proto.Size(changed)
+			if float64(sent) > limit*float64(all) {
+				t.Errorf("%d bytes are sent for one change of %d", sent, all)
+			}
+		})
+	}
+}
