--- a/entryd/pkg/commander/commander.go
+++ b/entryd/pkg/commander/commander.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -16,44 +15,15 @@
 
 	"plantaincleat/entryd/pkg/starter"
 	"plantaincleat/tier/gen/settings"
+	"plantaincleat/tier/pkg/exiter"
 	"plantaincleat/tier/pkg/loader"
 	"plantaincleat/tier/pkg/logger"
 	"plantaincleat/tier/pkg/tracer"
 )
 
-// Exit codes.
-const (
-	exitOK     = 0
-	exitFailed = 1
-	exitUsage  = 2
-	// exitCut reports that a stop cut requests that were running.
-	exitCut = 3
-)
-
-var errCut = errors.New("running requests were cut")
-
-// usageError is a fault of the command line.
-type usageError struct{ error }
-
 // Run executes the command line and returns the exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
-	cmd := newRoot(stderr)
-	cmd.SetArgs(args)
-	cmd.SetOut(stdout)
-	cmd.SetErr(stderr)
-	err := cmd.Execute()
-	var usage usageError
-	switch {
-	case err == nil:
-		return exitOK
-	case errors.Is(err, errCut):
-		return exitCut
-	case errors.As(err, &usage):
-		_, _ = fmt.Fprintln(stderr, "entryd:", err)
-		return exitUsage
-	}
-	_, _ = fmt.Fprintln(stderr, "entryd:", err)
-	return exitFailed
+	return exiter.Run(newRoot(stderr), args, stdout, stderr)
 }
 
 func newRoot(stderr io.Writer) *cobra.Command {
@@ -66,15 +36,13 @@
 and as a gatherer for other daemons.
 
 SIGTERM or SIGINT stops gracefully; a second one stops at once.
-Exit codes: 0 stopped, 1 failed, 2 wrong usage, 3 a stop cut running requests.`,
+` + exiter.Help,
 		Example: `  entryd --settings /etc/plantaincleat/entryd.json
   entryd --settings entryd.json --check`,
-		Args:          cobra.NoArgs,
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			if file == "" {
-				return usageError{errors.New("--settings is missing")}
+				return exiter.Misused(errors.New("--settings is missing"))
 			}
 			cfg, err := loader.LoadSettings(file)
 			if err != nil || check {
@@ -83,7 +51,6 @@
 			return serve(cfg, stderr)
 		},
 	}
-	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	cmd.Flags().StringVar(&file, "settings", "", "settings `file`, JSON with comments")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	return cmd
@@ -117,7 +84,7 @@
 		cancel()
 	}()
 	if d.Stop(ctx) > 0 {
-		return errCut
+		return exiter.ErrCut
 	}
 	return nil
 }
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -46,7 +46,9 @@
 	a.acknowledged = true
 	a.accept = func() {
 		// If it does not get through, the call has failed, and receive tells so.
-		_ = stream.Send(&peer.ScatterRequest{Accepted: true})
+		_ = stream.Send(&peer.ScatterRequest{
+			Accepted: true,
+		})
 	}
 	j.report(event{
 		attempt:      a,
@@ -172,7 +174,10 @@
 	if err != nil {
 		return
 	}
-	if stream.Send(&peer.ScatterRequest{Sent: begin.UnixMilli()}) != nil {
+	err = stream.Send(&peer.ScatterRequest{
+		Sent: begin.UnixMilli(),
+	})
+	if err != nil {
 		return
 	}
 	if _, err = stream.Header(); err != nil {
--- a/entryd/pkg/server/server.go
+++ b/entryd/pkg/server/server.go
@@ -68,6 +68,19 @@
 	})
 }
 
+// Drain lets s take no more calls and waits for those that run, until ctx ends.
+func Drain(ctx context.Context, s *grpc.Server) {
+	drained := make(chan struct{})
+	go func() {
+		s.GracefulStop()
+		close(drained)
+	}()
+	select {
+	case <-drained:
+	case <-ctx.Done():
+	}
+}
+
 func unoffered(step string) error { return status.Error(codes.Unimplemented, step+": not offered") }
 
 // Gather implements peer.PeerServer.
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -278,16 +278,8 @@
 
 // end closes every listener and connection.
 func (d *Daemon) end(ctx context.Context) {
-	stopped := make(chan struct{})
-	go func() {
-		d.peers.GracefulStop()
-		close(stopped)
-	}()
-	select {
-	case <-stopped:
-	case <-ctx.Done():
-		d.peers.Stop()
-	}
+	server.Drain(ctx, d.peers)
+	d.peers.Stop()
 	d.keeper.Close()
 	d.cancel()
 	_ = d.adminS.Close()
--- /dev/null
+++ b/tier/pkg/exiter/exiter_test.go
@@ -0,0 +1,37 @@
+package exiter
+
+import (
+	"bytes"
+	"errors"
+	"testing"
+
+	"github.com/spf13/cobra"
+)
+
+func TestExitCodes(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		err  error
+		want int
+		text string
+	}{
+		{name: "stopped", want: OK},
+		{name: "failed", err: errors.New("no luck"), want: Failed, text: "some: no luck\n"},
+		{name: "misused", err: Misused(errors.New("no file")), want: Usage, text: "some: no file\n"},
+		{name: "unknown flag", args: []string{"--no"}, want: Usage, text: "some: unknown flag: --no\n"},
+		{name: "cut", err: ErrCut, want: Cut, text: "some: running requests were cut\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			cmd := &cobra.Command{
+				Use:  "some",
+				RunE: func(*cobra.Command, []string) error { return test.err },
+			}
+			var out, text bytes.Buffer
+			if got := Run(cmd, test.args, &out, &text); got != test.want || text.String() != test.text {
+				t.Errorf("code %d, %q, want %d, %q", got, text.String(), test.want, test.text)
+			}
+		})
+	}
+}
