The mutant of a split file is where its code now stands

TestSearchMutants/query named gatherer/job.go, whose judging code moved to outcome.go with the split; the mutant is the same. A comment of the soak names the right field.

--- a/prover/pkg/prover/search_test.go
+++ b/prover/pkg/prover/search_test.go
@@ -170,7 +170,7 @@
 		{
 			name: "query",
 			mutants: []deployer.Mutant{{
-				File: "entryd/pkg/gatherer/job.go",
+				File: "entryd/pkg/gatherer/outcome.go",
 				Old:  "(a.GetQuery() != 0 && a.GetQuery() != j.digest)",
 				New:  "(false && a.GetQuery() != j.digest)",
 			}},
--- a/prover/pkg/soaker/prober.go
+++ b/prover/pkg/soaker/prober.go
@@ -16,7 +16,7 @@
 	sent   int
 	// incarnation is the start of the daemon that seen belongs to.
 	incarnation int64
-	// seen is the last version that was in force, and settled the last one that
+	// seen is the last version that was in force, and checked the last one that
 	// was checked to be in force in time.
 	seen    int64
 	checked int64
