Read-through: what stood twice is one; untraced requests carry no trace

- router.Answer and Partial share how answered units are taken in; the longest Retry-After of refusals is one function; kills of the soak are one function, and its seed is that of its options.
- A request that is not sampled sent its traceparent to every owner, 57 bytes each, and each owner started a span of it.
Neither is done any more; sampled ones record the same spans (TestSpans).
- The loop that cuts targets into parts says what it does; same parts.
- Ids in benchmarks are target-NNNNNN, as long as before.

--- a/entryd/pkg/coordinator/bench_test.go
+++ b/entryd/pkg/coordinator/bench_test.go
@@ -132,8 +132,8 @@
 	}
 	for i := range shards * benchTargets / 3 {
 		t := &config.Target{
-			Id:          fmt.Sprintf("searcher-%04d", i),
-			Address:     fmt.Sprintf("searcher-%04d", i),
+			Id:          fmt.Sprintf("target-%06d", i),
+			Address:     fmt.Sprintf("target-%06d", i),
 			Datacentre:  dataCentre(i),
 			Slots:       2,
 			Connections: 25,
--- a/entryd/pkg/exchanger/bench_test.go
+++ b/entryd/pkg/exchanger/bench_test.go
@@ -40,7 +40,7 @@
 func answer(c *target.Call) *target.Answer {
 	out := &target.Answer{
 		Nonce:       c.GetNonce(),
-		Target:      "searcher-0001",
+		Target:      "target-000001",
 		Incarnation: 1,
 		Snapshot:    c.GetSearch().GetSnapshot(),
 		Shard:       c.GetSearch().GetShard(),
--- a/entryd/pkg/gatherer/bench_test.go
+++ b/entryd/pkg/gatherer/bench_test.go
@@ -116,8 +116,8 @@
 		}
 		for r := range 2 {
 			t := &config.Target{
-				Id:      fmt.Sprintf("searcher-%04d-%d", i, r),
-				Address: fmt.Sprintf("searcher-%04d-%d", i, r),
+				Id:      fmt.Sprintf("target-%06d-%d", i, r),
+				Address: fmt.Sprintf("target-%06d-%d", i, r),
 				Slots:   8,
 			}
 			cfg.Targets = append(cfg.Targets, t)
@@ -209,7 +209,7 @@
 		if attempts {
 			p.Attempts = append(p.Attempts, &peer.Attempt{
 				Shard:  shard,
-				Target: fmt.Sprintf("searcher-%04d", i),
+				Target: fmt.Sprintf("target-%06d", i),
 				Status: target.Status_STATUS_DONE,
 				Start:  100,
 				Sent:   200,
--- a/entryd/pkg/router/partial.go
+++ b/entryd/pkg/router/partial.go
@@ -6,6 +6,18 @@
 // waiting for it.
 func (q *Query[P]) Partial(nonce uint64, covered []int, now time.Time) []Action[P] {
 	q.out = nil
+	a := q.answered(nonce, covered)
+	if a == nil {
+		return nil
+	}
+	q.drop(a)
+	q.settle(now)
+	return q.out
+}
+
+// answered covers the units that an attempt has answered and returns the attempt,
+// nil if it is not live any more.
+func (q *Query[P]) answered(nonce uint64, covered []int) *attempt[P] {
 	a, ok := q.attempts[nonce]
 	if !ok || q.done {
 		q.late++
@@ -16,9 +28,7 @@
 			q.cover(a, u)
 		}
 	}
-	q.drop(a)
-	q.settle(now)
-	return q.out
+	return a
 }
 
 // Accept records that the path of an attempt has taken its units over, and may
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -170,16 +170,10 @@
 // and otherwise ignored.
 func (q *Query[P]) Answer(nonce uint64, covered []int, lacks []Lack, last bool, now time.Time) []Action[P] {
 	q.out = nil
-	a, ok := q.attempts[nonce]
-	if !ok || q.done {
-		q.late++
+	a := q.answered(nonce, covered)
+	if a == nil {
 		return nil
 	}
-	for _, u := range covered {
-		if q.waiting(u, a) {
-			q.cover(a, u)
-		}
-	}
 	var again []int
 	for _, l := range lacks {
 		if q.waiting(l.Unit, a) && q.lack(a, l) {
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
@@ -102,8 +103,12 @@
 // run serves the request until all units are answered or closed, or until the
 // other daemon wants no more.
 func (c *collector) run(stream peer.Peer_ScatterServer) error {
-	ctx, span := tracer.Start(tracer.Extract(stream.Context(), c.in.GetTrace()), "scatter", attribute.String("id", c.in.GetId()))
-	defer span.End()
+	ctx := stream.Context()
+	if c.in.GetTrace() != "" {
+		var span trace.Span
+		ctx, span = tracer.Start(tracer.Extract(ctx, c.in.GetTrace()), "scatter", attribute.String("id", c.in.GetId()))
+		defer span.End()
+	}
 	c.begin(ctx)
 	defer c.leave()
 	go c.listen(stream, c.accepted)
--- a/entryd/pkg/scatterer/cut.go
+++ b/entryd/pkg/scatterer/cut.go
@@ -7,14 +7,9 @@
 	"plantaincleat/tier/gen/peer"
 )
 
-const (
-	// minReach is the fraction of pools without which a route without a floor is
-	// out of reach.
-	minReach = 0.01
-	// patienceShare is the part of the time left that callers wait before they
-	// come back.
-	patienceShare = 0.33
-)
+// minReach is the fraction of pools without which a route without a floor is out
+// of reach.
+const minReach = 0.01
 
 // cut reports whether the daemon is cut off from other data centres.
 func (s *Scatterer) cut() bool { return s.Isolation != nil && s.Isolation.Cut() }
@@ -58,6 +53,6 @@
 		Outcome:    Refused,
 		Shards:     len(route.Pools()),
 		Reason:     peer.Reason_REASON_UNREACHABLE,
-		RetryAfter: max(time.Duration(patienceShare*float64(r.Deadline.Sub(now))), minRetry),
+		RetryAfter: r.longestRetry(now),
 	}
 }
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -126,7 +126,9 @@
 		Left:     j.request.Deadline.Sub(now).Microseconds(),
 		Goal:     (j.goal.Sub(now) - returnTime).Microseconds(),
 		Sent:     now.UnixMilli(),
-		Trace:    tracer.Inject(j.ctx),
+	}
+	if tracer.Sampled(j.ctx) {
+		in.Trace = tracer.Inject(j.ctx)
 	}
 	for name, values := range j.request.Header {
 		for _, v := range values {
--- a/entryd/pkg/scatterer/forecast.go
+++ b/entryd/pkg/scatterer/forecast.go
@@ -56,12 +56,11 @@
 	if ok {
 		return nil
 	}
-	limit := time.Duration(patienceShare * float64(r.Deadline.Sub(now)))
 	return &Result{
 		Outcome:    Refused,
 		Shards:     len(route.Pools()),
 		Reason:     peer.Reason_REASON_SHED,
-		RetryAfter: min(max(wait, minRetry), max(limit, minRetry)),
+		RetryAfter: min(max(wait, minRetry), r.longestRetry(now)),
 	}
 }
 
--- a/entryd/pkg/scatterer/result.go
+++ b/entryd/pkg/scatterer/result.go
@@ -17,8 +17,17 @@
 	// don't return together.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 300 * time.Millisecond
+	// patienceShare is the part of the time left that callers wait before they
+	// come back.
+	patienceShare = 0.33
 )
 
+// longestRetry returns the longest time that the caller of a refused request would
+// wait before it sends it again.
+func (r *Request) longestRetry(now time.Time) time.Duration {
+	return max(time.Duration(patienceShare*float64(r.Deadline.Sub(now))), minRetry)
+}
+
 // result returns how the request ended.
 func (j *job) result(ctx context.Context) *Result {
 	res := &Result{
--- a/prover/pkg/soaker/caller.go
+++ b/prover/pkg/soaker/caller.go
@@ -101,7 +101,7 @@
 	c.sent++
 	c.daemon = d
 	one := &call{
-		id:    fmt.Sprintf("s%d-c%d-%d", c.soak.seed, c.number, c.sent),
+		id:    fmt.Sprintf("s%d-c%d-%d", c.soak.options.Seed, c.number, c.sent),
 		route: route,
 	}
 	if c.conn == nil {
--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -97,27 +97,26 @@
 }
 
 func (s *Soak) kill(r *rand.Rand, lasts time.Duration) {
-	d := s.anyDaemon(r)
-	s.hold(d, func(p *deployer.Process) {
-		d.up.Store(false)
-		p.Kill()
-		time.Sleep(lasts)
-		s.restart(d)
-	})
+	s.killOne(s.anyDaemon(r), lasts)
 }
 
 func (s *Soak) killAll(_ *rand.Rand, lasts time.Duration) {
 	for _, d := range s.fleet.daemons {
-		go s.hold(d, func(p *deployer.Process) {
-			d.up.Store(false)
-			p.Kill()
-			time.Sleep(lasts)
-			s.restart(d)
-		})
+		go s.killOne(d, lasts)
 	}
 	time.Sleep(lasts)
 }
 
+// killOne kills a daemon and starts it again after a while.
+func (s *Soak) killOne(d *daemon, lasts time.Duration) {
+	s.hold(d, func(p *deployer.Process) {
+		d.up.Store(false)
+		p.Kill()
+		time.Sleep(lasts)
+		s.restart(d)
+	})
+}
+
 func (s *Soak) stop(r *rand.Rand, _ time.Duration) {
 	d := s.anyDaemon(r)
 	s.hold(d, func(p *deployer.Process) { s.stopProcess(d, p) })
--- a/prover/pkg/soaker/ledger.go
+++ b/prover/pkg/soaker/ledger.go
@@ -5,13 +5,10 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"plantaincleat/standin/pkg/platformer"
-	"plantaincleat/standin/pkg/responder"
 )
 
 const (
@@ -221,54 +218,29 @@
 // merged checks an answer over all shards: distinct shards, the count of those
 // that are missing, and the greatest records of its parts.
 func merged(w *platformer.World, c *call) error {
-	missing, err := strconv.Atoi(c.header.Get("Missing-Parts"))
+	services, missing, err := w.Verify(c.id, c.header, c.body, top)
 	if err != nil {
 		return err
 	}
-	seen := make(map[string]bool)
 	sets := make(map[string]int)
-	var records [][]byte
-	for s := range strings.SplitSeq(c.header.Get("Part-Signatures"), ", ") {
-		t := signer(w, s, c.id)
-		if t == nil {
-			return fmt.Errorf("signature %q is no target's for this request", s)
-		}
-		sets[t.Service[:len(t.Service)-2]]++
-		if seen[t.Service] {
-			return fmt.Errorf("two parts of %s", t.Service)
-		}
-		seen[t.Service] = true
-		records = append(records, slices.Collect(slices.Chunk(t.Records(), responder.RecordWidth))...)
+	for _, service := range services {
+		sets[service[:len(service)-2]]++
 	}
 	all := shards
 	if sets[laterPrefix] > 0 {
 		all = laterShards
 	}
-	if len(sets) != 1 || sets[firstPrefix]+sets[laterPrefix] != len(seen) {
+	if len(sets) != 1 || sets[firstPrefix]+sets[laterPrefix] != len(services) {
 		return fmt.Errorf("parts of sets %v, want one set of shards", sets)
 	}
-	if float64(len(seen)) < floor*float64(all) || len(seen)+missing != all {
-		return fmt.Errorf("%d parts and %d missing of %d", len(seen), missing, all)
-	}
-	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	if want := slices.Concat(records[:top]...); !bytes.Equal(c.body, want) {
-		return fmt.Errorf("%d bytes are not the greatest records of the parts", len(c.body))
+	if float64(len(services)) < floor*float64(all) || len(services)+missing != all {
+		return fmt.Errorf("%d parts and %d missing of %d", len(services), missing, all)
 	}
 	return nil
 }
 
 // single reports whether an answer is one target's own.
 func single(w *platformer.World, c *call) bool {
-	t := signer(w, c.header.Get("Response-Signature"), c.id)
+	t := w.Signer(c.header.Get("Response-Signature"), c.id)
 	return t != nil && bytes.Equal(c.body, t.Records())
 }
-
-// signer returns the target whose signature for a request s is.
-func signer(w *platformer.World, s, request string) *platformer.Target {
-	for _, t := range w.All() {
-		if t.Signature(request) == s {
-			return t
-		}
-	}
-	return nil
-}
--- a/prover/pkg/soaker/prober.go
+++ b/prover/pkg/soaker/prober.go
@@ -60,7 +60,7 @@
 		return 0
 	}
 	req.Host = platformer.Host
-	req.Header.Set("Request-Id", fmt.Sprintf("s%d-p%d-%d", p.soak.seed, p.daemon.number, p.sent))
+	req.Header.Set("Request-Id", fmt.Sprintf("s%d-p%d-%d", p.soak.options.Seed, p.daemon.number, p.sent))
 	req.Header.Set("Request-Deadline", fmt.Sprint(patience.Milliseconds()))
 	resp, err := p.client.Do(req)
 	if err != nil {
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -53,7 +53,6 @@
 // Soak is one run.
 type Soak struct {
 	options   Options
-	seed      uint64
 	fleet     *fleet
 	ledger    ledger
 	storeBusy sync.Mutex
@@ -73,7 +72,6 @@
 func Run(o Options) (findings, story []string, err error) {
 	s := &Soak{
 		options: o,
-		seed:    o.Seed,
 	}
 	if s.fleet, err = newFleet(o.Program, o.Directory, o.Daemons, replicas); err != nil {
 		return nil, nil, err
@@ -104,7 +102,7 @@
 		c := &caller{
 			soak:   s,
 			number: i,
-			random: rand.New(rand.NewPCG(s.seed, uint64(i))),
+			random: rand.New(rand.NewPCG(s.options.Seed, uint64(i))),
 		}
 		wg.Go(func() { c.run(stop) })
 	}
@@ -122,7 +120,7 @@
 
 // disrupt starts disruptions by the seed and waits until all are over.
 func (s *Soak) disrupt() {
-	r := rand.New(rand.NewPCG(s.seed, s.seed))
+	r := rand.New(rand.NewPCG(s.options.Seed, s.options.Seed))
 	kinds := cmp.Or(s.options.Kinds, len(faults))
 	begin := time.Now()
 	var wg sync.WaitGroup
@@ -130,7 +128,7 @@
 		time.Sleep(time.Duration(r.ExpFloat64() * float64(s.options.Gap)))
 		one := faults[r.IntN(kinds)]
 		lasts := minFault + time.Duration(r.Int64N(int64(maxFault-minFault)))
-		own := rand.New(rand.NewPCG(r.Uint64(), s.seed))
+		own := rand.New(rand.NewPCG(r.Uint64(), s.options.Seed))
 		s.story = append(s.story, fmt.Sprintf("%v %s for %v", time.Since(begin).Round(time.Millisecond), one.name, lasts.Round(time.Millisecond)))
 		wg.Go(func() { one.run(s, own, lasts) })
 	}
@@ -265,7 +263,7 @@
 		s.ledger.find("%d requests were sent to %s, which has been leaving for %v", after-before, leaving.ID(), drained)
 	}
 	begin := time.Now()
-	d := s.fleet.daemons[int(s.seed)%len(s.fleet.daemons)]
+	d := s.fleet.daemons[int(s.options.Seed)%len(s.fleet.daemons)]
 	s.hold(d, func(p *deployer.Process) { s.stopProcess(d, p) })
 	for _, c := range s.ledger.last(begin) {
 		if c.status == 0 && c.daemon == d.number && s.ran(c.id) {
--- a/tier/pkg/encoder/bench_test.go
+++ b/tier/pkg/encoder/bench_test.go
@@ -25,7 +25,7 @@
 	cfg := &config.Config{}
 	for i := range benchTargets {
 		cfg.Targets = append(cfg.Targets, &config.Target{
-			Id:          fmt.Sprintf("searcher-%04d", i),
+			Id:          fmt.Sprintf("target-%06d", i),
 			Address:     fmt.Sprintf("10.%d.%d.%d:7000", i%7, i/250, i%250),
 			Datacentre:  fmt.Sprintf("dc%d", i%7),
 			Slots:       2,
@@ -55,7 +55,7 @@
 			To:   fmt.Sprintf("%08x", (i+1)*6049000),
 		}
 		for r := range benchReplicas {
-			shard.Replicas = append(shard.Replicas, fmt.Sprintf("searcher-%04d", (i*benchReplicas+r+c)%benchTargets))
+			shard.Replicas = append(shard.Replicas, fmt.Sprintf("target-%06d", (i*benchReplicas+r+c)%benchTargets))
 		}
 		out.Shards = append(out.Shards, shard)
 	}
--- a/tier/pkg/encoder/encoder.go
+++ b/tier/pkg/encoder/encoder.go
@@ -91,20 +91,21 @@
 // end at targets that are picked by their ids, so that a target which comes or goes
 // changes one or two of them.
 func targetSections(targets []*config.Target) []section {
-	var out []section
 	pooled := slices.ContainsFunc(targets, func(t *config.Target) bool { return t.GetPool() != "" })
+	if !pooled {
+		return []section{newTargetSection(0, targets)}
+	}
+	var out []section
 	begin := 0
 	for i, t := range targets {
-		if !pooled || i+1 == len(targets) {
-			break
-		}
-		if hasher.Strings("part", t.GetId())%meanTargets != 0 && i+1-begin < maxTargets {
-			continue
+		n := i + 1 - begin
+		picked := n >= maxTargets || hasher.Strings("part", t.GetId())%meanTargets == 0
+		if picked || i+1 == len(targets) {
+			out = append(out, newTargetSection(len(out), targets[begin:i+1]))
+			begin = i + 1
 		}
-		out = append(out, newTargetSection(len(out), targets[begin:i+1]))
-		begin = i + 1
 	}
-	return append(out, newTargetSection(len(out), targets[begin:]))
+	return out
 }
 
 func newTargetSection(n int, targets []*config.Target) section {
--- a/tier/pkg/indexer/bench_test.go
+++ b/tier/pkg/indexer/bench_test.go
@@ -33,7 +33,7 @@
 	cfg := &config.Config{}
 	for i := range targets {
 		cfg.Targets = append(cfg.Targets, &config.Target{
-			Id: fmt.Sprintf("searcher-%04d", i),
+			Id: fmt.Sprintf("target-%06d", i),
 		})
 	}
 	for c := range collections {
