Targets' own announcements are honoured by every daemon that hears them

Cause: what was known of a target came from the store, from gossip of the store's entries and from one sign on its sockets; the headers of its answers were thrown away (httpsender dropped the response of a request that was not executed).

Change: package withholder keeps, for each process of a target, whether it has announced that it is leaving (Server-Leaving, any status) and until when it wants no requests (503 with Retry-After, at most 5 minutes). Both are checked when a target is chosen and again when the request is sent, since requests wait for connections. After a pause, requests return one by one and double with each answer. A leaving process that the configuration still lists is gossiped, renewed while it is listed, and told to roots in owners' replies. Requests whose targets all pause are refused at once with the end of the first pause.

--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -16,6 +16,7 @@
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/entryd/pkg/latencytracker"
+	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/config"
 )
 
@@ -31,6 +32,8 @@
 
 	estimator *estimator.Estimator
 	client    *httpsender.Client
+	// state is what the process has announced in its answers.
+	state *withholder.State
 	// replaced is true once another process has answered at the address.
 	replaced atomic.Bool
 }
@@ -50,6 +53,17 @@
 // Client returns the HTTP client of the target.
 func (t *Target) Client() *httpsender.Client { return t.client }
 
+// State returns what the target's process has announced in its answers.
+func (t *Target) State() *withholder.State { return t.state }
+
+// Process identifies the target's process.
+func (t *Target) Process() withholder.Process {
+	return withholder.Process{
+		ID:          t.id,
+		Incarnation: uint64(t.started),
+	}
+}
+
 // MarkReplaced records that another process has answered at the target's address.
 func (t *Target) MarkReplaced() { t.replaced.Store(true) }
 
@@ -66,13 +80,22 @@
 	lastResortUntil time.Time
 }
 
-// Unavailable reports whether the target must get no new requests. This is the case
-// if it drains, if another process has its address, or if it vanished from the
-// configuration and its time as a last resort has ended.
+// Unavailable reports whether the target must get no new requests now. This is the case
+// if its use has ended for good, or if requests are withheld from it because of its own
+// announcement.
 func (r *Replica) Unavailable(now time.Time) bool {
+	return r.ended(now) || r.state.Withheld(now)
+}
+
+// ended reports whether the target drains, whether another process has its address, or
+// whether it vanished from the configuration and its time as a last resort has ended.
+func (r *Replica) ended(now time.Time) bool {
 	return r.draining || r.Replaced() || r.Vanished() && !now.Before(r.lastResortUntil)
 }
 
+// Draining reports whether the configuration marks the target as leaving.
+func (r *Replica) Draining() bool { return r.draining }
+
 // Vanished reports whether the target has vanished from the configuration.
 func (r *Replica) Vanished() bool { return !r.lastResortUntil.IsZero() }
 
@@ -97,6 +120,26 @@
 // Replicas returns the targets of the pool. The slice must not be modified.
 func (p *Pool) Replicas() []*Replica { return p.replicas }
 
+// PausedUntil returns the time at which the first target of the pool may get requests
+// again. It returns the zero time unless all targets that could serve have asked for a
+// pause that is not over.
+func (p *Pool) PausedUntil(now time.Time) time.Time {
+	var first time.Time
+	for _, r := range p.replicas {
+		if r.ended(now) || r.state.Leaving() {
+			continue
+		}
+		until := r.state.PausedUntil(now)
+		if until.IsZero() {
+			return time.Time{}
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
+
 // Budget returns the daemon's budget of extra requests to the pool.
 func (p *Pool) Budget() *Budget { return p.budget }
 
@@ -164,6 +207,22 @@
 // accept a nil receiver.
 func (c *Catalog) Limits() *config.Limits { return c.limits }
 
+// Process returns the process of the target with an id that started last. If there is
+// none, its incarnation is unknown.
+func (c *Catalog) Process(id string) withholder.Process {
+	out := withholder.Process{
+		ID: id,
+	}
+	for _, p := range c.pools {
+		for _, r := range p.replicas {
+			if r.id == id {
+				out.Incarnation = max(out.Incarnation, uint64(r.started))
+			}
+		}
+	}
+	return out
+}
+
 // Pools returns the pools by name. The map must not be modified.
 func (c *Catalog) Pools() map[string]*Pool { return c.pools }
 
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -11,6 +11,7 @@
 	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
+	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/config"
 )
 
@@ -33,6 +34,8 @@
 	Dial  httpsender.Dial
 	// Headers names the headers of the protocol between daemons and targets.
 	Headers *httpsender.Headers
+	// Withholder holds what the targets have announced. Nil means a table of its own.
+	Withholder *withholder.Table
 	// ExtraLimit bounds the extra requests of the fleet to each pool.
 	ExtraLimit ExtraLimit
 }
@@ -63,6 +66,9 @@
 
 // New returns a Cataloger with an empty catalog.
 func New(o Options) *Cataloger {
+	if o.Withholder == nil {
+		o.Withholder = &withholder.Table{}
+	}
 	c := &Cataloger{
 		options:  o,
 		targets:  make(map[processKey]*Target),
@@ -239,6 +245,7 @@
 			}),
 			client: httpsender.NewClient(t.GetAddress(), c.options.Headers, c.options.Dial, c.options.Clock),
 		}
+		known.state = c.options.Withholder.State(known.Process())
 		c.targets[k] = known
 	}
 	c.setMaxConnections(known, p)
@@ -320,12 +327,20 @@
 	}
 }
 
-// Sweep closes the connections to targets that have been idle for too long.
+// Sweep closes the connections to targets that have been idle for too long, and all idle
+// ones to targets that are leaving. It also refreshes the table of announcements.
 func (c *Cataloger) Sweep() {
 	now := c.options.Clock.Now()
+	configured := make(map[withholder.Process]bool)
 	for _, p := range c.Catalog().pools {
 		for _, r := range p.replicas {
-			r.client.Sweep(now)
+			configured[r.Process()] = r.draining
+			if r.state.Leaving() {
+				r.client.CloseIdle()
+			} else {
+				r.client.Sweep(now)
+			}
 		}
 	}
+	c.options.Withholder.Refresh(now, configured)
 }
--- a/entryd/pkg/httpsender/client.go
+++ b/entryd/pkg/httpsender/client.go
@@ -92,9 +92,17 @@
 // Close closes the idle connections. Connections that carry a request are closed
 // when it has ended.
 func (cl *Client) Close() {
+	cl.mu.Lock()
+	cl.closed = true
+	cl.mu.Unlock()
+	cl.CloseIdle()
+}
+
+// CloseIdle closes the connections that carry no request.
+func (cl *Client) CloseIdle() {
 	cl.mu.Lock()
 	idle := cl.idle
-	cl.idle, cl.closed = nil, true
+	cl.idle = nil
 	cl.open -= len(idle)
 	cl.mu.Unlock()
 	for _, c := range idle {
--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -71,6 +71,10 @@
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		return nil, fmt.Errorf("target %s: set deadline of connection: %w: %w", cl.address, ErrNotSent, err)
 	}
+	if r.Admit != nil && !r.Admit() {
+		c.reusable = true
+		return nil, fmt.Errorf("target %s: %w: %w", cl.address, ErrNotAdmitted, ErrNotSent)
+	}
 	if r.Gate != nil && !r.Gate.Enter() {
 		c.reusable = true
 		return nil, fmt.Errorf("target %s: request was withdrawn: %w", cl.address, ErrNotSent)
@@ -93,7 +97,7 @@
 	c.unused = false
 	answer, err := c.readAnswer(cl, r, now)
 	if err != nil {
-		return nil, err
+		return answer, err
 	}
 	select {
 	case err := <-sent:
--- a/entryd/pkg/httpsender/httpsender.go
+++ b/entryd/pkg/httpsender/httpsender.go
@@ -47,6 +47,9 @@
 	Goal time.Time
 	// Gate is entered before the first byte is sent. It may be nil.
 	Gate *Gate
+	// Admit decides whether the target may get the request. It is called once, after the
+	// wait for a connection and before the gate is entered. It may be nil.
+	Admit func() bool
 }
 
 // Answer is the response of a target.
@@ -69,6 +72,9 @@
 	// ErrNotSent reports that the request was not sent, or that no byte of it was
 	// written to the connection.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrNotAdmitted reports, together with ErrNotSent, that Request.Admit has refused the
+	// request.
+	ErrNotAdmitted = errors.New("target may not get the request")
 	// ErrBusy reports that all connections are in use and the queue is full. The request
 	// was not sent.
 	ErrBusy = errors.New("no connection is free")
@@ -105,7 +111,8 @@
 
 // Do sends a request and returns the response. If the body is too long to be kept in
 // memory, the rest of it is streamed by Answer.Rest. Errors wrap one of the errors
-// above and, if ctx has ended, the error of ctx. After a connection that the target has
+// above and, if ctx has ended, the error of ctx. With ErrNotExecuted and ErrWrongTarget,
+// Do returns the response as well. After a connection that the target has
 // closed, Do finds out whether the target has ended. The context queue must end no later
 // than ctx and bounds the wait for a connection.
 func (cl *Client) Do(ctx, queue context.Context, r *Request) (*Answer, error) {
--- a/entryd/pkg/router/reason.go
+++ b/entryd/pkg/router/reason.go
@@ -24,6 +24,7 @@
 var finalReasons = map[peer.Reason]bool{
 	peer.Reason_REASON_CRASHED:     true,
 	peer.Reason_REASON_QUARANTINED: true,
+	peer.Reason_REASON_PAUSED:      true,
 }
 
 // transientReasons holds the reasons that may no longer apply to a later attempt on
@@ -45,7 +46,8 @@
 	peer.Reason_REASON_BUDGET:         7,
 	peer.Reason_REASON_DROPPED:        8,
 	peer.Reason_REASON_CRASHED:        9,
-	peer.Reason_REASON_QUARANTINED:    10,
+	peer.Reason_REASON_PAUSED:         10,
+	peer.Reason_REASON_QUARANTINED:    11,
 }
 
 // moreInformative returns the reason with the higher rank.
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -130,6 +130,7 @@
 	defer a.cancel()
 	begin := j.Clock.Now()
 	target := a.dest.replica.Target
+	admitted := false
 	answer, err := target.Client().Do(ctx, queue, &httpsender.Request{
 		ID:       j.request.ID,
 		Method:   j.request.Method,
@@ -141,8 +142,16 @@
 		Deadline: j.request.Deadline,
 		Goal:     j.goal.Add(-target.Estimator().Service()),
 		Gate:     &a.gate,
+		Admit: func() bool {
+			admitted = target.State().Enter(j.Clock.Now())
+			return admitted
+		},
 	})
 	now := j.Clock.Now()
+	paused := answer != nil && j.recordAnnouncement(target, answer, err, now)
+	if admitted {
+		target.State().Exit(answer != nil && !paused)
+	}
 	if errors.Is(err, httpsender.ErrEnded) {
 		j.endedAttempts.Add(1)
 		j.crashes.RecordEnd(now, target.ID(), j.plan.Subject())
@@ -195,7 +204,7 @@
 		est.Fail(now)
 	case errors.Is(err, httpsender.ErrNotExecuted):
 		est.Shed(now, estimator.Report{Incarnation: 1})
-	case errors.Is(err, httpsender.ErrBusy), errors.Is(err, context.Canceled), ctx.Err() != nil:
+	case errors.Is(err, httpsender.ErrBusy), errors.Is(err, httpsender.ErrNotAdmitted), errors.Is(err, context.Canceled), ctx.Err() != nil:
 		est.Drop()
 	default:
 		est.Fail(now)
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -226,10 +226,7 @@
 			out.Ended = append(out.Ended, slices.Repeat([]uint32{uint32(u)}, c.ended[u])...)
 		}
 		if last && !c.query.Covered(u) {
-			out.Lacks = append(out.Lacks, &peer.ScatterLack{
-				Shard:  uint32(u),
-				Reason: c.query.Reason(u),
-			})
+			out.Lacks = append(out.Lacks, c.lack(u))
 		}
 	}
 	now := c.Clock.Now()
@@ -241,6 +238,7 @@
 			})
 		}
 	}
+	out.Leaving = c.leavingTargets(now)
 	out.Records = merger.Top(records, recordWidth, int(c.in.GetTop()))
 	return out
 }
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -244,6 +244,7 @@
 	}
 	j.recordLoads(a, e.reply, now)
 	j.recordEnded(a, e.reply)
+	j.recordWithheld(a, e.reply, now)
 	covered := j.storeReply(a, e.reply)
 	if !e.last {
 		j.apply(j.query.RecordPartial(a.nonce, covered, now))
--- a/entryd/pkg/scatterer/result.go
+++ b/entryd/pkg/scatterer/result.go
@@ -1,6 +1,7 @@
 package scatterer
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -72,15 +73,16 @@
 		res.Answer = answer
 		return
 	}
-	res.Reason = j.query.Reason(0)
+	res.Reason = j.reason(0, j.Clock.Now())
 	j.fillFailure(res, res.Reason)
 }
 
 // fillMerged fills in the result of a request on a route with shards.
 func (j *job) fillMerged(res *Result) {
+	now := j.Clock.Now()
 	for u := range j.pools {
 		if !j.query.Covered(u) {
-			res.Reason = max(res.Reason, j.query.Reason(u))
+			res.Reason = max(res.Reason, j.reason(u, now))
 		}
 	}
 	signatures, duplicate := j.answers.signatures()
@@ -99,7 +101,7 @@
 	switch {
 	case !j.mayHaveExecuted():
 		res.Outcome = Refused
-		res.RetryAfter = minRetry + rand.N(maxRetry-minRetry)
+		res.RetryAfter = cmp.Or(j.untilServed(j.Clock.Now()), minRetry+rand.N(maxRetry-minRetry))
 	case reason == peer.Reason_REASON_LATE:
 		res.Outcome = Expired
 	default:
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -20,6 +20,7 @@
 	"plantaincleat/entryd/pkg/crashtracker"
 	"plantaincleat/entryd/pkg/forecaster"
 	"plantaincleat/entryd/pkg/httpsender"
+	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/pkg/tracer"
 )
 
@@ -30,6 +31,13 @@
 	DataCentre string
 	// Signature is the header that a successful response of a target must have.
 	Signature string
+	// LeavingHeader is the header with which a target announces that it is leaving.
+	LeavingHeader string
+	// InstanceHeader is the header with the id of the target that sends an answer.
+	InstanceHeader string
+	// Withholder holds what the targets have announced. It must be that of the catalogs.
+	// Nil means a table of its own.
+	Withholder *withholder.Table
 	// RemotePenalty is added to the expected latency of a target in a remote data centre.
 	// Zero means DefaultRemotePenalty.
 	RemotePenalty time.Duration
@@ -90,6 +98,7 @@
 	endedAttempts atomic.Int64
 	owners        owners
 	forecast      forecaster.Forecaster
+	pauses        shardPauses
 	crashes       crashtracker.Tracker
 	turns         crashtracker.Turns
 }
@@ -99,6 +108,9 @@
 	if o.RemotePenalty <= 0 {
 		o.RemotePenalty = DefaultRemotePenalty
 	}
+	if o.Withholder == nil {
+		o.Withholder = &withholder.Table{}
+	}
 	if o.Cores <= 0 {
 		o.Cores = 1
 	}
@@ -144,6 +156,9 @@
 	if res := s.refuseUnreachable(r, route); res != nil {
 		return res
 	}
+	if res := s.refusePaused(route); res != nil {
+		return res
+	}
 	if res := s.refuseOverloaded(r, route); res != nil {
 		return res
 	}
--- /dev/null
+++ b/entryd/pkg/withholder/table.go
@@ -0,0 +1,295 @@
+package withholder
+
+import (
+	"cmp"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"plantaincleat/tier/gen/peer"
+)
+
+const (
+	// noticeLifetime is the time after which a notice to other daemons expires unless a
+	// daemon renews it.
+	noticeLifetime = 30 * time.Second
+	// renewalInterval is the time between two renewals of a notice. Expiries are multiples
+	// of it, so that the notices of all daemons that renew at the same time are equal.
+	renewalInterval = noticeLifetime / 2
+	// retention is how long an announcement is kept after its process was last in the
+	// configuration. The process may come back into it.
+	retention = 10 * time.Minute
+	// maxRetained bounds the processes that are kept without being in the configuration.
+	maxRetained = 4096
+)
+
+// NoticeBoard distributes notices to the daemons of the fleet.
+type NoticeBoard interface {
+	Publish(n *peer.Notice)
+}
+
+// entry is the state of a process in the table.
+type entry struct {
+	state *State
+	// used is when the process was last in the configuration.
+	used time.Time
+	// noticeExpiry is the latest expiry of the notices that say that it is leaving.
+	noticeExpiry time.Time
+}
+
+// Table holds the state of the processes of all targets. The zero value is empty. It is
+// safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	entries map[Process]*entry
+	board   NoticeBoard
+
+	leaves, pauses, invalid atomic.Int64
+}
+
+// Counts are the announcements that the daemon has received.
+type Counts struct {
+	// Leaves and Pauses count the announcements that have changed a state.
+	Leaves, Pauses int64
+	// Invalid counts the headers that were ignored and the pauses that were shortened.
+	Invalid int64
+}
+
+// Counts returns the announcements received so far.
+func (t *Table) Counts() Counts {
+	return Counts{
+		Leaves:  t.leaves.Load(),
+		Pauses:  t.pauses.Load(),
+		Invalid: t.invalid.Load(),
+	}
+}
+
+// PublishTo makes the table publish which targets are leaving.
+func (t *Table) PublishTo(b NoticeBoard) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.board = b
+}
+
+// State returns the state of a process, which is the same in all calls for as long as
+// the process is in the configuration.
+func (t *Table) State(p Process) *State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.find(p).state
+}
+
+// find returns the entry of a process and creates it if necessary. t.mu is held.
+func (t *Table) find(p Process) *entry {
+	if t.entries == nil {
+		t.entries = make(map[Process]*entry)
+	}
+	e := t.entries[p]
+	if e == nil {
+		e = &entry{
+			state: &State{},
+		}
+		t.entries[p] = e
+	}
+	return e
+}
+
+// Record records what an answer of a process has announced. err is the error of
+// ParseAnnouncement. request is the id of the request that was answered.
+func (t *Table) Record(now time.Time, p Process, a Announcement, err error, request string) {
+	if err != nil {
+		t.invalid.Add(1)
+		effect := "ignored"
+		if errors.Is(err, ErrPauseTooLong) {
+			effect = "shortened"
+		}
+		slog.Warn("announcement of a target is invalid", "target", p.ID, "effect", effect, "id", request, "err", err.Error())
+	}
+	if a.Leaving {
+		t.leave(p, "answer", request)
+	}
+	if a.Pause <= 0 {
+		return
+	}
+	until := now.Add(a.Pause)
+	if t.State(p).pause(now, until) {
+		t.pauses.Add(1)
+		slog.Info("target asked for a pause", "target", p.ID, "until", until, "id", request)
+	}
+}
+
+// leave marks a process as leaving. source says who has announced it.
+func (t *Table) leave(p Process, source, request string) {
+	if t.State(p).leave() {
+		t.leaves.Add(1)
+		slog.Info("target announced that it is leaving", "target", p.ID, "incarnation", p.Incarnation, "from", source, "id", request)
+	}
+}
+
+// Merge marks the processes as leaving that another daemon has heard of. source is the
+// id of that daemon.
+func (t *Table) Merge(now time.Time, notices []*peer.Leaving, source string) {
+	for _, l := range notices {
+		expires := time.UnixMilli(l.GetExpires())
+		if !now.Before(expires) {
+			continue
+		}
+		p := Process{
+			ID:          l.GetTarget(),
+			Incarnation: l.GetIncarnation(),
+		}
+		t.mu.Lock()
+		e := t.find(p)
+		if expires.After(e.noticeExpiry) {
+			e.noticeExpiry = expires
+		}
+		t.mu.Unlock()
+		t.leave(p, source, "")
+	}
+}
+
+// MergeNotices is like Merge for the notices of the whole fleet.
+func (t *Table) MergeNotices(now time.Time, notices []*peer.Notice) {
+	var leaving []*peer.Leaving
+	for _, n := range notices {
+		if l := n.GetLeaving(); l != nil {
+			leaving = append(leaving, l)
+		}
+	}
+	t.Merge(now, leaving, "gossip")
+}
+
+// LeavingNotice returns the notice that a process is leaving, or nil if it has not
+// announced that.
+func (t *Table) LeavingNotice(now time.Time, p Process) *peer.Leaving {
+	if !t.State(p).Leaving() {
+		return nil
+	}
+	return newNotice(p, nextExpiry(now))
+}
+
+func newNotice(p Process, expires time.Time) *peer.Leaving {
+	return &peer.Leaving{
+		Target:      p.ID,
+		Incarnation: p.Incarnation,
+		Expires:     expires.UnixMilli(),
+	}
+}
+
+// nextExpiry returns the expiry of a notice that is published now.
+func nextExpiry(now time.Time) time.Time {
+	return now.Truncate(renewalInterval).Add(noticeLifetime)
+}
+
+// Refresh must be called regularly with the processes in the configuration, which are
+// kept, and whether the configuration itself marks them as draining. It publishes
+// which other processes are leaving and renews these notices, so that daemons that start
+// later know it too. Other processes are forgotten after a time.
+func (t *Table) Refresh(now time.Time, configured map[Process]bool) {
+	for _, n := range t.dueNotices(now, configured) {
+		t.publish(n)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for p := range configured {
+		t.find(p).used = now
+	}
+	t.forget(now)
+}
+
+// dueNotices returns the notices to publish. A notice is renewed in the second half of
+// its lifetime.
+func (t *Table) dueNotices(now time.Time, configured map[Process]bool) []*peer.Leaving {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var due []*peer.Leaving
+	for p, draining := range configured {
+		e := t.entries[p]
+		if e == nil || draining || !e.state.Leaving() || e.noticeExpiry.Sub(now) > renewalInterval {
+			continue
+		}
+		e.noticeExpiry = nextExpiry(now)
+		due = append(due, newNotice(p, e.noticeExpiry))
+	}
+	return due
+}
+
+func (t *Table) publish(l *peer.Leaving) {
+	t.mu.Lock()
+	b := t.board
+	t.mu.Unlock()
+	if b == nil {
+		return
+	}
+	b.Publish(&peer.Notice{
+		Body: &peer.Notice_Leaving{
+			Leaving: l,
+		},
+	})
+}
+
+// forget removes the processes that have long left the configuration, and the oldest of
+// them if there are too many. t.mu is held.
+func (t *Table) forget(now time.Time) {
+	var retained []Process
+	for p, e := range t.entries {
+		switch {
+		case e.used.IsZero():
+			// The process may be added to the configuration later.
+			e.used = now
+		case now.Sub(e.used) >= retention:
+			delete(t.entries, p)
+		case e.used.Before(now):
+			retained = append(retained, p)
+		}
+	}
+	if len(retained) <= maxRetained {
+		return
+	}
+	slices.SortFunc(retained, func(a, b Process) int { return t.entries[a].used.Compare(t.entries[b].used) })
+	for _, p := range retained[:len(retained)-maxRetained] {
+		delete(t.entries, p)
+	}
+}
+
+// Withheld describes a process that gets no requests.
+type Withheld struct {
+	Process Process
+	// Leaving is true if the process is leaving.
+	Leaving bool
+	// Until is the end of its pause, or zero.
+	Until time.Time
+}
+
+// List returns the processes that get no requests, sorted by id.
+func (t *Table) List(now time.Time) []Withheld {
+	var out []Withheld
+	for p, s := range t.states() {
+		w := Withheld{
+			Process: p,
+			Leaving: s.Leaving(),
+			Until:   s.PausedUntil(now),
+		}
+		if w.Leaving || !w.Until.IsZero() {
+			out = append(out, w)
+		}
+	}
+	slices.SortFunc(out, func(a, b Withheld) int {
+		return cmp.Or(cmp.Compare(a.Process.ID, b.Process.ID), cmp.Compare(a.Process.Incarnation, b.Process.Incarnation))
+	})
+	return out
+}
+
+// states returns a copy of the map from processes to their states.
+func (t *Table) states() map[Process]*State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[Process]*State, len(t.entries))
+	for p, e := range t.entries {
+		out[p] = e.state
+	}
+	return out
+}
--- /dev/null
+++ b/entryd/pkg/withholder/withholder.go
@@ -0,0 +1,111 @@
+// Package withholder decides when requests are withheld from a target because of what
+// the target has announced in its answers: that its process is leaving, or that it wants
+// no requests from this daemon for some time.
+//
+// What a target announces itself goes before what the store or other daemons say of it.
+// An announcement counts for one process of a target, so that the process that follows
+// it at the same address is not affected.
+package withholder
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// MaxPause is the longest pause that is granted to a target.
+	MaxPause = 5 * time.Minute
+	// maxRampLimit is the limit of requests in flight after a pause up to which the
+	// limit is doubled with each answer. Beyond it, the target has no limit.
+	maxRampLimit = 8
+)
+
+// Process identifies a process of a target.
+type Process struct {
+	ID string
+	// Incarnation distinguishes processes with the same id. It is the start time of the
+	// process, or zero if that is unknown.
+	Incarnation uint64
+}
+
+// State is what one process of a target has announced. The zero value has announced
+// nothing. It is safe for concurrent use; Withheld takes no lock.
+type State struct {
+	leaving atomic.Bool
+	// pausedUntil is the end of the last pause in Unix nanoseconds, or zero.
+	pausedUntil atomic.Int64
+	// full is true while as many requests are in flight as the limit allows.
+	full atomic.Bool
+
+	mu       sync.Mutex
+	inFlight int
+	// limit bounds inFlight after a pause. Zero means no limit.
+	limit int
+}
+
+// Leaving reports whether the process has announced that it is leaving.
+func (s *State) Leaving() bool { return s.leaving.Load() }
+
+// PausedUntil returns the end of the target's pause, or the zero time if it has none now.
+func (s *State) PausedUntil(now time.Time) time.Time {
+	ns := s.pausedUntil.Load()
+	if ns == 0 || now.UnixNano() >= ns {
+		return time.Time{}
+	}
+	return time.Unix(0, ns)
+}
+
+// Withheld reports whether the target should not be chosen for a request now.
+func (s *State) Withheld(now time.Time) bool {
+	return s.leaving.Load() || s.full.Load() || !s.PausedUntil(now).IsZero()
+}
+
+// Enter reports whether a request may be sent now. Each call that returns true must be
+// followed by one call of Exit. It has to be called immediately before the request is
+// sent, because requests may have waited for a connection since the target was chosen.
+func (s *State) Enter(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving.Load() || !s.PausedUntil(now).IsZero() || s.limit > 0 && s.inFlight >= s.limit {
+		return false
+	}
+	s.inFlight++
+	s.updateFull()
+	return true
+}
+
+// Exit records that a request for which Enter has returned true is no longer in flight.
+// answered reports whether the target has answered it otherwise than with a pause.
+func (s *State) Exit(answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	if answered && s.limit > 0 {
+		if s.limit *= 2; s.limit > maxRampLimit {
+			s.limit = 0
+		}
+	}
+	s.updateFull()
+}
+
+func (s *State) updateFull() { s.full.Store(s.limit > 0 && s.inFlight >= s.limit) }
+
+// leave marks the process as leaving and reports whether that is new.
+func (s *State) leave() bool { return !s.leaving.Swap(true) }
+
+// pause withholds requests until a time, and reports whether no pause was in force. A
+// pause that ends earlier than the one in force changes nothing. After the pause, the
+// requests in flight are limited to one at first.
+func (s *State) pause(now, until time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	begins := s.PausedUntil(now).IsZero()
+	if until.UnixNano() <= s.pausedUntil.Load() {
+		return false
+	}
+	s.pausedUntil.Store(until.UnixNano())
+	s.limit = 1
+	s.updateFull()
+	return begins
+}
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -12,6 +12,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 	headerInstanceID       = "Instance-Id"
 	headerNotExecuted      = "Not-Executed"
 	headerSignature        = "Response-Signature"
+	headerLeaving          = "Server-Leaving"
+	headerRetryAfter       = "Retry-After"
 )
 
 // RecordSize is the size in bytes of a record.
@@ -69,9 +72,15 @@
 	executionTime time.Duration
 	fault         func(r *http.Request) Fault
 	// executions counts the executions that were begun, by request id.
-	executions   map[string]int
-	bodies       map[string]string
-	arrivals     int
+	executions map[string]int
+	bodies     map[string]string
+	arrivals   []Arrival
+	leaving    bool
+	// pauses holds, by the address of the sender, the end of the pause that the target has
+	// asked it for. pauseLength is the length of further pauses, and zero if the target asks
+	// for none.
+	pauses       map[string]time.Time
+	pauseLength  time.Duration
 	lastDeadline time.Duration
 	pause        chan struct{}
 	crashesOn    func(r *http.Request) bool
@@ -178,11 +187,61 @@
 	return sync.OnceFunc(func() { close(ch) })
 }
 
+// Arrival is a request that has arrived at a target.
+type Arrival struct {
+	// Request is the id of the request.
+	Request string
+	// From is the IP address of the sender.
+	From string
+	At   time.Time
+	// Leaving is true if the target announced in its answer that it is leaving.
+	Leaving bool
+	// Pause is the pause that the target asked for, or zero.
+	Pause time.Duration
+}
+
 // Arrivals returns the number of requests that have arrived.
 func (r *Responder) Arrivals() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.arrivals
+	return len(r.arrivals)
+}
+
+// ListArrivals returns the requests that have arrived, in their order.
+func (r *Responder) ListArrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.arrivals)
+}
+
+// SetLeaving sets whether the target announces in all its answers that it is leaving.
+func (r *Responder) SetLeaving(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+}
+
+// AskForPauses makes the target refuse requests with status 503 and ask each sender for a
+// pause of the given length. Zero ends it.
+func (r *Responder) AskForPauses(length time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pauseLength = length
+	r.pauses = make(map[string]time.Time)
+}
+
+// pauseFor returns the pause to ask a sender for, or zero. A sender that comes back in its
+// pause is told the rest of it. r.mu is held.
+func (r *Responder) pauseFor(from string, now time.Time) time.Duration {
+	if r.pauseLength <= 0 {
+		return 0
+	}
+	end, asked := r.pauses[from]
+	if !asked || !now.Before(end) {
+		end = now.Add(r.pauseLength)
+		r.pauses[from] = end
+	}
+	return end.Sub(now)
 }
 
 // Executions returns how often the execution of a request was begun.
@@ -237,13 +296,19 @@
 func (r *Responder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get(headerRequestID)
 	w.Header().Set(headerRequestID, id)
+	arrival, handling := r.recordArrival(req)
+	if arrival.Leaving {
+		w.Header().Set(headerLeaving, "1")
+	}
 	if want := req.Header.Get(headerExpectedInstance); want != "" && want != r.id {
 		w.Header().Set(headerInstanceID, r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	fault, executionTime, pause := r.recordArrival(req)
-	if fault == Shed || id == "" {
+	if arrival.Pause > 0 {
+		w.Header().Set(headerRetryAfter, strconv.FormatFloat(arrival.Pause.Seconds(), 'f', -1, 64))
+	}
+	if arrival.Pause > 0 || handling.fault == Shed || id == "" {
 		w.Header().Set(headerNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -252,8 +317,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if pause != nil {
-		<-pause
+	if handling.pause != nil {
+		<-handling.pause
 	}
 	r.slots <- struct{}{}
 	defer func() { <-r.slots }()
@@ -269,20 +334,47 @@
 		r.Crash()
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(executionTime)
-	r.answer(w, req, fault)
+	time.Sleep(handling.executionTime)
+	r.answer(w, req, handling.fault)
+}
+
+// handling is how a target handles a request.
+type handling struct {
+	fault         Fault
+	executionTime time.Duration
+	// pause is the channel that the request waits for, or nil.
+	pause chan struct{}
 }
 
-// recordArrival counts a request. It returns its fault, its execution time and the
-// channel that it waits for, nil if requests are not paused.
-func (r *Responder) recordArrival(req *http.Request) (Fault, time.Duration, chan struct{}) {
+// recordArrival records a request, unless it is meant for another target, and returns how
+// it is handled.
+func (r *Responder) recordArrival(req *http.Request) (Arrival, handling) {
+	from, _, err := net.SplitHostPort(req.RemoteAddr)
+	if err != nil {
+		from = req.RemoteAddr
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals++
+	now := time.Now()
+	a := Arrival{
+		Request: req.Header.Get(headerRequestID),
+		From:    from,
+		At:      now,
+		Leaving: r.leaving,
+	}
+	if want := req.Header.Get(headerExpectedInstance); want != "" && want != r.id {
+		return a, handling{}
+	}
+	a.Pause = r.pauseFor(from, now)
+	r.arrivals = append(r.arrivals, a)
 	if ms, err := strconv.Atoi(req.Header.Get(headerDeadline)); err == nil {
 		r.lastDeadline = time.Duration(ms) * time.Millisecond
 	}
-	return r.fault(req), r.executionTime, r.pause
+	return a, handling{
+		fault:         r.fault(req),
+		executionTime: r.executionTime,
+		pause:         r.pause,
+	}
 }
 
 // answer writes the answer that the fault prescribes.
