Soak: targets that announce that they are leaving or ask for pauses

Two kinds beside the others, and a check of the arrivals by daemon and target: none later than the drain limit after the word, at most two in a pause.

--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -59,6 +59,8 @@
 	{name: "target draining", run: (*Soak).drainAndReturn},
 	{name: "reshard", run: (*Soak).reshard},
 	{name: "crashing request", run: (*Soak).crashTargets},
+	{name: "leaving announced", run: (*Soak).announceLeaving},
+	{name: "pauses", run: (*Soak).askForPauses},
 }
 
 func (s *Soak) randomDaemon(r *rand.Rand) *daemon {
@@ -99,6 +101,7 @@
 	}
 	defer d.processMu.Unlock()
 	defer s.ledger.beginDisruption(s.allNumbers()...)()
+	defer s.ledger.beginProcessDisruption(d.number)()
 	f(d.process.Load())
 }
 
--- a/prover/pkg/soaker/ledger.go
+++ b/prover/pkg/soaker/ledger.go
@@ -45,10 +45,12 @@
 // ledger records calls, disruptions and findings. It is safe for concurrent
 // use.
 type ledger struct {
-	mu       sync.Mutex
-	calls    []*callRecord
-	periods  []*disruptionPeriod
-	findings []string
+	mu      sync.Mutex
+	calls   []*callRecord
+	periods []*disruptionPeriod
+	// processPeriods are those in which the process of a daemon is frozen or restarted.
+	processPeriods []*disruptionPeriod
+	findings       []string
 }
 
 func (l *ledger) addCall(rec *callRecord) {
@@ -69,6 +71,16 @@
 // beginDisruption records that daemons are disrupted until the returned
 // function is called.
 func (l *ledger) beginDisruption(daemons ...int) func() {
+	return l.begin(&l.periods, daemons)
+}
+
+// beginProcessDisruption records that the process of a daemon is frozen or restarted
+// until the returned function is called.
+func (l *ledger) beginProcessDisruption(daemon int) func() {
+	return l.begin(&l.processPeriods, []int{daemon})
+}
+
+func (l *ledger) begin(periods *[]*disruptionPeriod, daemons []int) func() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -79,7 +91,7 @@
 			begin:  now,
 		}
 		open = append(open, s)
-		l.periods = append(l.periods, s)
+		*periods = append(*periods, s)
 	}
 	return func() {
 		l.mu.Lock()
@@ -95,7 +107,19 @@
 func (l *ledger) undisrupted(daemon int, begin, end time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !slices.ContainsFunc(l.periods, func(s *disruptionPeriod) bool {
+	return !overlaps(l.periods, daemon, begin, end)
+}
+
+// sameProcess reports whether a daemon was neither frozen nor restarted from begin to end.
+func (l *ledger) sameProcess(daemon int, begin, end time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !overlaps(l.processPeriods, daemon, begin, end)
+}
+
+// overlaps reports whether a daemon is disrupted at any time from begin to end.
+func overlaps(periods []*disruptionPeriod, daemon int, begin, end time.Time) bool {
+	return slices.ContainsFunc(periods, func(s *disruptionPeriod) bool {
 		return s.daemon == daemon && s.begin.Before(end) && (s.end.IsZero() || s.end.After(begin))
 	})
 }
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -78,6 +78,9 @@
 	ended        chan struct{}
 	background   sync.WaitGroup
 	crashSenders []*crashSender
+	// leavingTargets counts the targets that announce that they are leaving. It is guarded
+	// by mu.
+	leavingTargets int
 }
 
 // Run does one run. It returns the checks that failed and the events of the
@@ -105,6 +108,7 @@
 	s.background.Wait()
 	s.ledger.check(s.fleet.platform)
 	s.checkCrashSenders()
+	s.checkAnnouncements()
 	s.events = append(s.events, s.ledger.summary())
 	return s.ledger.findings, s.events, nil
 }
