A target's end is known behind an address that goes on to accept connections

Cause: a target counted as ended only if its address refused a connection.

Change: if no new connection can be used and all other connections to the target are broken as well, it has ended, for the requests whose connection was opened before the target's last answer.

--- a/entryd/pkg/httpsender/client.go
+++ b/entryd/pkg/httpsender/client.go
@@ -50,8 +50,14 @@
 	queue   queue
 	// connectTime is how long it took to open the last connection.
 	connectTime time.Duration
+	// lastAnswer is when the target last answered a request in full.
+	lastAnswer time.Time
 
 	endChecks singleflight.Group
+
+	connsMu sync.Mutex
+	// conns holds the open connections, idle or not.
+	conns map[*conn]struct{}
 }
 
 // NewClient returns a Client for the target at an address. It opens one connection
@@ -89,6 +95,13 @@
 	return cl.connectTime
 }
 
+// recordAnswer records that the target has answered a request in full.
+func (cl *Client) recordAnswer(now time.Time) {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	cl.lastAnswer = now
+}
+
 // Close closes the idle connections. Connections that carry a request are closed
 // when it has ended.
 func (cl *Client) Close() {
--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -26,11 +26,14 @@
 // conn is one connection to a target.
 type conn struct {
 	net.Conn
+	client *Client
 	reader *bufio.Reader
 	// unused is true until the first request is sent.
 	unused bool
 	// reusable is true if the connection can carry another request.
 	reusable bool
+	// opened is when the connection was opened.
+	opened time.Time
 	// expires is when an idle connection must not be used any more.
 	expires time.Time
 }
@@ -38,7 +41,12 @@
 // abort makes all pending and future reads and writes fail.
 func (c *conn) abort() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
-func (c *conn) close() { _ = c.Close() }
+func (c *conn) close() {
+	c.client.connsMu.Lock()
+	delete(c.client.conns, c)
+	c.client.connsMu.Unlock()
+	_ = c.Close()
+}
 
 // usable reports whether an idle connection is open and has no unread bytes. Bytes
 // that arrive while no request is in flight belong to no request.
@@ -46,22 +54,49 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	state := peek(c.Conn)
+	return state == connQuiet || state == connUnknown
+}
+
+// connState is what a look at a connection shows, without reading from it.
+type connState int
+
+const (
+	// connUnknown means that the connection does not allow a look at it.
+	connUnknown connState = iota
+	// connQuiet means that the connection is open and has no unread bytes.
+	connQuiet
+	// connHasData means that the connection has unread bytes.
+	connHasData
+	// connClosed means that the other side has closed the connection, or that it is broken.
+	connClosed
+)
+
+// peek returns the state of a connection. It does not disturb a read in progress.
+func peek(nc net.Conn) connState {
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return connUnknown
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return connClosed
 	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
+	state := connClosed
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = errors.Is(e, syscall.EAGAIN)
-		return true
+		n, _, e := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case errors.Is(e, syscall.EAGAIN):
+			state = connQuiet
+		case e == nil && n > 0:
+			state = connHasData
+		}
 	})
-	return err == nil && noData
+	if err != nil {
+		return connClosed
+	}
+	return state
 }
 
 // exchange sends a request and reads the response.
@@ -158,7 +193,9 @@
 	}
 	c.reusable = !resp.Close && resp.ContentLength >= 0 || !resp.Close && len(resp.TransferEncoding) > 0
 	c.reusable = c.reusable && c.reader.Buffered() == 0
-	c.expires = cl.clock.Now().Add(idleTime(resp.Header))
+	now := cl.clock.Now()
+	c.expires = now.Add(idleTime(resp.Header))
+	cl.recordAnswer(now)
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		return a, fmt.Errorf("target %s: %w", cl.address, ErrWrongTarget)
--- a/entryd/pkg/httpsender/endcheck.go
+++ b/entryd/pkg/httpsender/endcheck.go
@@ -10,8 +10,16 @@
 	"time"
 )
 
-// endCheckTimeout bounds the time to find out whether a target has ended.
-const endCheckTimeout = 50 * time.Millisecond
+const (
+	// endCheckTimeout bounds the time to open a connection that shows whether a target has
+	// ended.
+	endCheckTimeout = 50 * time.Millisecond
+	// closeWait is the time in which an intermediary closes a connection that it has
+	// accepted for a target that has ended.
+	closeWait = 5 * time.Millisecond
+	// peekInterval is the time between two looks at such a connection.
+	peekInterval = time.Millisecond
+)
 
 // closedByTarget reports whether an exchange failed because the target's side closed
 // the connection.
@@ -20,21 +28,84 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 }
 
-// hasEnded reports whether the target's process has ended, which is the case if its
-// address refuses connections. A connection that is opened for this is kept for a
-// later request.
-func (cl *Client) hasEnded() bool {
+// endState is what a check whether a target has ended has shown.
+type endState int
+
+const (
+	// goesOn means that the target accepts a connection, or that an earlier one is open.
+	goesOn endState = iota
+	// refuses means that the address refuses connections.
+	refuses
+	// isGone means that no new connection can be used, because none is accepted or each is
+	// closed at once, and that all other connections are broken as well. An intermediary may
+	// accept connections in place of the target. A target that only breaks off some answers,
+	// or that has no room for a new connection, keeps the others.
+	isGone
+)
+
+// endedDuring reports whether the target's process has ended while it had the request that
+// was sent on a connection. If the address refuses connections, the target has accepted the
+// connection itself. Behind an intermediary, it must have answered a request since the
+// connection was opened; otherwise it may have ended before the request was sent.
+func (cl *Client) endedDuring(c *conn) bool {
+	switch cl.checkEnd() {
+	case refuses:
+		return true
+	case isGone:
+		cl.mu.Lock()
+		defer cl.mu.Unlock()
+		return cl.lastAnswer.After(c.opened)
+	}
+	return false
+}
+
+// checkEnd finds out whether the target has ended. A new connection that can be used is
+// kept for a later request.
+func (cl *Client) checkEnd() endState {
 	// Requests that have lost their connections at the same time share one check.
-	_, err, _ := cl.endChecks.Do("", func() (any, error) {
+	state, _, _ := cl.endChecks.Do("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 		defer cancel()
 		nc, err := cl.dial(ctx, "tcp", cl.address)
-		if err == nil {
-			cl.keep(nc)
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return refuses, nil
+		case err != nil && cl.hasSoundConn():
+			return goesOn, nil
+		case err != nil:
+			return isGone, nil
+		case !cl.hasSoundConn() && closedWithin(nc, closeWait):
+			_ = nc.Close()
+			return isGone, nil
 		}
-		return nil, err
+		cl.keep(nc)
+		return goesOn, nil
 	})
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return state.(endState)
+}
+
+// hasSoundConn reports whether the target has left one of the connections open.
+func (cl *Client) hasSoundConn() bool {
+	cl.connsMu.Lock()
+	defer cl.connsMu.Unlock()
+	for c := range cl.conns {
+		if state := peek(c.Conn); state == connQuiet || state == connHasData {
+			return true
+		}
+	}
+	return false
+}
+
+// closedWithin reports whether the other side closes a connection within a time.
+func closedWithin(nc net.Conn, limit time.Duration) bool {
+	for end := time.Now().Add(limit); ; time.Sleep(peekInterval) {
+		if state := peek(nc); state != connQuiet {
+			return state == connClosed
+		}
+		if time.Now().After(end) {
+			return false
+		}
+	}
 }
 
 // keep assigns a new connection to the next request in the queue or keeps it as idle.
@@ -48,10 +119,20 @@
 
 // newConn returns a connection that has carried no request.
 func (cl *Client) newConn(nc net.Conn) *conn {
-	return &conn{
+	now := cl.clock.Now()
+	c := &conn{
 		Conn:    nc,
+		client:  cl,
 		reader:  bufio.NewReaderSize(nc, readBufferSize),
 		unused:  true,
-		expires: cl.clock.Now().Add(maxIdle),
+		opened:  now,
+		expires: now.Add(maxIdle),
+	}
+	cl.connsMu.Lock()
+	defer cl.connsMu.Unlock()
+	if cl.conns == nil {
+		cl.conns = make(map[*conn]struct{})
 	}
+	cl.conns[c] = struct{}{}
+	return c
 }
--- a/entryd/pkg/httpsender/endcheck_test.go
+++ b/entryd/pkg/httpsender/endcheck_test.go
@@ -1,9 +1,12 @@
 package httpsender
 
 import (
+	"context"
 	"errors"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // TestDoReportsEndedTarget guards against taking the end of a target for a broken
@@ -39,3 +42,74 @@
 		})
 	}
 }
+
+// TestDoReportsEndedTargetBehindProxy guards against a target whose end is not noticed
+// because its address goes on to accept connections, and against taking a target for ended
+// that breaks off some answers or has no room for a new connection.
+func TestDoReportsEndedTargetBehindProxy(t *testing.T) {
+	tests := []struct {
+		name string
+		// others is the number of other connections that stay open.
+		others int
+		// closes is whether the address closes each new connection, and accepts whether it
+		// accepts any.
+		accepts, closes bool
+		// silent is true if the target has not answered since the connection was opened.
+		silent bool
+		ended  bool
+	}{
+		{name: "new connections are closed", accepts: true, closes: true, ended: true},
+		{name: "new connections are not accepted", ended: true},
+		{name: "only new connections are closed", others: 1, accepts: true, closes: true},
+		{name: "only new connections are not accepted", others: 1},
+		{name: "new connections stay open", accepts: true},
+		{name: "ended before the request was sent", accepts: true, closes: true, silent: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTarget(t, func(_ int, r *http.Request) (string, bool) {
+				return response(r.Header.Get("Request-Id"), "", "body"), false
+			})
+			c := s.client(2)
+			var broken net.Conn
+			dial := c.dial
+			opened := 0
+			c.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				opened++
+				if opened <= 1+test.others {
+					nc, err := dial(ctx, network, address)
+					broken = nc
+					return nc, err
+				}
+				if !test.accepts {
+					return nil, context.DeadlineExceeded
+				}
+				nc, err := dial(ctx, network, address)
+				if err == nil && test.closes {
+					err = nc.(*net.TCPConn).CloseRead()
+				}
+				return nc, err
+			}
+			var last *conn
+			for range 1 + test.others {
+				nc, err := c.connect(context.Background())
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.idle = append(c.idle, nc)
+				c.open++
+				last = nc
+			}
+			if !test.silent {
+				c.recordAnswer(time.Now())
+			}
+			// The target closes the connection that was opened last.
+			if err := broken.(*net.TCPConn).CloseRead(); err != nil {
+				t.Fatal(err)
+			}
+			if got := c.endedDuring(last); got != test.ended {
+				t.Errorf("ended %v, want %v", got, test.ended)
+			}
+		})
+	}
+}
--- a/entryd/pkg/httpsender/httpsender.go
+++ b/entryd/pkg/httpsender/httpsender.go
@@ -133,7 +133,7 @@
 	case err == nil:
 	case ctx.Err() != nil:
 		err = errors.Join(err, ctx.Err())
-	case closedByTarget(err) && cl.hasEnded():
+	case closedByTarget(err) && cl.endedDuring(c):
 		err = fmt.Errorf("%w: %w", ErrEnded, err)
 	}
 	return answer, err
--- a/prover/pkg/soaker/crash_test.go
+++ b/prover/pkg/soaker/crash_test.go
@@ -28,10 +28,15 @@
 		name     string
 		requests []crashingRequest
 		disrupt  func(s *Soak)
+		// accepts is true if the addresses of ended targets accept connections.
+		accepts bool
 	}{
 		{name: "one target", requests: []crashingRequest{get}},
 		{name: "one target, not idempotent", requests: []crashingRequest{post}},
 		{name: "all shards", requests: []crashingRequest{all}},
+		{name: "one target behind a proxy", requests: []crashingRequest{get}, accepts: true},
+		{name: "all shards behind a proxy", requests: []crashingRequest{all}, accepts: true},
+		{name: "all at once behind a proxy", requests: []crashingRequest{get, post, all}, accepts: true},
 		{name: "all at once while daemons restart", requests: []crashingRequest{get, post, all}, disrupt: restartInTurn},
 		{name: "all at once while the store comes and goes", requests: []crashingRequest{get, post, all}, disrupt: takeStoreAway},
 		{name: "all at once while a daemon is cut off from the others", requests: []crashingRequest{get, post, all}, disrupt: cutDaemonOff},
@@ -39,6 +44,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := startCrashFleet(t, program)
+			s.fleet.acceptsForEnded.Store(test.accepts)
 			s.startProbers()
 			if !s.waitUntilReady(time.Now()) {
 				t.Fatal("not every daemon became ready after the start")
--- a/prover/pkg/soaker/fleet.go
+++ b/prover/pkg/soaker/fleet.go
@@ -72,6 +72,9 @@
 
 	// linkMu is held while a link is opened.
 	linkMu sync.Mutex
+	// acceptsForEnded is true if the links of targets that have crashed go on to accept
+	// connections, which are then closed, as an intermediary does.
+	acceptsForEnded atomic.Bool
 }
 
 // daemon is one daemon with its current process.
@@ -115,7 +118,11 @@
 			return f.openLink(targetLink(id), address)
 		},
 		CrashOn: func(r *http.Request) bool { return strings.Contains(r.URL.Path, crashMark) },
-		Crashed: func(id string) { f.relay.StopLink(targetLink(id)) },
+		Crashed: func(id string) {
+			if !f.acceptsForEnded.Load() {
+				f.relay.StopLink(targetLink(id))
+			}
+		},
 	})
 	if err != nil {
 		f.close()
