A malformed message, a panic or an extreme number ends no daemon

Change: calls without an implementation return Unimplemented; a panic in a peer's call ends the call with Internal and a log line (go-grpc-middleware); attempts are bounded by the destinations of a shard; the head of a response by 64 KiB, a body in memory with its chunks by twice its limit.

--- a/entryd/pkg/assigner/owners.go
+++ b/entryd/pkg/assigner/owners.go
@@ -21,9 +21,9 @@
 	// minLargeHosts is the number of large hosts from which only daemons on large
 	// hosts own shards.
 	minLargeHosts = 3
-	// ownersPerShard is the number of owners of a shard: the primary owner and one
+	// OwnersPerShard is the number of owners of a shard: the primary owner and one
 	// substitute.
-	ownersPerShard = 2
+	OwnersPerShard = 2
 )
 
 // Owners maps each shard to the daemons that send plain requests to its targets.
@@ -72,11 +72,11 @@
 func pickOwners(ranked []Daemon) []Daemon {
 	out := ranked[:1:1]
 	for _, d := range ranked[1:] {
-		if len(out) < ownersPerShard && d.DataCentre != out[0].DataCentre {
+		if len(out) < OwnersPerShard && d.DataCentre != out[0].DataCentre {
 			out = append(out, d)
 		}
 	}
-	if len(out) < ownersPerShard && len(ranked) > 1 {
+	if len(out) < OwnersPerShard && len(ranked) > 1 {
 		out = append(out, ranked[1])
 	}
 	return out
--- a/entryd/pkg/httpsender/client_test.go
+++ b/entryd/pkg/httpsender/client_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -126,6 +127,8 @@
 		{name: "truncated", answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", closes: true, want: ErrIncomplete},
 		{name: "not HTTP", answer: "garbage\r\n\r\n", closes: true, want: ErrIncomplete},
 		{name: "last chunk missing", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", closes: true, want: ErrIncomplete},
+		{name: "endless head", answer: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 4*headLimit) + "\r\nContent-Length: 4\r\n\r\nbody", want: ErrIncomplete},
+		{name: "endless trailer", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + strings.Repeat("x", 4*bodyLimit) + "\r\n\r\n", want: ErrIncomplete},
 		{name: "shed", answer: "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", want: ErrNotExecuted},
 		{name: "wrong target", answer: "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", want: ErrWrongTarget},
 		{name: "response to another request first", answer: response("b", "", "no") + response("a", "", "body")},
--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,9 @@
 	// bodyLimit is the size of the part of a response body that is kept in memory, in
 	// bytes.
 	bodyLimit = 256 << 10
+	// headLimit is the size of the head of a response in bytes from which the connection is
+	// given up. Without it, a faulty target could fill the daemon's memory.
+	headLimit = 64 << 10
 	// maxStrayAnswers is the number of interim responses and responses to other requests
 	// after which the connection is given up.
 	maxStrayAnswers = 4
@@ -27,7 +31,9 @@
 type conn struct {
 	net.Conn
 	client *Client
-	reader *bufio.Reader
+	// limiter bounds what reader may read from the connection.
+	limiter *readLimiter
+	reader  *bufio.Reader
 	// unused is true until the first request is sent.
 	unused bool
 	// reusable is true if the connection can carry another request.
@@ -99,6 +105,25 @@
 	return state
 }
 
+// errReadLimit reports that a target has sent more than a response may contain.
+var errReadLimit = errors.New("response is too long")
+
+// readLimiter reads at most left bytes and then fails.
+type readLimiter struct {
+	io.Reader
+	left int64
+}
+
+// Read implements io.Reader.
+func (l *readLimiter) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errReadLimit
+	}
+	n, err := l.Reader.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // exchange sends a request and reads the response.
 func (c *conn) exchange(cl *Client, r *Request) (*Answer, error) {
 	c.reusable = false
@@ -147,6 +172,7 @@
 // interim responses and responses to other requests.
 func (c *conn) readAnswer(cl *Client, r *Request, sentAt time.Time) (*Answer, error) {
 	for range maxStrayAnswers {
+		c.limiter.left = headLimit
 		//nolint:bodyclose // The body is read to its end, or the connection is closed.
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
@@ -155,6 +181,8 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		// Chunks and a trailer may be longer than the body.
+		c.limiter.left = 2*bodyLimit + headLimit
 		if echo := resp.Header.Get(cl.headers.Request); echo != "" && echo != r.ID {
 			if _, err := io.CopyN(io.Discard, resp.Body, bodyLimit); !errors.Is(err, io.EOF) {
 				return nil, fmt.Errorf("target %s: skip response to request %s: body too long or truncated: %w", cl.address, echo, ErrIncomplete)
@@ -181,6 +209,7 @@
 	_, err := io.CopyN(&body, resp.Body, bodyLimit)
 	a.Body = body.Bytes()
 	if err == nil {
+		c.limiter.left = math.MaxInt64
 		a.Rest = &streamedBody{
 			ReadCloser: resp.Body,
 			conn:       c,
--- a/entryd/pkg/httpsender/endcheck.go
+++ b/entryd/pkg/httpsender/endcheck.go
@@ -120,10 +120,14 @@
 // newConn returns a connection that has carried no request.
 func (cl *Client) newConn(nc net.Conn) *conn {
 	now := cl.clock.Now()
+	limiter := &readLimiter{
+		Reader: nc,
+	}
 	c := &conn{
 		Conn:    nc,
 		client:  cl,
-		reader:  bufio.NewReaderSize(nc, readBufferSize),
+		limiter: limiter,
+		reader:  bufio.NewReaderSize(limiter, readBufferSize),
 		unused:  true,
 		opened:  now,
 		expires: now.Add(maxIdle),
--- a/entryd/pkg/peerserver/peerserver.go
+++ b/entryd/pkg/peerserver/peerserver.go
@@ -45,7 +45,7 @@
 }
 
 // Options hold the implementations of a Server's calls. A call whose implementation
-// is nil returns codes.Unimplemented, except that Gather panics if Gatherer is nil.
+// is nil returns codes.Unimplemented.
 type Options struct {
 	Gatherer Gatherer
 	Gossiper Gossiper
@@ -90,6 +90,9 @@
 
 // Gather implements peer.PeerServer.
 func (s *Server) Gather(stream peer.Peer_GatherServer) error {
+	if s.Gatherer == nil {
+		return unimplemented("gather")
+	}
 	return s.Gatherer.Serve(stream)
 }
 
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -369,9 +369,9 @@
 	q.closed++
 }
 
-// maxRounds bounds how often all paths of a unit are tried. Only failures that used no
+// MaxRounds bounds how often all paths of a unit are tried. Only failures that used no
 // capacity start another round.
-const maxRounds = 2
+const MaxRounds = 2
 
 // canRetry reports whether a unit can be sent again. Once all paths were tried, it
 // starts another round if the failures may be transient.
@@ -383,7 +383,7 @@
 	if q.hasUntriedPath(u, now) {
 		return true
 	}
-	if s.rounds+1 >= maxRounds || !transientReasons[s.reason] {
+	if s.rounds+1 >= MaxRounds || !transientReasons[s.reason] {
 		return false
 	}
 	s.rounds++
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/cataloger"
 	"plantaincleat/entryd/pkg/crashtracker"
 	"plantaincleat/entryd/pkg/httpsender"
@@ -107,10 +108,22 @@
 func (j *job) prepare(options router.Options) {
 	j.open = make(map[uint64]*attempt)
 	j.ended = make(map[int]int)
+	options.MaxExecutions = min(options.MaxExecutions, j.maxAttempts())
 	j.events = make(chan event, eventsPerAttempt*len(j.pools)*(options.MaxExecutions+1))
 	j.query = router.New(len(j.pools), options, &selector{job: j}, &extraBudget{job: j}, func() uint64 { return j.nonces.Add(1) })
 }
 
+// maxAttempts returns the number of attempts of a unit beyond which there is no
+// destination that it can be sent to. A configuration and a message of another daemon may
+// allow any number.
+func (j *job) maxAttempts() int {
+	most := 0
+	for _, p := range j.pools {
+		most = max(most, len(p.Replicas()))
+	}
+	return router.MaxRounds * (most + assigner.OwnersPerShard)
+}
+
 // startAll sends each unit to its first destination.
 func (j *job) startAll(ctx context.Context) {
 	j.ctx, j.cancel = context.WithCancel(context.WithoutCancel(ctx))
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -209,7 +209,7 @@
 
 // Start opens the listeners and starts the daemon's goroutines.
 func (d *Daemon) Start() error {
-	d.peerServer = grpc.NewServer(grpc.Creds(d.tls.ServerCredentials()))
+	d.peerServer = peerserver.NewServer(grpc.Creds(d.tls.ServerCredentials()))
 	peerserver.Register(d.peerServer, peerserver.Options{
 		Gatherer: d.gatherer,
 		Gossiper: d.gossip,
