--- a/entryd/pkg/assigner/owners.go
+++ b/entryd/pkg/assigner/owners.go
@@ -54,32 +54,85 @@
 	}
 	selected := selectDaemons(daemons, ownerCount(daemons, len(shards)))
 	limit := int(maxLoadFactor*float64(len(shards))/float64(len(selected))) + 1
-	load := make(map[string]int, len(selected))
+	load := make([]int, len(selected))
 	o.byShard = make(map[string][]Daemon, len(shards))
 	ordered := slices.Clone(shards)
 	slices.SortFunc(ordered, func(a, b ShardInput) int { return cmp.Compare(a.Name, b.Name) })
+	candidates := make([]candidate, len(selected))
 	for _, s := range ordered {
-		ranked := rankOwners(selected, s, load, limit)
-		load[ranked[0].ID]++
-		o.byShard[s.Name] = pickOwners(ranked)
+		for i := range selected {
+			candidates[i] = candidate{
+				index:  i,
+				daemon: &selected[i],
+				full:   load[i] >= limit,
+				far:    !slices.Contains(s.DataCentres, selected[i].DataCentre),
+				weight: hasher.Strings(s.Name, selected[i].ID),
+			}
+		}
+		first, second := pickOwners(candidates)
+		load[first.index]++
+		o.byShard[s.Name] = []Daemon{*first.daemon}
+		if second != nil {
+			o.byShard[s.Name] = append(o.byShard[s.Name], *second.daemon)
+		}
 	}
 	return o
 }
 
-// pickOwners returns the first daemon and the first one of another data centre, so
-// that an owner remains when one data centre fails. Without daemons in another data
-// centre, it returns the first two daemons.
-func pickOwners(ranked []Daemon) []Daemon {
-	out := ranked[:1:1]
-	for _, d := range ranked[1:] {
-		if len(out) < OwnersPerShard && d.DataCentre != out[0].DataCentre {
-			out = append(out, d)
+// candidate is a daemon that may own a shard.
+type candidate struct {
+	// index is the daemon's index among the selected ones.
+	index  int
+	daemon *Daemon
+	// full is true if the daemon owns as many shards as the limit allows.
+	full bool
+	// far is true if no replica is in the daemon's data centre.
+	far bool
+	// weight is the rendezvous hash of the shard and the daemon.
+	weight uint64
+}
+
+// before reports whether c is preferred to d. d may be nil.
+func (c *candidate) before(d *candidate) bool {
+	switch {
+	case d == nil:
+		return true
+	case c.full != d.full:
+		return d.full
+	case c.far != d.far:
+		return d.far
+	case c.weight != d.weight:
+		return c.weight > d.weight
+	}
+	return c.daemon.ID < d.daemon.ID
+}
+
+// pickOwners returns the preferred daemon and the preferred one of another data centre,
+// so that an owner remains when one data centre fails. Without daemons in another data
+// centre, the second one is any other, or nil if there is none.
+func pickOwners(candidates []candidate) (first, second *candidate) {
+	for i := range candidates {
+		if c := &candidates[i]; c.before(first) {
+			first = c
 		}
 	}
-	if len(out) < OwnersPerShard && len(ranked) > 1 {
-		out = append(out, ranked[1])
+	var near *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		switch {
+		case c == first:
+		case c.daemon.DataCentre != first.daemon.DataCentre:
+			if c.before(second) {
+				second = c
+			}
+		case c.before(near):
+			near = c
+		}
 	}
-	return out
+	if second == nil {
+		second = near
+	}
+	return first, second
 }
 
 // Ranked returns the owners of a shard, the primary owner first. It is empty if the
@@ -98,17 +151,25 @@
 // selectDaemons returns n daemons. It takes them from the data centres in turn, and
 // within a data centre those on the largest hosts first.
 func selectDaemons(daemons []Daemon, n int) []Daemon {
-	byDataCentre := make(map[string][]Daemon)
-	for _, d := range daemons {
-		byDataCentre[d.DataCentre] = append(byDataCentre[d.DataCentre], d)
+	type ranked struct {
+		daemon *Daemon
+		hash   uint64
+	}
+	byDataCentre := make(map[string][]ranked)
+	for i := range daemons {
+		d := &daemons[i]
+		byDataCentre[d.DataCentre] = append(byDataCentre[d.DataCentre], ranked{
+			daemon: d,
+			hash:   hasher.Strings("owner", d.ID),
+		})
 	}
 	names := slices.Sorted(maps.Keys(byDataCentre))
 	for _, list := range byDataCentre {
-		slices.SortFunc(list, func(a, b Daemon) int {
+		slices.SortFunc(list, func(a, b ranked) int {
 			return cmp.Or(
-				cmp.Compare(b.Capacity, a.Capacity),
-				cmp.Compare(hasher.Strings("owner", a.ID), hasher.Strings("owner", b.ID)),
-				cmp.Compare(a.ID, b.ID),
+				cmp.Compare(b.daemon.Capacity, a.daemon.Capacity),
+				cmp.Compare(a.hash, b.hash),
+				cmp.Compare(a.daemon.ID, b.daemon.ID),
 			)
 		})
 	}
@@ -117,7 +178,7 @@
 	for i := 0; len(out) < n; i++ {
 		for _, name := range names {
 			if i < len(byDataCentre[name]) && len(out) < n {
-				out = append(out, byDataCentre[name][i])
+				out = append(out, *byDataCentre[name][i].daemon)
 			}
 		}
 	}
@@ -146,31 +207,3 @@
 	}
 	return n
 }
-
-// rankOwners sorts the selected daemons for a shard: daemons that own fewer shards
-// than limit first, then daemons in the data centre of a replica, then by rendezvous
-// hashing.
-func rankOwners(selected []Daemon, s ShardInput, load map[string]int, limit int) []Daemon {
-	out := slices.Clone(selected)
-	full := func(d Daemon) int {
-		if load[d.ID] >= limit {
-			return 1
-		}
-		return 0
-	}
-	far := func(d Daemon) int {
-		if slices.Contains(s.DataCentres, d.DataCentre) {
-			return 0
-		}
-		return 1
-	}
-	slices.SortFunc(out, func(a, b Daemon) int {
-		return cmp.Or(
-			cmp.Compare(full(a), full(b)),
-			cmp.Compare(far(a), far(b)),
-			cmp.Compare(hasher.Strings(s.Name, b.ID), hasher.Strings(s.Name, a.ID)),
-			cmp.Compare(a.ID, b.ID),
-		)
-	})
-	return out
-}
--- a/entryd/pkg/assigner/owners_test.go
+++ b/entryd/pkg/assigner/owners_test.go
@@ -1,8 +1,13 @@
 package assigner
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
+
+	"plantaincleat/tier/pkg/hasher"
 )
 
 func ownerDaemons(n, large int) []Daemon {
@@ -92,3 +97,61 @@
 		}
 	}
 }
+
+// rankBySorting returns the owners of a shard as a full sort of the daemons gives them. The
+// load of each daemon is the number of shards for which it was first.
+func rankBySorting(daemons []Daemon, s ShardInput, load map[string]int, limit int) []Daemon {
+	ranked := slices.Clone(daemons)
+	number := func(b bool) int {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	full := func(d Daemon) int { return number(load[d.ID] >= limit) }
+	far := func(d Daemon) int { return number(!slices.Contains(s.DataCentres, d.DataCentre)) }
+	slices.SortFunc(ranked, func(a, b Daemon) int {
+		return cmp.Or(
+			cmp.Compare(full(a), full(b)),
+			cmp.Compare(far(a), far(b)),
+			cmp.Compare(hasher.Strings(s.Name, b.ID), hasher.Strings(s.Name, a.ID)),
+			cmp.Compare(a.ID, b.ID),
+		)
+	})
+	load[ranked[0].ID]++
+	other := slices.IndexFunc(ranked, func(d Daemon) bool { return d.DataCentre != ranked[0].DataCentre })
+	switch {
+	case other > 0:
+		return []Daemon{ranked[0], ranked[other]}
+	case len(ranked) > 1:
+		return ranked[:2]
+	}
+	return ranked
+}
+
+// TestOwnersAreThoseOfFullSort guards against owners that differ from those that daemons
+// of earlier builds compute in the same fleet.
+func TestOwnersAreThoseOfFullSort(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		datacentres := 1 + r.IntN(6)
+		var daemons []Daemon
+		for i := range 2 + r.IntN(80) {
+			daemons = append(daemons, Daemon{
+				ID:         fmt.Sprintf("d%03d", i),
+				DataCentre: fmt.Sprintf("dc-%d", r.IntN(datacentres)),
+				Capacity:   uint32(200 * (1 + r.IntN(4))),
+			})
+		}
+		shards := ownerShards(2 + r.IntN(100))
+		o := NewOwners("d000", daemons, shards)
+		selected := selectDaemons(daemons, ownerCount(daemons, len(shards)))
+		limit := int(maxLoadFactor*float64(len(shards))/float64(len(selected))) + 1
+		load := make(map[string]int)
+		for _, s := range shards {
+			if want := rankBySorting(selected, s, load, limit); !slices.Equal(o.Ranked(s.Name), want) {
+				t.Fatalf("%d daemons, %d shards: owners of %s are %v, want %v", len(daemons), len(shards), s.Name, o.Ranked(s.Name), want)
+			}
+		}
+	}
+}
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -245,7 +245,7 @@
 			}),
 			client: httpsender.NewClient(t.GetAddress(), c.options.Headers, c.options.Dial, c.options.Clock),
 		}
-		known.state = c.options.Withholder.State(known.Process())
+		known.state = c.options.Withholder.Use(known.Process())
 		c.targets[k] = known
 	}
 	c.setMaxConnections(known, p)
@@ -308,6 +308,7 @@
 
 // dropUnused removes the state of targets and pools that are not in the new catalog.
 func (c *Cataloger) dropUnused(out *Catalog) {
+	now := c.options.Clock.Now()
 	used := make(map[*Target]bool)
 	for _, p := range out.pools {
 		for _, r := range p.replicas {
@@ -317,6 +318,7 @@
 	for k, t := range c.targets {
 		if !used[t] {
 			t.client.Close()
+			c.options.Withholder.Release(now, t.Process())
 			delete(c.targets, k)
 		}
 	}
@@ -331,16 +333,18 @@
 // ones to targets that are leaving. It also refreshes the table of announcements.
 func (c *Cataloger) Sweep() {
 	now := c.options.Clock.Now()
-	configured := make(map[withholder.Process]bool)
+	var leaving []withholder.Process
 	for _, p := range c.Catalog().pools {
 		for _, r := range p.replicas {
-			configured[r.Process()] = r.draining
-			if r.state.Leaving() {
-				r.client.CloseIdle()
-			} else {
+			if !r.state.Leaving() {
 				r.client.Sweep(now)
+				continue
+			}
+			r.client.CloseIdle()
+			if !r.draining {
+				leaving = append(leaving, r.Process())
 			}
 		}
 	}
-	c.options.Withholder.Refresh(now, configured)
+	c.options.Withholder.Refresh(now, leaving)
 }
--- a/entryd/pkg/withholder/table.go
+++ b/entryd/pkg/withholder/table.go
@@ -19,8 +19,8 @@
 	// renewalInterval is the time between two renewals of a notice. Expiries are multiples
 	// of it, so that the notices of all daemons that renew at the same time are equal.
 	renewalInterval = noticeLifetime / 2
-	// retention is how long an announcement is kept after its process was last in the
-	// configuration. The process may come back into it.
+	// retention is how long an announcement of a process outside the configuration is kept.
+	// The process may come into it.
 	retention = 10 * time.Minute
 	// maxRetained bounds the processes that are kept without being in the configuration.
 	maxRetained = 4096
@@ -34,8 +34,9 @@
 // entry is the state of a process in the table.
 type entry struct {
 	state *State
-	// used is when the process was last in the configuration.
-	used time.Time
+	// unusedSince is when the process left the configuration, or when it was first heard of
+	// without being in it. It is zero while the process is in the configuration.
+	unusedSince time.Time
 	// noticeExpiry is the latest expiry of the notices that say that it is leaving.
 	noticeExpiry time.Time
 }
@@ -74,29 +75,55 @@
 	t.board = b
 }
 
-// State returns the state of a process, which is the same in all calls for as long as
-// the process is in the configuration.
-func (t *Table) State(p Process) *State {
+// Use returns the state of a process that is in the configuration. It is the same in all
+// calls until Release.
+func (t *Table) Use(p Process) *State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.find(p).state
+	e := t.find(time.Time{}, p)
+	e.unusedSince = time.Time{}
+	return e.state
 }
 
-// find returns the entry of a process and creates it if necessary. t.mu is held.
-func (t *Table) find(p Process) *entry {
+// Release records that a process is not in the configuration any more. What it has
+// announced is kept for a time, since it may come back.
+func (t *Table) Release(now time.Time, p Process) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[p]
+	switch {
+	case e == nil:
+	case e.state.Withheld(now):
+		e.unusedSince = now
+	default:
+		delete(t.entries, p)
+	}
+}
+
+// find returns the entry of a process. If there is none, it creates one that is unused
+// since now. t.mu is held.
+func (t *Table) find(now time.Time, p Process) *entry {
 	if t.entries == nil {
 		t.entries = make(map[Process]*entry)
 	}
 	e := t.entries[p]
 	if e == nil {
 		e = &entry{
-			state: &State{},
+			state:       &State{},
+			unusedSince: now,
 		}
 		t.entries[p] = e
 	}
 	return e
 }
 
+// state returns the state of a process.
+func (t *Table) state(now time.Time, p Process) *State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.find(now, p).state
+}
+
 // Record records what an answer of a process has announced. err is the error of
 // ParseAnnouncement. request is the id of the request that was answered.
 func (t *Table) Record(now time.Time, p Process, a Announcement, err error, request string) {
@@ -109,21 +136,21 @@
 		slog.Warn("announcement of a target is invalid", "target", p.ID, "effect", effect, "id", request, "err", err.Error())
 	}
 	if a.Leaving {
-		t.leave(p, "answer", request)
+		t.leave(now, p, "answer", request)
 	}
 	if a.Pause <= 0 {
 		return
 	}
 	until := now.Add(a.Pause)
-	if t.State(p).pause(now, until) {
+	if t.state(now, p).pause(now, until) {
 		t.pauses.Add(1)
 		slog.Info("target asked for a pause", "target", p.ID, "until", until, "id", request)
 	}
 }
 
 // leave marks a process as leaving. source says who has announced it.
-func (t *Table) leave(p Process, source, request string) {
-	if t.State(p).leave() {
+func (t *Table) leave(now time.Time, p Process, source, request string) {
+	if t.state(now, p).leave() {
 		t.leaves.Add(1)
 		slog.Info("target announced that it is leaving", "target", p.ID, "incarnation", p.Incarnation, "from", source, "id", request)
 	}
@@ -142,12 +169,12 @@
 			Incarnation: l.GetIncarnation(),
 		}
 		t.mu.Lock()
-		e := t.find(p)
+		e := t.find(now, p)
 		if expires.After(e.noticeExpiry) {
 			e.noticeExpiry = expires
 		}
 		t.mu.Unlock()
-		t.leave(p, source, "")
+		t.leave(now, p, source, "")
 	}
 }
 
@@ -162,12 +189,8 @@
 	t.Merge(now, leaving, "gossip")
 }
 
-// LeavingNotice returns the notice that a process is leaving, or nil if it has not
-// announced that.
+// LeavingNotice returns the notice that a process is leaving, which its state says.
 func (t *Table) LeavingNotice(now time.Time, p Process) *peer.Leaving {
-	if !t.State(p).Leaving() {
-		return nil
-	}
 	return newNotice(p, nextExpiry(now))
 }
 
@@ -184,31 +207,25 @@
 	return now.Truncate(renewalInterval).Add(noticeLifetime)
 }
 
-// Refresh must be called regularly with the processes in the configuration, which are
-// kept, and whether the configuration itself marks them as draining. It publishes
-// which other processes are leaving and renews these notices, so that daemons that start
-// later know it too. Other processes are forgotten after a time.
-func (t *Table) Refresh(now time.Time, configured map[Process]bool) {
-	for _, n := range t.dueNotices(now, configured) {
+// Refresh must be called regularly with the processes that have announced that they are
+// leaving and that the configuration does not mark as draining. It publishes this and renews
+// the notices, so that daemons that start later know it too. It forgets processes that have
+// long left the configuration.
+func (t *Table) Refresh(now time.Time, leaving []Process) {
+	for _, n := range t.dueNotices(now, leaving) {
 		t.publish(n)
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for p := range configured {
-		t.find(p).used = now
-	}
 	t.forget(now)
 }
 
-// dueNotices returns the notices to publish. A notice is renewed in the second half of
-// its lifetime.
-func (t *Table) dueNotices(now time.Time, configured map[Process]bool) []*peer.Leaving {
+// dueNotices returns the notices to publish.
+func (t *Table) dueNotices(now time.Time, leaving []Process) []*peer.Leaving {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var due []*peer.Leaving
-	for p, draining := range configured {
+	for _, p := range leaving {
 		e := t.entries[p]
-		if e == nil || draining || !e.state.Leaving() || e.noticeExpiry.Sub(now) > renewalInterval {
+		if e == nil || e.noticeExpiry.Sub(now) > renewalInterval {
 			continue
 		}
 		e.noticeExpiry = nextExpiry(now)
@@ -231,26 +248,26 @@
 	})
 }
 
-// forget removes the processes that have long left the configuration, and the oldest of
-// them if there are too many. t.mu is held.
+// forget removes the processes that have long been unused, and the oldest of them if there
+// are too many.
 func (t *Table) forget(now time.Time) {
-	var retained []Process
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var unused []Process
 	for p, e := range t.entries {
 		switch {
-		case e.used.IsZero():
-			// The process may be added to the configuration later.
-			e.used = now
-		case now.Sub(e.used) >= retention:
+		case e.unusedSince.IsZero():
+		case now.Sub(e.unusedSince) >= retention:
 			delete(t.entries, p)
-		case e.used.Before(now):
-			retained = append(retained, p)
+		default:
+			unused = append(unused, p)
 		}
 	}
-	if len(retained) <= maxRetained {
+	if len(unused) <= maxRetained {
 		return
 	}
-	slices.SortFunc(retained, func(a, b Process) int { return t.entries[a].used.Compare(t.entries[b].used) })
-	for _, p := range retained[:len(retained)-maxRetained] {
+	slices.SortFunc(unused, func(a, b Process) int { return t.entries[a].unusedSince.Compare(t.entries[b].unusedSince) })
+	for _, p := range unused[:len(unused)-maxRetained] {
 		delete(t.entries, p)
 	}
 }
--- a/entryd/pkg/withholder/withholder_test.go
+++ b/entryd/pkg/withholder/withholder_test.go
@@ -144,13 +144,13 @@
 	leaving := Process{ID: "a", Incarnation: 1}
 	next := Process{ID: "a", Incarnation: 2}
 	heard.Record(clock.Now(), leaving, Announcement{Leaving: true}, nil, "request")
-	if !heard.State(leaving).Leaving() || heard.State(next).Leaving() {
+	if !heard.Use(leaving).Leaving() || heard.Use(next).Leaving() {
 		t.Fatal("the announcement counts for the wrong process")
 	}
 	var expiry int64
 	for range 3 * noticeLifetime / time.Second {
 		clock.Advance(time.Second)
-		heard.Refresh(clock.Now(), map[Process]bool{leaving: false})
+		heard.Refresh(clock.Now(), []Process{leaving})
 		last := b.notices[len(b.notices)-1].GetLeaving()
 		if last.GetExpires() <= clock.Now().UnixMilli() {
 			t.Fatal("the notice has expired before it was renewed")
@@ -161,50 +161,56 @@
 		expiry = last.GetExpires()
 	}
 	told.MergeNotices(clock.Now(), b.notices)
-	if !told.State(leaving).Leaving() || told.State(next).Leaving() {
+	if !told.Use(leaving).Leaving() || told.Use(next).Leaving() {
 		t.Error("a daemon that starts later does not know which process is leaving")
 	}
 	told.PublishTo(&b)
 	before := len(b.notices)
-	told.Refresh(clock.Now(), map[Process]bool{leaving: false})
+	told.Refresh(clock.Now(), []Process{leaving})
 	if len(b.notices) > before {
 		t.Error("a daemon repeats the notice of another one")
 	}
 }
 
-// TestDrainingInConfigurationNotPublished guards against a notice for each target of a
-// release that the store has announced to all daemons.
-func TestDrainingInConfigurationNotPublished(t *testing.T) {
-	now := clockwork.NewFakeClock().Now()
-	var b board
-	var table Table
-	table.PublishTo(&b)
-	p := Process{ID: "a"}
-	table.Record(now, p, Announcement{Leaving: true}, nil, "request")
-	table.Refresh(now, map[Process]bool{p: true})
-	if len(b.notices) > 0 {
-		t.Errorf("%d notices, want 0", len(b.notices))
-	}
-}
-
 // TestTableForgets guards against a table that grows with each process that ever was.
 func TestTableForgets(t *testing.T) {
 	clock := clockwork.NewFakeClock()
 	var table Table
 	kept := Process{ID: "kept"}
+	left := Process{ID: "left"}
+	quiet := Process{ID: "quiet"}
+	for _, p := range []Process{kept, left} {
+		table.Use(p)
+		table.Record(clock.Now(), p, Announcement{Leaving: true}, nil, "")
+	}
+	table.Use(quiet)
+	table.Release(clock.Now(), quiet)
+	table.Release(clock.Now(), left)
 	for i := range maxRetained + 100 {
-		table.State(Process{ID: "gone", Incarnation: uint64(i)})
+		clock.Advance(time.Millisecond)
+		table.Record(clock.Now(), Process{ID: "unknown", Incarnation: uint64(i)}, Announcement{Pause: time.Hour}, nil, "")
 	}
-	table.Record(clock.Now(), kept, Announcement{Leaving: true}, nil, "")
-	table.Refresh(clock.Now(), map[Process]bool{kept: false})
-	clock.Advance(time.Second)
-	table.Refresh(clock.Now(), map[Process]bool{kept: false})
-	if n := len(table.entries); n > maxRetained+1 {
-		t.Errorf("%d processes, want %d at most", n, maxRetained+1)
+	table.Refresh(clock.Now(), nil)
+	if n := len(table.entries); n != maxRetained+1 {
+		t.Errorf("%d processes, want %d and the configured one", n, maxRetained)
 	}
 	clock.Advance(retention)
-	table.Refresh(clock.Now(), map[Process]bool{kept: false})
-	if len(table.entries) != 1 || !table.State(kept).Leaving() {
+	table.Refresh(clock.Now(), nil)
+	if len(table.entries) != 1 || !table.Use(kept).Leaving() {
 		t.Errorf("%d processes after the retention, want the configured one with its announcement", len(table.entries))
 	}
 }
+
+// TestReturnedProcessIsStillLeaving guards against a process that has announced that it is
+// leaving, whose entry is removed and written again as ready.
+func TestReturnedProcessIsStillLeaving(t *testing.T) {
+	now := clockwork.NewFakeClock().Now()
+	var table Table
+	p := Process{ID: "a"}
+	table.Use(p)
+	table.Record(now, p, Announcement{Leaving: true}, nil, "")
+	table.Release(now, p)
+	if !table.Use(p).Leaving() {
+		t.Error("the process is not leaving any more")
+	}
+}
