--- a/entryd/pkg/partitiondetector/partitiondetector.go
+++ b/entryd/pkg/partitiondetector/partitiondetector.go
@@ -25,6 +25,9 @@
 	probeInterval = 250 * time.Millisecond
 	// probeTimeout bounds the time to open one connection.
 	probeTimeout = 250 * time.Millisecond
+	// fallbackDelay is the time without an answer of a daemon after which a target is probed
+	// as well.
+	fallbackDelay = probeTimeout / 2
 	// missedRoundLimit is the number of successive rounds without a connection after
 	// which a data centre counts as unreachable.
 	missedRoundLimit = 2
@@ -90,8 +93,9 @@
 	}
 }
 
-// probeRound probes each remote data centre once: a daemon, and if that does not
-// answer, a target. A connection to either shows that the data centre is reachable.
+// probeRound probes each remote data centre once: a daemon, and if that does not answer
+// within fallbackDelay, a target. A connection to either shows that the data centre is
+// reachable.
 func (d *Detector) probeRound(ctx context.Context) {
 	d.roundNumber++
 	peers, targets := d.Peers(), d.targets()
@@ -145,7 +149,7 @@
 			continue
 		}
 		wg.Go(func() {
-			ok := d.probe(ctx, peers[datacentre]) || d.probe(ctx, targets[datacentre])
+			ok := d.probeEither(ctx, peers[datacentre], targets[datacentre])
 			mu.Lock()
 			defer mu.Unlock()
 			out[datacentre] = ok
@@ -155,15 +159,37 @@
 	return out
 }
 
-// probe opens a connection to one of the addresses, a different one in each round,
-// and reports whether it succeeded.
-func (d *Detector) probe(ctx context.Context, addresses []string) bool {
+// probeEither reports whether a daemon or a target answers, a different one in each round.
+// A target is asked if the daemon has not answered within fallbackDelay; a new connection
+// costs it more than a daemon.
+func (d *Detector) probeEither(ctx context.Context, peers, targets []string) bool {
+	peer, target := d.pick(peers), d.pick(targets)
+	daemon := make(chan bool, 1)
+	go func() { daemon <- d.probe(ctx, peer) }()
+	select {
+	case ok := <-daemon:
+		return ok || d.probe(ctx, target)
+	case <-d.Clock.After(fallbackDelay):
+	}
+	return d.probe(ctx, target) || <-daemon
+}
+
+// pick returns the address to probe in this round, or an empty string if there is none.
+func (d *Detector) pick(addresses []string) string {
 	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[d.roundNumber%len(addresses)]
+}
+
+// probe opens a connection to an address and reports whether it succeeded.
+func (d *Detector) probe(ctx context.Context, address string) bool {
+	if address == "" {
 		return false
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, d.Clock, probeTimeout)
 	defer cancel()
-	conn, err := d.Dial(ctx, "tcp", addresses[d.roundNumber%len(addresses)])
+	conn, err := d.Dial(ctx, "tcp", address)
 	if err != nil {
 		return false
 	}
--- a/entryd/pkg/partitiondetector/partitiondetector_test.go
+++ b/entryd/pkg/partitiondetector/partitiondetector_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -94,3 +96,48 @@
 		})
 	}
 }
+
+// TestDetectorRoundTime guards against requests that are held at a data centre
+// that is cut off for as long as one probe after the other takes.
+func TestDetectorRoundTime(t *testing.T) {
+	detector := New(Options{
+		DataCentre: "a",
+		Catalogs:   catalogOf("a", "b", "c"),
+		Peers:      func() map[string][]string { return map[string][]string{"b": {"daemon-b"}, "c": {"daemon-c"}} },
+		Clock:      clockwork.NewRealClock(),
+		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	})
+	begin := time.Now()
+	detector.probeRound(context.Background())
+	if took := time.Since(begin); took >= 2*probeTimeout {
+		t.Errorf("a round without an answer took %v, want less than two probes of %v", took, probeTimeout)
+	}
+}
+
+// TestDetectorAsksNoTarget guards against connections to targets while daemons answer: with
+// hundreds of daemons, they would take the targets' capacity.
+func TestDetectorAsksNoTarget(t *testing.T) {
+	var targets atomic.Int64
+	detector := New(Options{
+		DataCentre: "a",
+		Catalogs:   catalogOf("a", "b", "c"),
+		Peers:      func() map[string][]string { return map[string][]string{"b": {"daemon-b"}, "c": {"daemon-c"}} },
+		Clock:      clockwork.NewRealClock(),
+		Dial: func(_ context.Context, _, address string) (net.Conn, error) {
+			if strings.HasPrefix(address, "target") {
+				targets.Add(1)
+			}
+			c, _ := net.Pipe()
+			return c, nil
+		},
+	})
+	for range 5 {
+		detector.probeRound(context.Background())
+	}
+	if n := targets.Load(); n > 0 {
+		t.Errorf("%d targets were asked while daemons answer", n)
+	}
+}
