--- a/entryd/pkg/scatterer/withhold.go
+++ b/entryd/pkg/scatterer/withhold.go
@@ -145,10 +145,15 @@
 	if until := p.PausedUntil(now); !until.IsZero() || s.Placement == nil {
 		return until
 	}
-	if ranked := s.Placement.Owners().Ranked(p.Name()); len(ranked) > 0 {
-		return s.pauses.until(p.Name(), ranked[0].ID, now)
+	reported, ok := s.pauses.find(p.Name(), now)
+	if !ok {
+		return time.Time{}
+	}
+	ranked := s.Placement.Owners().Ranked(p.Name())
+	if len(ranked) == 0 || ranked[0].ID != reported.owner {
+		return time.Time{}
 	}
-	return time.Time{}
+	return reported.until
 }
 
 // ownerPause is the pause of a shard's targets that its owner has reported.
@@ -174,18 +179,14 @@
 	sp.byShard[shard] = p
 }
 
-// until returns the end of the pause that an owner has reported for a shard, or zero if
-// there is none now.
-func (sp *shardPauses) until(shard, owner string, now time.Time) time.Time {
+// find returns the pause that was reported last for a shard, and false if it is over.
+func (sp *shardPauses) find(shard string, now time.Time) (ownerPause, bool) {
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
 	p, ok := sp.byShard[shard]
 	if ok && !now.Before(p.until) {
 		delete(sp.byShard, shard)
-		return time.Time{}
-	}
-	if p.owner != owner {
-		return time.Time{}
+		return ownerPause{}, false
 	}
-	return p.until
+	return p, ok
 }
