--- a/entryd/pkg/withholder/table.go
+++ b/entryd/pkg/withholder/table.go
@@ -128,12 +128,7 @@
 // ParseAnnouncement. request is the id of the request that was answered.
 func (t *Table) Record(now time.Time, p Process, a Announcement, err error, request string) {
 	if err != nil {
-		t.invalid.Add(1)
-		effect := "ignored"
-		if errors.Is(err, ErrPauseTooLong) {
-			effect = "shortened"
-		}
-		slog.Warn("announcement of a target is invalid", "target", p.ID, "effect", effect, "id", request, "err", err.Error())
+		t.recordInvalid(now, p, err, request)
 	}
 	if a.Leaving {
 		t.leave(now, p, "answer", request)
@@ -148,6 +143,19 @@
 	}
 }
 
+// recordInvalid counts an invalid announcement and logs the first one of each process.
+func (t *Table) recordInvalid(now time.Time, p Process, err error, request string) {
+	t.invalid.Add(1)
+	if t.state(now, p).invalid.Swap(true) {
+		return
+	}
+	effect := "ignored"
+	if errors.Is(err, ErrPauseTooLong) {
+		effect = "shortened"
+	}
+	slog.Warn("announcement of a target is invalid", "target", p.ID, "effect", effect, "id", request, "err", err.Error())
+}
+
 // leave marks a process as leaving. source says who has announced it.
 func (t *Table) leave(now time.Time, p Process, source, request string) {
 	if t.state(now, p).leave() {
--- a/entryd/pkg/withholder/withholder.go
+++ b/entryd/pkg/withholder/withholder.go
@@ -37,6 +37,8 @@
 	pausedUntil atomic.Int64
 	// full is true while as many requests are in flight as the limit allows.
 	full atomic.Bool
+	// invalid is true if the process has announced something that is not valid.
+	invalid atomic.Bool
 
 	mu       sync.Mutex
 	inFlight int
