A daemon that cannot open a connection takes no target for ended

Cause: any error of the new connection counted as no answer of the address, a lack of descriptors too; with all other connections broken, requests would have been blamed for the end of a target. Now only a timeout or a reset counts. The new case of TestDoReportsEndedTargetBehindProxy failed before.

--- a/entryd/pkg/httpsender/endcheck.go
+++ b/entryd/pkg/httpsender/endcheck.go
@@ -32,7 +32,8 @@
 type endState int
 
 const (
-	// goesOn means that the target accepts a connection, or that an earlier one is open.
+	// goesOn means that the target accepts a connection, that an earlier one is open, or that
+	// the daemon could not open a connection for a reason of its own.
 	goesOn endState = iota
 	// refuses means that the address refuses connections.
 	refuses
@@ -70,10 +71,10 @@
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return refuses, nil
-		case err != nil && cl.hasSoundConn():
-			return goesOn, nil
-		case err != nil:
+		case noAnswer(err) && !cl.hasSoundConn():
 			return isGone, nil
+		case err != nil:
+			return goesOn, nil
 		case !cl.hasSoundConn() && closedWithin(nc, closeWait):
 			_ = nc.Close()
 			return isGone, nil
@@ -84,6 +85,13 @@
 	return state.(endState)
 }
 
+// noAnswer reports whether a connection could not be opened because the address did not
+// accept it. Other errors, such as a lack of descriptors, say nothing of the target.
+func noAnswer(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, syscall.ECONNRESET)
+}
+
 // hasSoundConn reports whether the target has left one of the connections open.
 func (cl *Client) hasSoundConn() bool {
 	cl.connsMu.Lock()
--- a/entryd/pkg/httpsender/endcheck_test.go
+++ b/entryd/pkg/httpsender/endcheck_test.go
@@ -1,10 +1,12 @@
 package httpsender
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -56,13 +58,17 @@
 		accepts, closes bool
 		// silent is true if the target has not answered since the connection was opened.
 		silent bool
-		ended  bool
+		// dialError is the error of new connections that are not accepted. Nil means that
+		// they time out.
+		dialError error
+		ended     bool
 	}{
 		{name: "new connections are closed", accepts: true, closes: true, ended: true},
 		{name: "new connections are not accepted", ended: true},
 		{name: "only new connections are closed", others: 1, accepts: true, closes: true},
 		{name: "only new connections are not accepted", others: 1},
 		{name: "new connections stay open", accepts: true},
+		{name: "daemon has no descriptor for a new connection", dialError: syscall.EMFILE},
 		{name: "ended before the request was sent", accepts: true, closes: true, silent: true},
 	}
 	for _, test := range tests {
@@ -82,7 +88,7 @@
 					return nc, err
 				}
 				if !test.accepts {
-					return nil, context.DeadlineExceeded
+					return nil, cmp.Or(test.dialError, context.DeadlineExceeded)
 				}
 				nc, err := dial(ctx, network, address)
 				if err == nil && test.closes {
