Requests return one by one after a pause, and an announcement outlives a change of address

Found by reading the change again: - Answers to requests that were sent before a pause raised the limit during it, so that at its end all returned at once. TestStateAfterPause, whose earlier requests now count as answered, had 50 requests in flight instead of 1. - The entry of the same process with another address made a second Target; dropping the first one removed the state that the second one holds, and announcements went to a new state that nobody reads. The table counts its users. TestAnnouncementKeptAcrossAddresses failed with the count left out.

Simpler: the cataloger owns the table, instead of two options that had to be the same; the pauses that owners reported are read once a request, not once a shard; no copy of all states for the list, one look-up for each record.

Passed: the tests of the packages with -race, and those of announcements with six daemons.

--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -34,8 +34,6 @@
 	Dial  httpsender.Dial
 	// Headers names the headers of the protocol between daemons and targets.
 	Headers *httpsender.Headers
-	// Withholder holds what the targets have announced. Nil means a table of its own.
-	Withholder *withholder.Table
 	// ExtraLimit bounds the extra requests of the fleet to each pool.
 	ExtraLimit ExtraLimit
 }
@@ -50,9 +48,10 @@
 // Cataloger builds a Catalog from each accepted configuration. It is safe for
 // concurrent use. The method Catalog takes no lock.
 type Cataloger struct {
-	options Options
-	group   estimator.Group
-	current atomic.Pointer[Catalog]
+	options    Options
+	group      estimator.Group
+	withholder withholder.Table
+	current    atomic.Pointer[Catalog]
 
 	mu       sync.Mutex
 	targets  map[processKey]*Target
@@ -66,9 +65,6 @@
 
 // New returns a Cataloger with an empty catalog.
 func New(o Options) *Cataloger {
-	if o.Withholder == nil {
-		o.Withholder = &withholder.Table{}
-	}
 	c := &Cataloger{
 		options:  o,
 		targets:  make(map[processKey]*Target),
@@ -85,6 +81,9 @@
 // Catalog returns the current catalog.
 func (c *Cataloger) Catalog() *Catalog { return c.current.Load() }
 
+// Withholder returns what the targets have announced.
+func (c *Cataloger) Withholder() *withholder.Table { return &c.withholder }
+
 // SetFleet sets the number of live daemons and the owners of the shards. Connections
 // and the slack of the budgets are divided according to them.
 func (c *Cataloger) SetFleet(daemons int, owners *assigner.Owners) {
@@ -245,7 +244,7 @@
 			}),
 			client: httpsender.NewClient(t.GetAddress(), c.options.Headers, c.options.Dial, c.options.Clock),
 		}
-		known.state = c.options.Withholder.Use(known.Process())
+		known.state = c.withholder.Use(c.options.Clock.Now(), known.Process())
 		c.targets[k] = known
 	}
 	c.setMaxConnections(known, p)
@@ -318,7 +317,7 @@
 	for k, t := range c.targets {
 		if !used[t] {
 			t.client.Close()
-			c.options.Withholder.Release(now, t.Process())
+			c.withholder.Release(now, t.Process())
 			delete(c.targets, k)
 		}
 	}
@@ -346,5 +345,5 @@
 			}
 		}
 	}
-	c.options.Withholder.Refresh(now, leaving)
+	c.withholder.Refresh(now, leaving)
 }
--- a/entryd/pkg/cataloger/cataloger_test.go
+++ b/entryd/pkg/cataloger/cataloger_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/config"
 )
 
@@ -155,6 +156,22 @@
 	}
 }
 
+// TestAnnouncementKeptAcrossAddresses guards against an announcement that is lost because the
+// entry of the same process states another address.
+func TestAnnouncementKeptAcrossAddresses(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	c := newCataloger(clock)
+	c.Adopt(accepted(1, target("1", "p", false)))
+	moved := target("1", "p", false)
+	moved.Address = "10.0.0.2:1"
+	c.Adopt(accepted(2, moved))
+	r := c.Catalog().Pool("p").Replicas()[0]
+	c.Withholder().Record(clock.Now(), r.Process(), withholder.Announcement{Leaving: true}, nil, "request")
+	if r.Address() != moved.GetAddress() || !r.Unavailable(clock.Now()) {
+		t.Errorf("target at %s is unavailable: %v, want true", r.Address(), r.Unavailable(clock.Now()))
+	}
+}
+
 func TestPoolPickerFollowsWeights(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var picker poolPicker
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -150,7 +150,7 @@
 	now := j.Clock.Now()
 	paused := answer != nil && j.recordAnnouncement(target, answer, err, now)
 	if admitted {
-		target.State().Exit(answer != nil && !paused)
+		target.State().Exit(now, answer != nil && !paused)
 	}
 	if errors.Is(err, httpsender.ErrEnded) {
 		j.endedAttempts.Add(1)
--- a/entryd/pkg/scatterer/partition_test.go
+++ b/entryd/pkg/scatterer/partition_test.go
@@ -11,7 +11,6 @@
 	"plantaincleat/entryd/pkg/cataloger"
 	"plantaincleat/entryd/pkg/crashtracker"
 	"plantaincleat/entryd/pkg/httpsender"
-	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/config"
 )
 
@@ -24,15 +23,9 @@
 // newCatalogs returns a catalog of ten shards. All of them have a replica in the data
 // centre far, and the first nearShards ones also have one in the data centre near.
 func newCatalogs(nearShards int) *cataloger.Cataloger {
-	return newCatalogsWithholding(nearShards, nil)
-}
-
-// newCatalogsWithholding is like newCatalogs, with a table of the targets' announcements.
-func newCatalogsWithholding(nearShards int, table *withholder.Table) *cataloger.Cataloger {
 	c := cataloger.New(cataloger.Options{
-		Clock:      clockwork.NewFakeClock(),
-		Headers:    &httpsender.Headers{},
-		Withholder: table,
+		Clock:   clockwork.NewFakeClock(),
+		Headers: &httpsender.Headers{},
 	})
 	route := &config.Route{
 		Name:       "all",
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -35,9 +35,6 @@
 	LeavingHeader string
 	// InstanceHeader is the header with the id of the target that sends an answer.
 	InstanceHeader string
-	// Withholder holds what the targets have announced. It must be that of the catalogs.
-	// Nil means a table of its own.
-	Withholder *withholder.Table
 	// RemotePenalty is added to the expected latency of a target in a remote data centre.
 	// Zero means DefaultRemotePenalty.
 	RemotePenalty time.Duration
@@ -48,7 +45,8 @@
 	Placement Placement
 	// Dial returns a connection to another daemon.
 	Dial Dial
-	// Catalogs returns the current catalog, for requests of other daemons.
+	// Catalogs returns the current catalog, for requests of other daemons, and what the
+	// targets have announced.
 	Catalogs Catalogs
 	// PartitionDetector reports whether the daemon is partitioned from the remote data
 	// centres. It may be nil.
@@ -67,9 +65,10 @@
 // Dial returns a connection to a daemon, which need not be ready yet.
 type Dial func(address string) (grpc.ClientConnInterface, error)
 
-// Catalogs returns the current catalog.
+// Catalogs returns the current catalog and what its targets have announced.
 type Catalogs interface {
 	Catalog() *cataloger.Catalog
+	Withholder() *withholder.Table
 }
 
 // PartitionDetector reports whether the daemon is partitioned from the remote data
@@ -108,9 +107,6 @@
 	if o.RemotePenalty <= 0 {
 		o.RemotePenalty = DefaultRemotePenalty
 	}
-	if o.Withholder == nil {
-		o.Withholder = &withholder.Table{}
-	}
 	if o.Cores <= 0 {
 		o.Cores = 1
 	}
--- a/entryd/pkg/scatterer/withhold.go
+++ b/entryd/pkg/scatterer/withhold.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -28,7 +29,7 @@
 		}
 		p = j.Catalogs.Catalog().Process(id)
 	}
-	j.Withholder.Record(now, p, a, parseErr, j.request.ID)
+	j.Catalogs.Withholder().Record(now, p, a, parseErr, j.request.ID)
 	return a.Pause > 0
 }
 
@@ -39,7 +40,7 @@
 	for _, p := range j.pools {
 		for _, r := range p.Replicas() {
 			if r.State().Leaving() && !r.Draining() {
-				out = append(out, j.Withholder.LeavingNotice(now, r.Process()))
+				out = append(out, withholder.LeavingNotice(now, r.Process()))
 			}
 		}
 	}
@@ -80,7 +81,7 @@
 // recordWithheld records which targets get no requests according to an owner's reply: this
 // daemon does not send to them in the owner's place.
 func (j *job) recordWithheld(a *attempt, reply *peer.ScatterReply, now time.Time) {
-	j.Withholder.Merge(now, reply.GetLeaving(), a.dest.owner.id)
+	j.Catalogs.Withholder().Merge(now, reply.GetLeaving(), a.dest.owner.id)
 	for _, l := range reply.GetLacks() {
 		if l.GetReason() == peer.Reason_REASON_PAUSED && int(l.GetShard()) < len(a.units) {
 			pause := min(time.Duration(l.GetPause())*time.Millisecond, withholder.MaxPause)
@@ -121,9 +122,14 @@
 // untilUnpaused returns the time until the fraction floor of the pools is not paused, or
 // zero if that is so now.
 func (s *Scatterer) untilUnpaused(pools []*cataloger.Pool, floor float64, now time.Time) time.Duration {
+	reported := s.pauses.list(now)
 	var ends []time.Time
 	for _, p := range pools {
-		if until := s.pausedUntil(p, now); !until.IsZero() {
+		until := p.PausedUntil(now)
+		if r, ok := reported[p.Name()]; until.IsZero() && ok && s.firstOwner(p) == r.owner {
+			until = r.until
+		}
+		if !until.IsZero() {
 			ends = append(ends, until)
 		}
 	}
@@ -139,21 +145,14 @@
 	return wait
 }
 
-// pausedUntil returns the time until which a pool is paused, according to its targets or
-// to the owner of its shard, or zero.
-func (s *Scatterer) pausedUntil(p *cataloger.Pool, now time.Time) time.Time {
-	if until := p.PausedUntil(now); !until.IsZero() || s.Placement == nil {
-		return until
-	}
-	reported, ok := s.pauses.find(p.Name(), now)
-	if !ok {
-		return time.Time{}
-	}
+// firstOwner returns the id of the first owner of a pool's shard, or an empty string if it
+// has none.
+func (s *Scatterer) firstOwner(p *cataloger.Pool) string {
 	ranked := s.Placement.Owners().Ranked(p.Name())
-	if len(ranked) == 0 || ranked[0].ID != reported.owner {
-		return time.Time{}
+	if len(ranked) == 0 {
+		return ""
 	}
-	return reported.until
+	return ranked[0].ID
 }
 
 // ownerPause is the pause of a shard's targets that its owner has reported.
@@ -179,14 +178,13 @@
 	sp.byShard[shard] = p
 }
 
-// find returns the pause that was reported last for a shard, and false if it is over.
-func (sp *shardPauses) find(shard string, now time.Time) (ownerPause, bool) {
+// list returns the pauses that are not over, by shard. It is nil if there are none.
+func (sp *shardPauses) list(now time.Time) map[string]ownerPause {
 	sp.mu.Lock()
 	defer sp.mu.Unlock()
-	p, ok := sp.byShard[shard]
-	if ok && !now.Before(p.until) {
-		delete(sp.byShard, shard)
-		return ownerPause{}, false
+	if len(sp.byShard) == 0 {
+		return nil
 	}
-	return p, ok
+	maps.DeleteFunc(sp.byShard, func(_ string, p ownerPause) bool { return !now.Before(p.until) })
+	return maps.Clone(sp.byShard)
 }
--- a/entryd/pkg/scatterer/withhold_test.go
+++ b/entryd/pkg/scatterer/withhold_test.go
@@ -10,7 +10,6 @@
 
 	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/httpsender"
-	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/peer"
 )
 
@@ -43,21 +42,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			clock := clockwork.NewFakeClock()
-			table := &withholder.Table{}
-			catalogs := newCatalogsWithholding(10, table)
-			s := New(Options{
-				Clock:      clock,
-				Catalogs:   catalogs,
-				DataCentre: "near",
-				Withholder: table,
-			})
-			route := catalogs.Catalog().Route("all")
-			r := &Request{
-				ID:       "id",
-				Received: clock.Now(),
-				Deadline: clock.Now().Add(time.Second),
-			}
-			j := newRoot(s, r, route, s.crashes.Plan(clock.Now(), r.Subject()))
+			j := newTestRoot(clock, nil)
+			s, route := j.Scatterer, j.route
 			for _, p := range route.Pools() {
 				for _, replica := range p.Replicas() {
 					if test.pauses(replica.ID()) {
@@ -96,22 +82,8 @@
 // are leaving or paused: it does not send to them in the owner's place.
 func TestOwnersWordIsTaken(t *testing.T) {
 	clock := clockwork.NewFakeClock()
-	table := &withholder.Table{}
-	catalogs := newCatalogsWithholding(10, table)
-	s := New(Options{
-		Clock:      clock,
-		Catalogs:   catalogs,
-		DataCentre: "near",
-		Withholder: table,
-		Placement:  fixedPlacement{owners: ownedBy("owner")},
-	})
-	route := catalogs.Catalog().Route("all")
-	r := &Request{
-		ID:       "id",
-		Received: clock.Now(),
-		Deadline: clock.Now().Add(time.Second),
-	}
-	j := newRoot(s, r, route, s.crashes.Plan(clock.Now(), r.Subject()))
+	j := newTestRoot(clock, fixedPlacement{owners: ownedBy("owner")})
+	s, route := j.Scatterer, j.route
 	a := &attempt{
 		dest: destination{
 			owner: s.owners.get(assigner.Daemon{ID: "owner", Address: "address"}),
@@ -149,6 +121,24 @@
 	}
 }
 
+// newTestRoot returns the job for a request to all shards of newCatalogs, at a daemon in
+// the data centre near.
+func newTestRoot(clock clockwork.Clock, placement Placement) *job {
+	catalogs := newCatalogs(10)
+	s := New(Options{
+		Clock:      clock,
+		Catalogs:   catalogs,
+		DataCentre: "near",
+		Placement:  placement,
+	})
+	r := &Request{
+		ID:       "id",
+		Received: clock.Now(),
+		Deadline: clock.Now().Add(time.Second),
+	}
+	return newRoot(s, r, catalogs.Catalog().Route("all"), s.crashes.Plan(clock.Now(), r.Subject()))
+}
+
 // fixedPlacement is a Placement with fixed owners.
 type fixedPlacement struct {
 	owners *assigner.Owners
--- a/entryd/pkg/withholder/table.go
+++ b/entryd/pkg/withholder/table.go
@@ -34,8 +34,10 @@
 // entry is the state of a process in the table.
 type entry struct {
 	state *State
-	// unusedSince is when the process left the configuration, or when it was first heard of
-	// without being in it. It is zero while the process is in the configuration.
+	// uses counts the calls of Use without Release. A process has two for a moment when its
+	// entry states another address.
+	uses int
+	// unusedSince is when uses became zero, or when the process was first heard of.
 	unusedSince time.Time
 	// noticeExpiry is the latest expiry of the notices that say that it is leaving.
 	noticeExpiry time.Time
@@ -75,33 +77,32 @@
 	t.board = b
 }
 
-// Use returns the state of a process that is in the configuration. It is the same in all
-// calls until Release.
-func (t *Table) Use(p Process) *State {
+// Use returns the state of a process that is in the configuration. It is the same until as
+// many calls of Release.
+func (t *Table) Use(now time.Time, p Process) *State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.find(time.Time{}, p)
-	e.unusedSince = time.Time{}
+	e := t.find(now, p)
+	e.uses++
 	return e.state
 }
 
-// Release records that a process is not in the configuration any more. What it has
-// announced is kept for a time, since it may come back.
+// Release takes back one call of Use. What a process has announced is kept for a time after
+// the last one, since it may come back into the configuration.
 func (t *Table) Release(now time.Time, p Process) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.entries[p]
-	switch {
-	case e == nil:
-	case e.state.Withheld(now):
-		e.unusedSince = now
-	default:
+	e := t.find(now, p)
+	if e.uses--; e.uses > 0 {
+		return
+	}
+	e.unusedSince = now
+	if !e.state.Withheld(now) {
 		delete(t.entries, p)
 	}
 }
 
-// find returns the entry of a process. If there is none, it creates one that is unused
-// since now. t.mu is held.
+// find returns the entry of a process, and creates it if there is none. t.mu is held.
 func (t *Table) find(now time.Time, p Process) *entry {
 	if t.entries == nil {
 		t.entries = make(map[Process]*entry)
@@ -117,36 +118,28 @@
 	return e
 }
 
-// state returns the state of a process.
-func (t *Table) state(now time.Time, p Process) *State {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.find(now, p).state
-}
-
 // Record records what an answer of a process has announced. err is the error of
 // ParseAnnouncement. request is the id of the request that was answered.
 func (t *Table) Record(now time.Time, p Process, a Announcement, err error, request string) {
+	t.mu.Lock()
+	state := t.find(now, p).state
+	t.mu.Unlock()
 	if err != nil {
-		t.recordInvalid(now, p, err, request)
+		t.recordInvalid(p, state, err, request)
 	}
 	if a.Leaving {
-		t.leave(now, p, "answer", request)
+		t.recordLeaving(p, state, "answer", request)
 	}
-	if a.Pause <= 0 {
-		return
-	}
-	until := now.Add(a.Pause)
-	if t.state(now, p).pause(now, until) {
+	if until := now.Add(a.Pause); a.Pause > 0 && state.pause(now, until) {
 		t.pauses.Add(1)
 		slog.Info("target asked for a pause", "target", p.ID, "until", until, "id", request)
 	}
 }
 
 // recordInvalid counts an invalid announcement and logs the first one of each process.
-func (t *Table) recordInvalid(now time.Time, p Process, err error, request string) {
+func (t *Table) recordInvalid(p Process, state *State, err error, request string) {
 	t.invalid.Add(1)
-	if t.state(now, p).invalid.Swap(true) {
+	if state.invalid.Swap(true) {
 		return
 	}
 	effect := "ignored"
@@ -156,9 +149,9 @@
 	slog.Warn("announcement of a target is invalid", "target", p.ID, "effect", effect, "id", request, "err", err.Error())
 }
 
-// leave marks a process as leaving. source says who has announced it.
-func (t *Table) leave(now time.Time, p Process, source, request string) {
-	if t.state(now, p).leave() {
+// recordLeaving marks a process as leaving. source says who has announced it.
+func (t *Table) recordLeaving(p Process, state *State, source, request string) {
+	if state.leave() {
 		t.leaves.Add(1)
 		slog.Info("target announced that it is leaving", "target", p.ID, "incarnation", p.Incarnation, "from", source, "id", request)
 	}
@@ -182,7 +175,7 @@
 			e.noticeExpiry = expires
 		}
 		t.mu.Unlock()
-		t.leave(now, p, source, "")
+		t.recordLeaving(p, e.state, source, "")
 	}
 }
 
@@ -197,16 +190,12 @@
 	t.Merge(now, leaving, "gossip")
 }
 
-// LeavingNotice returns the notice that a process is leaving, which its state says.
-func (t *Table) LeavingNotice(now time.Time, p Process) *peer.Leaving {
-	return newNotice(p, nextExpiry(now))
-}
-
-func newNotice(p Process, expires time.Time) *peer.Leaving {
+// LeavingNotice returns the notice that a process is leaving.
+func LeavingNotice(now time.Time, p Process) *peer.Leaving {
 	return &peer.Leaving{
 		Target:      p.ID,
 		Incarnation: p.Incarnation,
-		Expires:     expires.UnixMilli(),
+		Expires:     nextExpiry(now).UnixMilli(),
 	}
 }
 
@@ -237,7 +226,7 @@
 			continue
 		}
 		e.noticeExpiry = nextExpiry(now)
-		due = append(due, newNotice(p, e.noticeExpiry))
+		due = append(due, LeavingNotice(now, p))
 	}
 	return due
 }
@@ -264,7 +253,7 @@
 	var unused []Process
 	for p, e := range t.entries {
 		switch {
-		case e.unusedSince.IsZero():
+		case e.uses > 0:
 		case now.Sub(e.unusedSince) >= retention:
 			delete(t.entries, p)
 		default:
@@ -291,12 +280,14 @@
 
 // List returns the processes that get no requests, sorted by id.
 func (t *Table) List(now time.Time) []Withheld {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []Withheld
-	for p, s := range t.states() {
+	for p, e := range t.entries {
 		w := Withheld{
 			Process: p,
-			Leaving: s.Leaving(),
-			Until:   s.PausedUntil(now),
+			Leaving: e.state.Leaving(),
+			Until:   e.state.PausedUntil(now),
 		}
 		if w.Leaving || !w.Until.IsZero() {
 			out = append(out, w)
@@ -307,14 +298,3 @@
 	})
 	return out
 }
-
-// states returns a copy of the map from processes to their states.
-func (t *Table) states() map[Process]*State {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make(map[Process]*State, len(t.entries))
-	for p, e := range t.entries {
-		out[p] = e.state
-	}
-	return out
-}
--- a/entryd/pkg/withholder/withholder.go
+++ b/entryd/pkg/withholder/withholder.go
@@ -78,12 +78,13 @@
 }
 
 // Exit records that a request for which Enter has returned true is no longer in flight.
-// answered reports whether the target has answered it otherwise than with a pause.
-func (s *State) Exit(answered bool) {
+// answered reports whether the target has answered it otherwise than with a pause. Answers
+// in a pause are to requests sent before it and do not raise the limit.
+func (s *State) Exit(now time.Time, answered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
-	if answered && s.limit > 0 {
+	if answered && s.limit > 0 && s.PausedUntil(now).IsZero() {
 		if s.limit *= 2; s.limit > maxRampLimit {
 			s.limit = 0
 		}
--- a/entryd/pkg/withholder/withholder_test.go
+++ b/entryd/pkg/withholder/withholder_test.go
@@ -80,7 +80,7 @@
 	}
 	exit := func(n int, answered bool) {
 		for range n {
-			s.Exit(answered)
+			s.Exit(clock.Now(), answered)
 		}
 	}
 	if n := enter(20); n != 20 {
@@ -90,8 +90,8 @@
 	if n := enter(20); n != 0 || !s.Withheld(clock.Now()) {
 		t.Errorf("%d requests in the pause", n)
 	}
-	// The requests that were in flight do not tell that the pause has ended.
-	exit(20, false)
+	// Answers to requests that were in flight do not tell that the pause has ended.
+	exit(20, true)
 	clock.Advance(time.Second)
 	if s.Withheld(clock.Now()) {
 		t.Error("target is withheld after its pause")
@@ -144,7 +144,7 @@
 	leaving := Process{ID: "a", Incarnation: 1}
 	next := Process{ID: "a", Incarnation: 2}
 	heard.Record(clock.Now(), leaving, Announcement{Leaving: true}, nil, "request")
-	if !heard.Use(leaving).Leaving() || heard.Use(next).Leaving() {
+	if !heard.Use(clock.Now(), leaving).Leaving() || heard.Use(clock.Now(), next).Leaving() {
 		t.Fatal("the announcement counts for the wrong process")
 	}
 	var expiry int64
@@ -161,7 +161,7 @@
 		expiry = last.GetExpires()
 	}
 	told.MergeNotices(clock.Now(), b.notices)
-	if !told.Use(leaving).Leaving() || told.Use(next).Leaving() {
+	if !told.Use(clock.Now(), leaving).Leaving() || told.Use(clock.Now(), next).Leaving() {
 		t.Error("a daemon that starts later does not know which process is leaving")
 	}
 	told.PublishTo(&b)
@@ -180,10 +180,10 @@
 	left := Process{ID: "left"}
 	quiet := Process{ID: "quiet"}
 	for _, p := range []Process{kept, left} {
-		table.Use(p)
+		table.Use(clock.Now(), p)
 		table.Record(clock.Now(), p, Announcement{Leaving: true}, nil, "")
 	}
-	table.Use(quiet)
+	table.Use(clock.Now(), quiet)
 	table.Release(clock.Now(), quiet)
 	table.Release(clock.Now(), left)
 	for i := range maxRetained + 100 {
@@ -196,7 +196,7 @@
 	}
 	clock.Advance(retention)
 	table.Refresh(clock.Now(), nil)
-	if len(table.entries) != 1 || !table.Use(kept).Leaving() {
+	if len(table.entries) != 1 || !table.Use(clock.Now(), kept).Leaving() {
 		t.Errorf("%d processes after the retention, want the configured one with its announcement", len(table.entries))
 	}
 }
@@ -207,10 +207,10 @@
 	now := clockwork.NewFakeClock().Now()
 	var table Table
 	p := Process{ID: "a"}
-	table.Use(p)
+	table.Use(now, p)
 	table.Record(now, p, Announcement{Leaving: true}, nil, "")
 	table.Release(now, p)
-	if !table.Use(p).Leaving() {
+	if !table.Use(now, p).Leaving() {
 		t.Error("the process is not leaving any more")
 	}
 }
