--- a/prover/pkg/soaker/announcements.go
+++ b/prover/pkg/soaker/announcements.go
@@ -5,8 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"plantaincleat/standin/pkg/httpresponder"
-	"plantaincleat/standin/pkg/platformsimulator"
+	"plantaincleat/standin/pkg/arrivalchecker"
 )
 
 const (
@@ -16,10 +15,6 @@
 	// minPause and maxPause bound the pauses that targets ask for.
 	minPause = 500 * time.Millisecond
 	maxPause = 3 * time.Second
-	// pauseSlack is the time after a target has asked for a pause from which at most
-	// maxPauseArrivals requests of a daemon may reach it until the end of the pause.
-	pauseSlack       = 500 * time.Millisecond
-	maxPauseArrivals = 2
 )
 
 // announceLeaving makes a target announce in its answers, until the end of the run, that
@@ -68,83 +63,21 @@
 	heard, late := 0, 0
 	for _, t := range s.fleet.platform.AllTargets() {
 		for _, d := range s.fleet.daemons {
-			a := &arrivalChecker{
-				ledger: &s.ledger,
-				daemon: d,
+			c := arrivalchecker.Checker{
+				DrainLimit: drainLimit,
+				Forgotten:  func(heard, at time.Time) bool { return !s.ledger.sameProcess(d.number, heard, at) },
+				HeldUp:     func(at time.Time) bool { return !s.ledger.undisrupted(d.number, at.Add(-stableWindow), at) },
 			}
-			for _, arrival := range t.ListArrivals() {
-				if arrival.From == d.ip {
-					a.add(arrival)
-				}
+			r := c.Check(t.ListArrivalsFrom(d.ip))
+			heard += r.Heard
+			late += r.AfterLeaving + r.InPause
+			if r.AfterLeaving > 0 {
+				s.ledger.addFinding("daemon %d: %d requests reached %s later than %v after it announced that it is leaving", d.number, r.AfterLeaving, t.ID(), drainLimit)
+			}
+			if r.BrokenPauses > 0 {
+				s.ledger.addFinding("daemon %d: too many requests reached %s in %d pauses", d.number, t.ID(), r.BrokenPauses)
 			}
-			heard += a.heard
-			late += a.late
-			a.report(t)
 		}
 	}
 	s.events = append(s.events, fmt.Sprintf("announcements: %d heard by daemons, %d late arrivals", heard, late))
 }
-
-// arrivalChecker checks the requests of one daemon that have reached one target, in their
-// order.
-type arrivalChecker struct {
-	ledger *ledger
-	daemon *daemon
-	// leavingSince is when the daemon heard that the target is leaving, or zero.
-	leavingSince time.Time
-	// pauseBegin and pauseEnd are the bounds of the last pause that the target has asked
-	// the daemon for, and inPause counts the requests in it after pauseSlack.
-	pauseBegin, pauseEnd time.Time
-	inPause              int
-	// heard counts the announcements, afterLeaving the late requests to a leaving target,
-	// and pausesBroken the pauses with too many requests.
-	heard, late                int
-	afterLeaving, pausesBroken int
-}
-
-func (c *arrivalChecker) add(a httpresponder.Arrival) {
-	c.forget(a.At)
-	counts := c.ledger.undisrupted(c.daemon.number, a.At.Add(-stableWindow), a.At)
-	if !c.leavingSince.IsZero() && a.At.Sub(c.leavingSince) > drainLimit && counts {
-		c.late++
-		c.afterLeaving++
-	}
-	if a.Leaving && c.leavingSince.IsZero() {
-		c.heard++
-		c.leavingSince = a.At
-	}
-	switch {
-	case a.At.Before(c.pauseEnd):
-		if a.At.Sub(c.pauseBegin) > pauseSlack && counts {
-			c.late++
-			c.inPause++
-		}
-		if c.inPause == maxPauseArrivals+1 {
-			c.pausesBroken++
-		}
-	case a.Pause > 0:
-		c.heard++
-		c.pauseBegin, c.pauseEnd, c.inPause = a.At, a.At.Add(a.Pause), 0
-	}
-}
-
-// forget drops the announcements after which the daemon was frozen or restarted before a
-// time.
-func (c *arrivalChecker) forget(at time.Time) {
-	if !c.leavingSince.IsZero() && !c.ledger.sameProcess(c.daemon.number, c.leavingSince, at) {
-		c.leavingSince = time.Time{}
-	}
-	if !c.pauseEnd.IsZero() && !c.ledger.sameProcess(c.daemon.number, c.pauseBegin, at) {
-		c.pauseEnd = time.Time{}
-	}
-}
-
-// report records as findings what the arrivals at a target have broken.
-func (c *arrivalChecker) report(t *platformsimulator.Target) {
-	if c.afterLeaving > 0 {
-		c.ledger.addFinding("daemon %d: %d requests reached %s later than %v after it announced that it is leaving", c.daemon.number, c.afterLeaving, t.ID(), drainLimit)
-	}
-	if c.pausesBroken > 0 {
-		c.ledger.addFinding("daemon %d: more than %d requests reached %s in each of %d pauses", c.daemon.number, maxPauseArrivals, t.ID(), c.pausesBroken)
-	}
-}
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -214,6 +214,11 @@
 	return slices.Clone(r.arrivals)
 }
 
+// ListArrivalsFrom returns the requests of one sender that have arrived, in their order.
+func (r *Responder) ListArrivalsFrom(address string) []Arrival {
+	return slices.DeleteFunc(r.ListArrivals(), func(a Arrival) bool { return a.From != address })
+}
+
 // SetLeaving sets whether the target announces in all its answers that it is leaving.
 func (r *Responder) SetLeaving(leaving bool) {
 	r.mu.Lock()
