--- a/entryd/pkg/crashtracker/subject.go
+++ b/entryd/pkg/crashtracker/subject.go
@@ -37,6 +37,9 @@
 // String returns the fingerprint of the content with its caller, as used in logs.
 func (s Subject) String() string { return strconv.FormatUint(s.caller, fingerprintBase) }
 
+// ContentString returns the fingerprint of the content alone, as used in logs.
+func (s Subject) ContentString() string { return strconv.FormatUint(s.content, fingerprintBase) }
+
 // Content returns the fingerprint of the content.
 func (s Subject) Content() uint64 { return s.content }
 
--- a/entryd/pkg/scatterer/crash.go
+++ b/entryd/pkg/scatterer/crash.go
@@ -128,7 +128,8 @@
 		return
 	}
 	crashes, until := j.crashes.RecordCrashes(now, &j.plan, pool, n)
-	attrs := []any{"id", j.request.ID, "fingerprint", j.plan.Subject().String(), "pool", pool, "ended", n, "crashes", crashes}
+	attrs := []any{"id", j.request.ID, "fingerprint", j.plan.Subject().String(),
+		"content", j.plan.Subject().ContentString(), "caller", j.request.Caller, "pool", pool, "ended", n, "crashes", crashes}
 	if !until.IsZero() {
 		attrs = append(attrs, "until", until)
 	}
