Test: a crashing request whose caller has several addresses, and one under a light load

Fails on this code, in the form of the users' report: with four addresses 4 sends later than 4 s after the third crash (3 allowed), 8 targets ended on one service and 29 over all shards. With one request a second at each daemon, where the address of an ended target accepts and closes, 8 late sends over all shards. The light load with an address that refuses passes (0 late, 3 targets).

--- a/prover/pkg/soaker/crash_test.go
+++ b/prover/pkg/soaker/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -30,6 +31,10 @@
 		disrupt  func(s *Soak)
 		// accepts is true if the addresses of ended targets accept connections.
 		accepts bool
+		// addresses is the number of addresses that a request comes from.
+		addresses int
+		// light is true if the load beside it is one request a second at each daemon.
+		light bool
 	}{
 		{name: "one target", requests: []crashingRequest{get}},
 		{name: "one target, not idempotent", requests: []crashingRequest{post}},
@@ -37,6 +42,11 @@
 		{name: "one target behind a proxy", requests: []crashingRequest{get}, accepts: true},
 		{name: "all shards behind a proxy", requests: []crashingRequest{all}, accepts: true},
 		{name: "all at once behind a proxy", requests: []crashingRequest{get, post, all}, accepts: true},
+		{name: "one target behind a proxy, light load", requests: []crashingRequest{get}, accepts: true, light: true},
+		{name: "all shards behind a proxy, light load", requests: []crashingRequest{all}, accepts: true, light: true},
+		{name: "one target, light load", requests: []crashingRequest{get}, light: true},
+		{name: "one target, caller with several addresses", requests: []crashingRequest{get}, addresses: 4},
+		{name: "all shards, caller with several addresses", requests: []crashingRequest{all}, addresses: 4},
 		{name: "all at once while daemons restart", requests: []crashingRequest{get, post, all}, disrupt: restartInTurn},
 		{name: "all at once while the store comes and goes", requests: []crashingRequest{get, post, all}, disrupt: takeStoreAway},
 		{name: "all at once while a daemon is cut off from the others", requests: []crashingRequest{get, post, all}, disrupt: cutDaemonOff},
@@ -49,10 +59,14 @@
 			if !s.waitUntilReady(time.Now()) {
 				t.Fatal("not every daemon became ready after the start")
 			}
-			s.startCallers()
+			if test.light {
+				s.startLightLoad()
+			} else {
+				s.startCallers()
+			}
 			var senders []*crashSender
 			for i, r := range test.requests {
-				c := newCrashSender(s, r, fmt.Sprintf("127.0.9.%d", 1+i))
+				c := newCrashSender(s, r, crashAddresses(i, test.addresses)...)
 				senders = append(senders, c)
 				s.background.Go(func() { c.run(s.ended) })
 			}
@@ -64,6 +78,9 @@
 			if unserved := s.findUnserved(time.Now().Add(-servedPeriod)); unserved != nil {
 				t.Errorf("request %s beside the crashing ones: status %d, %v", unserved.id, unserved.status, unserved.err)
 			}
+			if test.light {
+				s.checkServed(t, begin.Add(crashRunTime-stableWindow))
+			}
 			close(s.ended)
 			s.background.Wait()
 			s.checkNotQuarantined(t)
@@ -85,12 +102,69 @@
 	}
 }
 
+// crashAddresses returns the addresses of the i-th crashing request, at least one.
+func crashAddresses(i, n int) []string {
+	var out []string
+	for j := range max(n, 1) {
+		out = append(out, fmt.Sprintf("127.0.9.%d", 1+i+10*j))
+	}
+	return out
+}
+
+// lightGap is the time between two requests of a caller under a light load.
+const lightGap = time.Second
+
+// startLightLoad starts one caller for each daemon, which sends a request each lightGap to
+// one target or to all shards, until the end of the run.
+func (s *Soak) startLightLoad() {
+	for i, d := range s.fleet.daemons {
+		c := &caller{
+			soak:   s,
+			number: i,
+			random: rand.New(rand.NewPCG(s.options.Seed, uint64(i))),
+		}
+		s.background.Go(func() {
+			defer c.closeConn()
+			for n := 0; ; n++ {
+				select {
+				case <-s.ended:
+					return
+				case <-time.After(lightGap):
+				}
+				rec := c.callTo(d, []string{routeOne, routeAll}[n%2])
+				s.ledger.addCall(rec)
+				if rec.err != nil {
+					c.closeConn()
+				}
+			}
+		})
+	}
+}
+
+// minServed is the fraction of the ordinary requests that must be served once a crashing
+// request has to be known.
+const minServed = 0.97
+
+// checkServed checks that the callers' requests since a time were served.
+func (s *Soak) checkServed(t *testing.T, since time.Time) {
+	t.Helper()
+	served, calls := 0, s.ledger.callsSince(since)
+	for _, c := range calls {
+		if c.status == http.StatusOK {
+			served++
+		}
+	}
+	if float64(served) < minServed*float64(len(calls)) {
+		t.Errorf("%d of %d requests beside the crashing ones were served in the last %v, want %g", served, len(calls), time.Since(since), minServed)
+	}
+}
+
 // checkNotQuarantined reports requests of the callers that were refused as if they crashed
 // targets.
 func (s *Soak) checkNotQuarantined(t *testing.T) {
 	t.Helper()
 	for _, c := range s.ledger.callsSince(time.Time{}) {
-		if strings.Contains(string(c.body), "QUARANTINED") {
+		if strings.Contains(string(c.body), quarantined) {
 			t.Errorf("request %s on %s, which crashes nothing, was refused: %s", c.id, c.route, c.body)
 			return
 		}
--- a/prover/pkg/soaker/crashsender.go
+++ b/prover/pkg/soaker/crashsender.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -23,6 +24,8 @@
 	crashesUntilKnown = 3
 	stableWindow      = 4 * time.Second
 	maxLateSends      = 3
+	// quarantined is in the body of the refusal of a request that crashes targets.
+	quarantined = "QUARANTINED"
 	// crashSendGap is the pause between two sends of a request that crashes.
 	crashSendGap = 250 * time.Millisecond
 )
@@ -31,8 +34,10 @@
 // daemon.
 type crashSender struct {
 	crashingRequest
-	soak   *Soak
-	client *http.Client
+	soak *Soak
+	// clients send from one address each. The next one is used once the request has to be
+	// known and is refused because it crashes targets.
+	clients []*http.Client
 
 	sends   []crashSend
 	knownBy time.Time
@@ -54,22 +59,25 @@
 	body   string
 }
 
-// newCrashSender returns a sender whose connections come from one address.
-func newCrashSender(s *Soak, r crashingRequest, from string) *crashSender {
-	dialer := &net.Dialer{
-		LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)},
-	}
-	return &crashSender{
+// newCrashSender returns a sender whose connections come from the given addresses.
+func newCrashSender(s *Soak, r crashingRequest, from ...string) *crashSender {
+	c := &crashSender{
 		soak:            s,
 		crashingRequest: r,
-		client: &http.Client{
+	}
+	for _, address := range from {
+		dialer := &net.Dialer{
+			LocalAddr: &net.TCPAddr{IP: net.ParseIP(address)},
+		}
+		c.clients = append(c.clients, &http.Client{
 			Transport: &http.Transport{
 				DialContext:       dialer.DialContext,
 				DisableKeepAlives: true,
 			},
 			Timeout: callerDeadline + closeSlack,
-		},
+		})
 	}
+	return c
 }
 
 // run sends the request until stop is closed.
@@ -102,9 +110,14 @@
 	req.Host = platformsimulator.RouteHost
 	req.Header.Set("Request-Id", s.id)
 	req.Header.Set("Request-Deadline", fmt.Sprint(callerDeadline.Milliseconds()))
-	if resp, err := c.client.Do(req); err == nil {
+	if resp, err := c.clients[0].Do(req); err == nil {
+		body, _ := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		s.status = resp.StatusCode
+		known := !c.knownBy.IsZero() && s.at.After(c.knownBy)
+		if known && len(c.clients) > 1 && strings.Contains(string(body), quarantined) {
+			c.clients = c.clients[1:]
+		}
 	}
 	s.took = time.Since(s.at)
 	c.sends = append(c.sends, s)
