--- a/standin/pkg/platformsimulator/platform.go
+++ b/standin/pkg/platformsimulator/platform.go
@@ -30,6 +30,8 @@
 	mu      sync.Mutex
 	targets []*Target
 	closed  bool
+	// entries holds the entries of the registered targets by store key.
+	entries map[string][]byte
 }
 
 // Route is a route of the operators' configuration.
@@ -207,6 +209,10 @@
 	change(&p.config)
 	p.version++
 	p.config.Version = p.version
+	return p.writeConfig()
+}
+
+func (p *Platform) writeConfig() error {
 	value, err := json.Marshal(p.config)
 	if err != nil {
 		return err
--- a/standin/pkg/platformsimulator/store.go
+++ b/standin/pkg/platformsimulator/store.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
 
 	"plantaincleat/tier/pkg/storer"
 )
@@ -26,6 +27,9 @@
 	defaultPageSize = 500
 	// maxWatchWait is the maximum time that one call of a watch waits for events.
 	maxWatchWait = 30 * time.Second
+	// headerEra is the header of all answers that counts how often the store has returned
+	// from a copy.
+	headerEra = "Store-Era"
 	// maxTxnEntries is the maximum number of conditions and writes in a transaction.
 	maxTxnEntries = 32
 )
@@ -57,6 +61,8 @@
 	clock    clockwork.Clock
 	fault    atomic.Int32
 	pageSize atomic.Int32
+	// returns is the number of returns from a copy.
+	returns atomic.Int64
 
 	mu         sync.Mutex
 	leases     map[int64]leaseTimer
@@ -112,8 +118,21 @@
 	return err
 }
 
+// ReturnFromCopy replaces the content by a copy from earlier. Watches that go on after the
+// copy's revision are answered with 410.
+func (s *Store) ReturnFromCopy(c *storer.Snapshot) {
+	s.returns.Add(1)
+	s.memory.Restore(c)
+}
+
+// setEra sets the header with the present era, which starts at 1.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set(headerEra, strconv.FormatInt(1+s.returns.Load(), 10))
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.setEra(w)
 	kind, id, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
 	s.mu.Lock()
 	s.callCounts[kind]++
@@ -252,6 +271,7 @@
 	ctx, cancel := clockwork.WithTimeout(r.Context(), s.clock, wait)
 	defer cancel()
 	events, revision, err := s.awaitEvents(ctx, query.Get("prefix"), after)
+	s.setEra(w)
 	if errors.Is(err, storer.ErrCompacted) {
 		w.WriteHeader(http.StatusGone)
 		return
@@ -283,10 +303,13 @@
 		if err != nil || len(events) > 0 {
 			return events, revision, err
 		}
+		if after > revision {
+			return nil, 0, eris.Wrapf(storer.ErrCompacted, "revision %d is higher than the store's %d", after, revision)
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, max(after, revision), nil
+			return nil, revision, nil
 		}
 	}
 }
--- a/standin/pkg/platformsimulator/target.go
+++ b/standin/pkg/platformsimulator/target.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 
 	"plantaincleat/standin/pkg/httpresponder"
@@ -156,8 +157,38 @@
 	if err != nil {
 		return err
 	}
-	return p.store.Put("servers/"+t.ID(), value)
+	p.mu.Lock()
+	if p.entries == nil {
+		p.entries = make(map[string][]byte)
+	}
+	p.entries[entryKey(t)] = value
+	p.mu.Unlock()
+	return p.store.Put(entryKey(t), value)
 }
 
+func entryKey(t *Target) string { return "servers/" + t.ID() }
+
 // UnregisterTarget removes the entry of a target.
-func (p *Platform) UnregisterTarget(t *Target) error { return p.store.Delete("servers/" + t.ID()) }
+func (p *Platform) UnregisterTarget(t *Target) error {
+	p.mu.Lock()
+	delete(p.entries, entryKey(t))
+	p.mu.Unlock()
+	return p.store.Delete(entryKey(t))
+}
+
+// WriteAgain writes the present configuration and the entries of all registered targets
+// again, as the operator and the targets do after the store has returned from a copy.
+func (p *Platform) WriteAgain() error {
+	if err := p.writeConfig(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	entries := maps.Clone(p.entries)
+	p.mu.Unlock()
+	for key, value := range entries {
+		if err := p.store.Put(key, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/tier/pkg/storer/memory.go
+++ b/tier/pkg/storer/memory.go
@@ -102,6 +102,37 @@
 	m.notifyWatches()
 }
 
+// Snapshot is the content of a Memory at one time, without its leases.
+type Snapshot struct {
+	items     map[string]Item
+	history   []Event
+	revision  int64
+	compacted int64
+}
+
+// Snapshot returns the present content.
+func (m *Memory) Snapshot() *Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return &Snapshot{
+		items:     maps.Clone(m.items),
+		history:   slices.Clone(m.history),
+		revision:  m.revision,
+		compacted: m.compacted,
+	}
+}
+
+// Restore replaces the content by that of a snapshot. What was written since is lost, its
+// revisions are given out again, and all leases end.
+func (m *Memory) Restore(s *Snapshot) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.items, m.history = maps.Clone(s.items), slices.Clone(s.history)
+	m.revision, m.compacted = s.revision, s.compacted
+	m.leases = nil
+	m.notifyWatches()
+}
+
 // ExpireLease ends a lease as if its time to live had passed, and deletes the keys
 // attached to it.
 func (m *Memory) ExpireLease(lease int64) {
