A crashing request is known by its content, from whatever address it comes

Cause: the count of crashes was kept by content and the caller's address. The content's own count rose only with the first crash of each address, so that a caller with several addresses got three crashes at each of the first two. Why this works: each crash counts for the content as well, and all equal requests wait at the owner of one shard, chosen by content, which looks again after the wait and records a crash before the next one begins. TestPlan: the case 'equal request of another caller' demanded the old rule; it now demands the refusal, and two cases hold what the old one protected: an answer to another caller's equal request between ends the content's suspicion, not the caller's own. The targets of 'a crash of many' had an equal request; they have another one now, as the cases say. Same cause elsewhere: mutations of entryd have no caller in their fingerprint.

--- a/entryd/pkg/crashtracker/crashtracker.go
+++ b/entryd/pkg/crashtracker/crashtracker.go
@@ -10,6 +10,11 @@
 // crashes a target count as one. While many targets end that did not have the request, it
 // stays suspected and is not refused for one crash more.
 //
+// Suspicions are kept for the content of a request, whoever sends it, and for the content
+// with its caller. A caller may come from many addresses, so that the content alone decides.
+// The answer to an equal request of another caller ends the suspicion of the content, and
+// not that of the caller, whose headers may be what crashes the targets.
+//
 // The package quarantiner does the same for queries, whose targets each get all requests
 // from one daemon. Targets of plain requests get them from many daemons, so that a
 // daemon does not know what else a target executed when it ended. Only an answer or a
@@ -152,19 +157,14 @@
 func (t *Tracker) RecordCrashes(now time.Time, p *Plan, pool string, n int) (crashes int, until time.Time) {
 	t.mu.Lock()
 	caller := t.raise(now, p.subject.caller, p.caller, pool, n)
-	changed := []*peer.Suspicion{caller}
-	// Equal requests of other callers are suspected only with a caller's first crash:
-	// what happens to one caller again and again says nothing about the others.
-	if p.caller.GetCrashes() == 0 {
-		changed = append(changed, t.raise(now, p.subject.content, p.content, pool, 1))
-	}
+	content := t.raise(now, p.subject.content, p.content, pool, n)
 	publisher := t.publisher
 	t.mu.Unlock()
-	publish(publisher, changed)
-	if caller.GetUntil() > 0 {
-		until = time.UnixMilli(caller.GetUntil())
+	publish(publisher, []*peer.Suspicion{caller, content})
+	if last := max(caller.GetUntil(), content.GetUntil()); last > 0 {
+		until = time.UnixMilli(last)
 	}
-	return int(caller.GetCrashes()), until
+	return int(max(caller.GetCrashes(), content.GetCrashes())), until
 }
 
 // raise records n crashes of a send that was planned when seen was known. If many
--- a/entryd/pkg/crashtracker/crashtracker_test.go
+++ b/entryd/pkg/crashtracker/crashtracker_test.go
@@ -34,7 +34,7 @@
 // TestPlan guards against a request that goes on to targets after refusalThreshold
 // crashes, and against refusals of requests that only were beside it.
 func TestPlan(t *testing.T) {
-	s, other := subjectOf("a", "x"), subjectOf("b", "x")
+	s, other, beside := subjectOf("a", "x"), subjectOf("b", "x"), subjectOf("b", "y")
 	tests := []struct {
 		name      string
 		events    func(t *Tracker)
@@ -63,21 +63,21 @@
 		}, subject: s, suspected: true},
 		{name: "third crash in a crash of many", events: func(t *Tracker) {
 			crashTimes(t, s, 2)
-			endMany(t, massThreshold, other)
+			endMany(t, massThreshold, beside)
 			crash(t, start, s)
 		}, subject: s, suspected: true},
 		{name: "third crash just before a crash of many", events: func(t *Tracker) {
 			crashTimes(t, s, 3)
-			endMany(t, massThreshold, other)
+			endMany(t, massThreshold, beside)
 		}, subject: s, suspected: true},
 		{name: "third crash after a crash of many", events: func(t *Tracker) {
 			crashTimes(t, s, 2)
-			endMany(t, massThreshold, other)
+			endMany(t, massThreshold, beside)
 			crash(t, start.Add(2*massWindow), s)
 		}, subject: s, refused: true, suspected: true},
 		{name: "third crash with many targets of its own", events: func(t *Tracker) {
 			crashTimes(t, s, 2)
-			endMany(t, massThreshold, other)
+			endMany(t, massThreshold, beside)
 			endMany(t, massThreshold, s)
 			crash(t, start, s)
 		}, subject: s, refused: true, suspected: true},
@@ -97,7 +97,18 @@
 			answer(t, start, s, "pool")
 			t.RecordCrashes(start, &p, "pool", 1)
 		}, subject: s, suspected: true},
-		{name: "equal request of another caller", events: func(t *Tracker) { crashTimes(t, s, 3) }, subject: other, suspected: true},
+		{name: "equal request of another caller", events: func(t *Tracker) { crashTimes(t, s, 3) }, subject: other, refused: true, suspected: true},
+		{name: "equal request of another caller after two crashes", events: func(t *Tracker) { crashTimes(t, s, 2) }, subject: other, suspected: true},
+		{name: "equal request of another caller that was answered between", events: func(t *Tracker) {
+			crashTimes(t, s, 2)
+			answer(t, start, other, "pool")
+			crash(t, start, s)
+		}, subject: other, suspected: true},
+		{name: "caller's own crashes with answers to another caller between", events: func(t *Tracker) {
+			crashTimes(t, s, 2)
+			answer(t, start, other, "pool")
+			crash(t, start, s)
+		}, subject: s, refused: true, suspected: true},
 		{name: "one content from three callers", events: func(t *Tracker) {
 			for _, caller := range []string{"c", "d", "e"} {
 				crash(t, start, subjectOf(caller, "x"))
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -54,16 +54,30 @@
 		return err
 	}
 	if in.GetSuspected() {
-		plan.Suspected = true
-		endTurn := s.takeTurn(stream.Context(), in.GetShards()[0], turnTimeout)
-		if endTurn == nil {
-			return stream.Send(shedAll(in))
-		}
-		defer endTurn()
+		return s.serveSuspected(stream, in, catalog, route, subject)
 	}
 	return s.newCollector(in, catalog, route, plan).run(stream)
 }
 
+// serveSuspected serves a request of another daemon that is suspected of crashing targets.
+// The requests before it may have shown meanwhile that it does. What it shows itself is
+// recorded before the next one begins, which the notice of the other daemon may not be.
+func (s *Scatterer) serveSuspected(stream peer.Peer_ScatterServer, in *peer.ScatterRequest, catalog *cataloger.Catalog, route *cataloger.Route, subject crashtracker.Subject) error {
+	endTurn := s.takeTurn(stream.Context(), in.GetShards()[0], turnTimeout)
+	if endTurn == nil {
+		return stream.Send(rejectAll(in, peer.Reason_REASON_SHED))
+	}
+	defer endTurn()
+	plan := s.crashes.Plan(s.Clock.Now(), subject)
+	if plan.Refused {
+		return stream.Send(rejectAll(in, peer.Reason_REASON_QUARANTINED))
+	}
+	plan.Suspected = true
+	c := s.newCollector(in, catalog, route, plan)
+	defer c.recordCrashes()
+	return c.run(stream)
+}
+
 // collector serves a request of another daemon.
 type collector struct {
 	*job
--- a/entryd/pkg/scatterer/crash.go
+++ b/entryd/pkg/scatterer/crash.go
@@ -59,13 +59,13 @@
 	return s.turns.Take(ctx, pool)
 }
 
-// shedAll returns the reply to a request of another daemon that was sent to no target.
-func shedAll(in *peer.ScatterRequest) *peer.ScatterReply {
+// rejectAll returns the reply to a request of another daemon that was sent to no target.
+func rejectAll(in *peer.ScatterRequest, reason peer.Reason) *peer.ScatterReply {
 	reply := &peer.ScatterReply{Last: true}
 	for i := range in.GetShards() {
 		reply.Lacks = append(reply.Lacks, &peer.ScatterLack{
 			Shard:  uint32(i),
-			Reason: peer.Reason_REASON_SHED,
+			Reason: reason,
 		})
 	}
 	return reply
@@ -137,8 +137,9 @@
 }
 
 // crashedPool returns a pool of which targets ended and none answered, and the greatest
-// number of these targets in one pool. Different requests get different pools as far as
-// possible, so that they do not meet when they are sent again.
+// number of these targets in one pool. Requests with different contents get different pools
+// as far as possible, so that they do not meet when they are sent again. Those with the same
+// content wait for each other at the owner of one pool.
 func (j *job) crashedPool() (string, int) {
 	var pools []string
 	most := 0
@@ -151,5 +152,5 @@
 	if most == 0 {
 		return "", 0
 	}
-	return ranker.Rank(pools, j.plan.Subject().String(), func(name string) string { return name })[0], most
+	return ranker.Rank(pools, j.plan.Subject().ContentString(), func(name string) string { return name })[0], most
 }
