The request that ended a target is told from those sent to its dead address by how long the connection was open

Cause: a request was blamed only if the target had answered something since the connection was opened. Where each target gets a request a second, and each new process new connections, that is rarely so. Why this works: an intermediary closes a connection to a dead address at once. A first request on a connection to a target that has not answered for 250 ms waits 5 ms; if the connection is closed meanwhile, nothing was sent (503 is true, and the request can go elsewhere). If it is closed later, a process was there. The cost is 5 ms for the first request on a new connection to a target that is not in use.

--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -38,8 +38,8 @@
 	unused bool
 	// reusable is true if the connection can carry another request.
 	reusable bool
-	// opened is when the connection was opened.
-	opened time.Time
+	// opened is when the connection was opened, and sent when the last request was sent.
+	opened, sent time.Time
 	// expires is when an idle connection must not be used any more.
 	expires time.Time
 }
@@ -127,7 +127,11 @@
 // exchange sends a request and reads the response.
 func (c *conn) exchange(cl *Client, r *Request) (*Answer, error) {
 	c.reusable = false
+	if !c.awaitOpen() {
+		return nil, fmt.Errorf("target %s: connection was closed before the request: %w", cl.address, ErrNotSent)
+	}
 	now := cl.clock.Now()
+	c.sent = now
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		return nil, fmt.Errorf("target %s: set deadline of connection: %w: %w", cl.address, ErrNotSent, err)
 	}
--- a/entryd/pkg/httpsender/endcheck.go
+++ b/entryd/pkg/httpsender/endcheck.go
@@ -17,6 +17,8 @@
 	// closeWait is the time in which an intermediary closes a connection that it has
 	// accepted for a target that has ended.
 	closeWait = 5 * time.Millisecond
+	// recentAnswer is the time after an answer for which a target is taken to run.
+	recentAnswer = 250 * time.Millisecond
 	// peekInterval is the time between two looks at such a connection.
 	peekInterval = time.Millisecond
 )
@@ -44,45 +46,80 @@
 	isGone
 )
 
+// endCheck is the result of a check whether a target has ended.
+type endCheck struct {
+	state endState
+	// took is how long the address kept the connection of the check open.
+	took time.Duration
+}
+
 // endedDuring reports whether the target's process has ended while it had the request that
 // was sent on a connection. If the address refuses connections, the target has accepted the
-// connection itself. Behind an intermediary, it must have answered a request since the
-// connection was opened; otherwise it may have ended before the request was sent.
+// connection itself. Behind an intermediary, the target must have been there when the
+// request was sent; otherwise it may have ended before. It was there if the connection was
+// open for longer than the intermediary keeps one open for a target that has ended.
 func (cl *Client) endedDuring(c *conn) bool {
-	switch cl.checkEnd() {
+	lasted := cl.clock.Since(c.opened)
+	check := cl.checkEnd()
+	switch check.state {
 	case refuses:
 		return true
 	case isGone:
-		cl.mu.Lock()
-		defer cl.mu.Unlock()
-		return cl.lastAnswer.After(c.opened)
+		return cl.answeredSince(c.opened) || c.sent.Sub(c.opened) >= closeWait || lasted > check.took+closeWait
 	}
 	return false
 }
 
+// answeredSince reports whether the target has answered a request after a time.
+func (cl *Client) answeredSince(t time.Time) bool {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.lastAnswer.After(t)
+}
+
 // checkEnd finds out whether the target has ended. A new connection that can be used is
 // kept for a later request.
-func (cl *Client) checkEnd() endState {
+func (cl *Client) checkEnd() endCheck {
 	// Requests that have lost their connections at the same time share one check.
-	state, _, _ := cl.endChecks.Do("", func() (any, error) {
+	check, _, _ := cl.endChecks.Do("", func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 		defer cancel()
 		nc, err := cl.dial(ctx, "tcp", cl.address)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
-			return refuses, nil
+			return endCheck{state: refuses}, nil
 		case noAnswer(err) && !cl.hasSoundConn():
-			return isGone, nil
+			return endCheck{
+				state: isGone,
+				took:  endCheckTimeout,
+			}, nil
 		case err != nil:
-			return goesOn, nil
-		case !cl.hasSoundConn() && closedWithin(nc, closeWait):
+			return endCheck{}, nil
+		}
+		opened := cl.clock.Now()
+		if !cl.hasSoundConn() && closedWithin(nc, closeWait) {
 			_ = nc.Close()
-			return isGone, nil
+			return endCheck{
+				state: isGone,
+				took:  cl.clock.Since(opened),
+			}, nil
 		}
 		cl.keep(nc)
-		return goesOn, nil
+		return endCheck{}, nil
 	})
-	return state.(endState)
+	return check.(endCheck)
+}
+
+// awaitOpen reports whether a connection that has carried no request can carry one. If the
+// target has not answered for recentAnswer, its end may be unknown, and an intermediary may
+// have accepted the connection in its place: the request waits for closeWait, so that it is
+// not sent where no process is.
+func (c *conn) awaitOpen() bool {
+	if !c.unused || c.client.answeredSince(c.client.clock.Now().Add(-recentAnswer)) {
+		return true
+	}
+	open := closeWait - c.client.clock.Since(c.opened)
+	return open <= 0 || !closedWithin(c.Conn, open)
 }
 
 // noAnswer reports whether a connection could not be opened because the address did not
--- a/entryd/pkg/httpsender/endcheck_test.go
+++ b/entryd/pkg/httpsender/endcheck_test.go
@@ -58,6 +58,8 @@
 		accepts, closes bool
 		// silent is true if the target has not answered since the connection was opened.
 		silent bool
+		// waited is how long the connection was open when the request was sent.
+		waited time.Duration
 		// dialError is the error of new connections that are not accepted. Nil means that
 		// they time out.
 		dialError error
@@ -70,6 +72,7 @@
 		{name: "new connections stay open", accepts: true},
 		{name: "daemon has no descriptor for a new connection", dialError: syscall.EMFILE},
 		{name: "ended before the request was sent", accepts: true, closes: true, silent: true},
+		{name: "connection was open before the request was sent", accepts: true, closes: true, silent: true, waited: closeWait, ended: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -109,6 +112,7 @@
 			if !test.silent {
 				c.recordAnswer(time.Now())
 			}
+			last.sent = last.opened.Add(test.waited)
 			// The target closes the connection that was opened last.
 			if err := broken.(*net.TCPConn).CloseRead(); err != nil {
 				t.Fatal(err)
@@ -119,3 +123,28 @@
 		})
 	}
 }
+
+// TestDoWaitsBeforeFirstRequest guards against requests that are sent to an address at
+// which no process is, and that count as executed, because an intermediary accepts the
+// connection and closes it.
+func TestDoWaitsBeforeFirstRequest(t *testing.T) {
+	s := newTarget(t, func(_ int, r *http.Request) (string, bool) {
+		return response(r.Header.Get("Request-Id"), "", "body"), false
+	})
+	c := s.client(1)
+	dial, gone := c.dial, true
+	c.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := dial(ctx, network, address)
+		if err == nil && gone {
+			err = nc.(*net.TCPConn).CloseRead()
+		}
+		return nc, err
+	}
+	if _, err := do(c, request("a")); !errors.Is(err, ErrNotSent) || errors.Is(err, ErrIncomplete) {
+		t.Errorf("error %v, want ErrNotSent", err)
+	}
+	gone = false
+	if _, err := do(c, request("b")); err != nil {
+		t.Errorf("request to a target that has returned: %v", err)
+	}
+}
