A revision of the store counts within its era, and the operators' version goes before it

Callers saw: a route that had been added was not served, or a change not in force in time, after the platform's store had been away and returned from a copy. Cause: the store's revision was the order of configurations and of a watch's progress. After the return the store gives revisions out again, and all daemons ignored what came with those that they had seen. Class: a number compared outside of the span in which its giver orders it. The copy's older configuration does not replace the one in force: the operators' version decides, at the mirror, between daemons and at a start.

--- a/entryd/pkg/adopter/adopter.go
+++ b/entryd/pkg/adopter/adopter.go
@@ -93,7 +93,7 @@
 	// Adopted counts the configurations that came into force.
 	Adopted uint64
 	// Lower counts configurations and heads that were refused because their
-	// revision was lower than the one in force.
+	// revision, or the operators' version, was lower than the one in force.
 	Lower uint64
 	// Corrupt counts configurations that were refused because they did not
 	// match their digest.
@@ -186,9 +186,15 @@
 // have been the newest in the store. It returns the zero time if there is none.
 func (m *Machine) Confirmed() time.Time { return m.confirmed }
 
-// Reader reports whether this daemon reads the store.
+// Reader reports whether this daemon reads the store. A daemon that has no configuration
+// yet leaves that to its peers while it may get theirs, which can be later than what the
+// store holds after its return from a copy.
 func (m *Machine) Reader(now time.Time) bool {
-	if len(m.fleet.peers) == 0 && now.Sub(m.started) < m.cfg.StartDelay {
+	age := now.Sub(m.started)
+	if len(m.fleet.peers) == 0 && age < m.cfg.StartDelay {
+		return false
+	}
+	if m.current == nil && m.fleet.highest > 0 && age < m.cfg.PullHedgeDelay {
 		return false
 	}
 	return m.fleet.rank < m.cfg.Readers || now.Before(m.takeoverUntil)
@@ -224,7 +230,7 @@
 		m.nextRead = now.Add(m.cfg.RetryInterval)
 		m.counters.Failures++
 	case PeerAnswered:
-		actions = m.handlePeerAnswer(e)
+		actions = m.handlePeerAnswer(e, now)
 	case PullFailed:
 		delete(m.pulls, e.Peer)
 		m.avoidUntil[e.Peer] = now.Add(2 * m.cfg.PullHedgeDelay)
@@ -245,13 +251,17 @@
 }
 
 // handlePeerAnswer handles the answer of a peer to a pull.
-func (m *Machine) handlePeerAnswer(e PeerAnswered) []Action {
+func (m *Machine) handlePeerAnswer(e PeerAnswered, now time.Time) []Action {
 	pullStart := m.pulls[e.Peer]
 	delete(m.pulls, e.Peer)
 	var actions []Action
 	if e.Accepted.GetConfig() != nil {
 		actions = m.offer(e.Accepted)
 	}
+	if m.olderVersion(e.Accepted.GetHead()) {
+		m.avoidUntil[e.Peer] = now.Add(2 * m.cfg.PullHedgeDelay)
+		return actions
+	}
 	if e.Accepted != nil && e.Accepted.Age != nil && !pullStart.IsZero() {
 		age := time.Duration(max(0, e.Accepted.GetAge())) * time.Millisecond
 		m.observe(e.Accepted.GetHead(), pullStart.Add(-age))
@@ -264,7 +274,7 @@
 // and is ignored.
 func (m *Machine) observe(head *config.Head, at time.Time) {
 	revision := head.GetRevision()
-	if revision == 0 || revision < m.Revision() || revision < m.evidence.revision {
+	if revision == 0 || revision < m.Revision() || revision < m.evidence.revision || m.olderVersion(head) {
 		return
 	}
 	if revision == m.Revision() && !bytes.Equal(head.GetDigest(), m.current.Head.GetDigest()) {
@@ -299,8 +309,8 @@
 		m.counters.Corrupt++
 		return nil
 	}
-	if !m.accepts(own.GetRevision(), head.GetRevision()) {
-		if head.GetRevision() < own.GetRevision() {
+	if !m.accepts(own.GetRevision(), head.GetRevision()) || m.olderVersion(head) {
+		if head.GetRevision() < own.GetRevision() || m.olderVersion(head) {
 			m.counters.Lower++
 		}
 		return nil
@@ -314,6 +324,13 @@
 	return []Action{Adopt{Accepted: m.current}}
 }
 
+// olderVersion reports whether the operators have replaced a configuration by the one in
+// force. It may have a higher revision all the same, from a store that has returned from a
+// copy.
+func (m *Machine) olderVersion(head *config.Head) bool {
+	return head.GetVersion() < m.current.GetHead().GetVersion()
+}
+
 // staleness returns the time since the last confirmation, or since the start if
 // there is none.
 func (m *Machine) staleness(now time.Time) time.Duration {
--- a/entryd/pkg/adopter/adopter_test.go
+++ b/entryd/pkg/adopter/adopter_test.go
@@ -296,3 +296,37 @@
 		m.Step(start, MembersChanged{Live: live})
 	}
 }
+
+// TestOlderVersionIsRefused guards against a configuration that the operators have replaced
+// and that comes back with a higher revision, after the store has returned from a copy.
+func TestOlderVersionIsRefused(t *testing.T) {
+	withVersion := func(revision, version uint64, cell uint32) *config.Accepted {
+		a := accepted(revision, cell)
+		a.Head.Version = version
+		return a
+	}
+	m := New(Config{
+		ID:         "a",
+		DataCentre: "wlg",
+	}, start)
+	m.Step(start, MembersChanged{Live: []Member{{ID: "a", DataCentre: "wlg"}, {ID: "b", DataCentre: "wlg", Revision: 90}}})
+	m.Step(start, PeerAnswered{Peer: "b", Accepted: withVersion(50, 9, 1)})
+	older := m.Step(start, PeerAnswered{Peer: "b", Accepted: withVersion(90, 8, 2)})
+	if m.Revision() != 50 || m.Counters().Lower != 1 {
+		t.Errorf("revision %d in force, %d refused, want revision 50 and 1", m.Revision(), m.Counters().Lower)
+	}
+	for _, a := range older {
+		if _, ok := a.(Pull); ok {
+			t.Error("the peer with the older version is asked again at once")
+		}
+	}
+	m.Step(start, StoreRead{Accepted: withVersion(91, 8, 2)})
+	m.Step(start, HeadChanged{Head: withVersion(92, 8, 2).Head})
+	if m.Revision() != 50 || m.KnownRevision() != 90 {
+		t.Errorf("revision %d in force and %d known, want 50 and 90", m.Revision(), m.KnownRevision())
+	}
+	m.Step(start, PeerAnswered{Peer: "b", Accepted: withVersion(93, 9, 3)})
+	if m.Revision() != 93 {
+		t.Errorf("revision %d in force, want 93, whose version is that in force", m.Revision())
+	}
+}
--- a/entryd/pkg/adopter/runner.go
+++ b/entryd/pkg/adopter/runner.go
@@ -235,7 +235,7 @@
 		parts:    parts,
 	})
 	r.Fleet.SetRevision(a.Head.Revision)
-	klog.InfoS("adopted configuration", "revision", a.Head.Revision, "change", a.Head.Change, "author", a.Head.Author)
+	klog.InfoS("adopted configuration", "revision", a.Head.Revision, "version", a.Head.Version, "change", a.Head.Change, "author", a.Head.Author)
 	r.subscribers.mu.Lock()
 	defer r.subscribers.mu.Unlock()
 	for ch := range r.subscribers.all {
--- a/entryd/pkg/mirrorer/mirrorer.go
+++ b/entryd/pkg/mirrorer/mirrorer.go
@@ -6,6 +6,10 @@
 // store. The copy at a store revision is the same in every daemon, whether the
 // daemon read it or watched the changes. The store revision therefore serves as
 // the revision of the configuration.
+//
+// A store that returns from an earlier copy of its content may hold an older version of
+// the operators' configuration than the one in force. The mirror then keeps the one in
+// force, with the targets that the store has, until the operators write theirs again.
 package mirrorer
 
 import (
@@ -24,15 +28,26 @@
 	"plantaincleat/tier/pkg/storer"
 )
 
-// Translate returns the configuration that the items, by store key, describe. It
-// returns nil if they contain no configuration. It must not modify the map.
-type Translate func(items map[string]storer.Item) (*config.Config, error)
+// Translation is what the items of the store describe.
+type Translation struct {
+	// Config is nil if the items contain no configuration.
+	Config *config.Config
+	// Version is the operators' number of the configuration, or 0 if they do not number
+	// it. It rises with each of their changes.
+	Version uint64
+}
+
+// Translate returns what the items, by store key, describe. It must not modify the map.
+type Translate func(items map[string]storer.Item) (Translation, error)
 
-// Options configure a Mirror. All fields are required.
+// Options configure a Mirror. All fields but InForce are required.
 type Options struct {
 	Store     storer.Store
 	Clock     clockwork.Clock
 	Translate Translate
+	// InForce returns the configuration that the daemon has adopted, from whatever
+	// source, or nil.
+	InForce func() *config.Accepted
 	// Prefixes are the prefixes of the store keys to mirror.
 	Prefixes []string
 	// MaxStaleness is the longest time since the last progress event of a watch
@@ -55,6 +70,9 @@
 	// watchCount is the number of watches started. It identifies the latest one,
 	// so that the end of an earlier watch does not reset watching.
 	watchCount int
+	// keptFrom is the operators' version in the store that was last found to be older than
+	// the one in force.
+	keptFrom uint64
 }
 
 // New returns an empty Mirror. The first call of Head reads the store.
@@ -72,6 +90,12 @@
 	m.mu.Lock()
 	if m.watching && m.Clock.Since(m.lastProgress) <= m.MaxStaleness {
 		defer m.mu.Unlock()
+		if m.outdated() {
+			m.changed = true
+			if err := m.rebuild(); err != nil {
+				return nil, 0, err
+			}
+		}
 		return m.accepted.GetHead(), m.revision, nil
 	}
 	m.mu.Unlock()
@@ -198,22 +222,70 @@
 	return false
 }
 
+// newest returns the configuration with the highest version of the operators that the
+// daemon has seen.
+func (m *Mirror) newest() *config.Accepted {
+	if m.InForce == nil {
+		return m.accepted
+	}
+	if a := m.InForce(); a.GetHead().GetVersion() > m.accepted.GetHead().GetVersion() {
+		return a
+	}
+	return m.accepted
+}
+
+// outdated reports whether the daemon has adopted a later version of the operators from
+// elsewhere than the last translation has.
+func (m *Mirror) outdated() bool {
+	return m.accepted != nil && m.newest().GetHead().GetVersion() > m.accepted.GetHead().GetVersion()
+}
+
+// keepNewest replaces the operators' part of a translation if a later version of it is
+// known. The store may hold an older one after its return from a copy, until the operators
+// write theirs again.
+func (m *Mirror) keepNewest(t Translation) Translation {
+	newest := m.newest()
+	version := newest.GetHead().GetVersion()
+	if t.Version >= version {
+		return t
+	}
+	if m.keptFrom != t.Version {
+		m.keptFrom = t.Version
+		klog.InfoS("the store holds an older configuration than the one in force, which is kept", "version", version, "stored", t.Version, "revision", m.revision)
+	}
+	kept := newest.GetConfig()
+	return Translation{
+		Version: version,
+		Config: &config.Config{
+			Targets:      t.Config.GetTargets(),
+			Collections:  kept.GetCollections(),
+			Institutions: kept.GetInstitutions(),
+			Policy:       kept.GetPolicy(),
+			Routes:       kept.GetRoutes(),
+			Pools:        kept.GetPools(),
+			Limits:       kept.GetLimits(),
+		},
+	}
+}
+
 // rebuild translates the items. A configuration with unchanged content keeps its
-// previous revision. The caller holds mu.
+// previous revision, unless that is of an earlier era of the store. The caller holds mu.
 func (m *Mirror) rebuild() error {
-	cfg, err := m.Translate(m.items)
+	t, err := m.Translate(m.items)
 	if err != nil {
 		return eris.Wrapf(err, "translate configuration at store revision %d", m.revision)
 	}
 	m.changed = false
-	if cfg == nil {
+	if t.Config == nil {
 		return nil
 	}
-	digest, err := configencoder.Digest(cfg)
+	t = m.keepNewest(t)
+	digest, err := configencoder.Digest(t.Config)
 	if err != nil {
 		return err
 	}
-	if bytes.Equal(digest, m.accepted.GetHead().GetDigest()) {
+	head := m.accepted.GetHead()
+	if bytes.Equal(digest, head.GetDigest()) && t.Version == head.GetVersion() && sameEra(int64(head.GetRevision()), m.revision) {
 		return nil
 	}
 	m.accepted = &config.Accepted{
@@ -221,8 +293,15 @@
 			Revision: uint64(m.revision),
 			Change:   "store",
 			Digest:   digest,
+			Version:  t.Version,
 		},
-		Config: cfg,
+		Config: t.Config,
 	}
 	return nil
 }
+
+func sameEra(a, b int64) bool {
+	first, _ := storer.SplitRevision(a)
+	second, _ := storer.SplitRevision(b)
+	return first == second
+}
--- a/entryd/pkg/mirrorer/mirrorer_test.go
+++ b/entryd/pkg/mirrorer/mirrorer_test.go
@@ -15,9 +15,9 @@
 
 // translate returns a configuration with one target per item except "c", or nil
 // if there is no item "c".
-func translate(items map[string]storer.Item) (*config.Config, error) {
+func translate(items map[string]storer.Item) (Translation, error) {
 	if _, ok := items["c"]; !ok {
-		return nil, nil
+		return Translation{}, nil
 	}
 	cfg := &config.Config{}
 	for _, key := range slices.Sorted(maps.Keys(items)) {
@@ -25,7 +25,9 @@
 			cfg.Targets = append(cfg.Targets, &config.Target{Id: key + string(items[key].Value)})
 		}
 	}
-	return cfg, nil
+	return Translation{
+		Config: cfg,
+	}, nil
 }
 
 // progressStore is a store whose watches send a progress event after each change.
@@ -121,7 +123,7 @@
 	put(t, memory, "c", "")
 	m := newMirror(memory, clockwork.NewFakeClock())
 	translations := 0
-	m.Translate = func(items map[string]storer.Item) (*config.Config, error) {
+	m.Translate = func(items map[string]storer.Item) (Translation, error) {
 		translations++
 		return translate(items)
 	}
@@ -207,3 +209,48 @@
 		t.Errorf("Read() returned no copy, error %v", err)
 	}
 }
+
+// TestMirrorKeepsConfigurationInForce guards against an older configuration that a store
+// holds after its return from a copy and that replaces the one in force.
+func TestMirrorKeepsConfigurationInForce(t *testing.T) {
+	memory := &storer.Memory{}
+	put(t, memory, "c", "")
+	put(t, memory, "t/1", "a")
+	m := newMirror(memory, clockwork.NewFakeClock())
+	stored := uint64(7)
+	m.Translate = func(items map[string]storer.Item) (Translation, error) {
+		out, err := translate(items)
+		out.Version = stored
+		if out.Config != nil {
+			out.Config.Routes = []*config.Route{{Name: "stored"}}
+		}
+		return out, err
+	}
+	inForce := &config.Accepted{
+		Head:   &config.Head{Version: 9},
+		Config: &config.Config{Routes: []*config.Route{{Name: "in force"}}},
+	}
+	m.InForce = func() *config.Accepted { return inForce }
+	check := func(version uint64, route string, targets int) {
+		t.Helper()
+		head, _, err := m.Head(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		accepted, err := m.Read(t.Context())
+		if err != nil || head.GetVersion() != version || accepted.GetConfig().GetRoutes()[0].GetName() != route || len(accepted.GetConfig().GetTargets()) != targets {
+			t.Errorf("version %d with %v, error %v; want version %d with route %q and %d targets", head.GetVersion(), accepted.GetConfig(), err, version, route, targets)
+		}
+	}
+	check(9, "in force", 1)
+	put(t, memory, "t/2", "b")
+	check(9, "in force", 2)
+	stored = 9
+	put(t, memory, "c", "again")
+	check(9, "stored", 2)
+	stored = 10
+	put(t, memory, "c", "next")
+	check(10, "stored", 2)
+	inForce.Head.Version = 12
+	check(12, "in force", 2)
+}
--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -61,6 +61,7 @@
 	{name: "crashing request", run: (*Soak).crashTargets},
 	{name: "leaving announced", run: (*Soak).announceLeaving},
 	{name: "pauses", run: (*Soak).askForPauses},
+	{name: "store copy", run: (*Soak).returnStoreFromCopy},
 }
 
 func (s *Soak) randomDaemon(r *rand.Rand) *daemon {
@@ -317,6 +318,36 @@
 	return rules
 }
 
+// maxCopyAge bounds the age of the copy that the store returns from, and writeAgainLimit
+// the time until the operator and the targets have written again.
+const (
+	maxCopyAge      = 4 * time.Second
+	writeAgainLimit = 2 * time.Second
+)
+
+// returnStoreFromCopy makes the store unavailable and then return from a copy. The operator
+// and the targets write again what the copy lacks.
+func (s *Soak) returnStoreFromCopy(r *rand.Rand, duration time.Duration) {
+	store := s.fleet.platform.Store()
+	before := store.Memory().Snapshot()
+	time.Sleep(time.Duration(r.Int64N(int64(maxCopyAge))))
+	if !s.storeMu.TryLock() {
+		return
+	}
+	defer s.storeMu.Unlock()
+	defer s.ledger.beginDisruption(s.allNumbers()...)()
+	store.SetFault(platformsimulator.Unavailable)
+	time.Sleep(duration)
+	store.ReturnFromCopy(before)
+	store.SetFault(platformsimulator.NoFault)
+	time.Sleep(time.Duration(r.Int64N(int64(writeAgainLimit))))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.fleet.platform.WriteAgain(); err != nil {
+		s.ledger.addFinding("write again after the store's return: %v", err)
+	}
+}
+
 func (s *Soak) compactStore(_ *rand.Rand, _ time.Duration) {
 	s.fleet.platform.Store().Memory().Compact()
 }
--- a/standin/pkg/platformsimulator/target.go
+++ b/standin/pkg/platformsimulator/target.go
@@ -1,6 +1,7 @@
 package platformsimulator
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -166,7 +167,10 @@
 	return p.store.Put(entryKey(t), value)
 }
 
-func entryKey(t *Target) string { return "servers/" + t.ID() }
+// entryPrefix and the id of a target are the store key of its entry.
+const entryPrefix = "servers/"
+
+func entryKey(t *Target) string { return entryPrefix + t.ID() }
 
 // UnregisterTarget removes the entry of a target.
 func (p *Platform) UnregisterTarget(t *Target) error {
@@ -177,7 +181,8 @@
 }
 
 // WriteAgain writes the present configuration and the entries of all registered targets
-// again, as the operator and the targets do after the store has returned from a copy.
+// again, as the operator and the targets do after the store has returned from a copy. The
+// entries of other targets end, since nobody renews their leases.
 func (p *Platform) WriteAgain() error {
 	if err := p.writeConfig(); err != nil {
 		return err
@@ -190,5 +195,11 @@
 			return err
 		}
 	}
-	return nil
+	page, err := p.store.Memory().Read(context.Background(), entryPrefix)
+	for _, item := range page.Items {
+		if _, registered := entries[item.Key]; !registered {
+			err = errors.Join(err, p.store.Delete(item.Key))
+		}
+	}
+	return err
 }
