--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -29,6 +29,7 @@
 	headerSignature        = "Response-Signature"
 	headerLeaving          = "Server-Leaving"
 	headerRetryAfter       = "Retry-After"
+	headerLimit            = "Server-Limit"
 )
 
 // RecordSize is the size in bytes of a record.
@@ -76,6 +77,8 @@
 	bodies     map[string]string
 	arrivals   []Arrival
 	leaving    bool
+	// limit is what the target names as its limit, or empty.
+	limit string
 	// pauses holds, by the address of the sender, the end of the pause that the target has
 	// asked it for. pauseLength is the length of further pauses, and zero if the target asks
 	// for none.
@@ -198,6 +201,9 @@
 	Leaving bool
 	// Pause is the pause that the target asked for, or zero.
 	Pause time.Duration
+	// Limit is the limit that the target named in its answer, in requests a second of all
+	// senders, or zero.
+	Limit float64
 }
 
 // Arrivals returns the number of requests that have arrived.
@@ -226,6 +232,14 @@
 	r.leaving = leaving
 }
 
+// SetLimit makes the target name a limit in all its answers, in requests a second of all
+// senders. Text that is no number is sent as it is. An empty text ends it.
+func (r *Responder) SetLimit(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = text
+}
+
 // AskForPauses makes the target refuse requests with status 503 and ask each sender for a
 // pause of the given length. Zero ends it.
 func (r *Responder) AskForPauses(length time.Duration) {
@@ -302,6 +316,9 @@
 	id := req.Header.Get(headerRequestID)
 	w.Header().Set(headerRequestID, id)
 	arrival, handling := r.recordArrival(req)
+	if handling.limit != "" {
+		w.Header().Set(headerLimit, handling.limit)
+	}
 	if arrival.Leaving {
 		w.Header().Set(headerLeaving, "1")
 	}
@@ -346,6 +363,7 @@
 // handling is how a target handles a request.
 type handling struct {
 	fault         Fault
+	limit         string
 	executionTime time.Duration
 	// pause is the channel that the request waits for, or nil.
 	pause chan struct{}
@@ -367,6 +385,9 @@
 		At:      now,
 		Leaving: r.leaving,
 	}
+	if limit, err := strconv.ParseFloat(r.limit, 64); err == nil {
+		a.Limit = limit
+	}
 	if want := req.Header.Get(headerExpectedInstance); want != "" && want != r.id {
 		return a, handling{}
 	}
@@ -377,6 +398,7 @@
 	}
 	return a, handling{
 		fault:         r.fault(req),
+		limit:         r.limit,
 		executionTime: r.executionTime,
 		pause:         r.pause,
 	}
