A request over shards that no target has executed is answered 503, also through owners

Cause: a reply of an owner counted as an execution, whatever it said, and the root gave the other owners up once the floor could not be reached. Why this works: an owner says in its last reply that no target has executed the request, and none will (its attempts' gates are closed). Where targets are withheld, the root waits up to 20 ms for the owners that are left, which say the same at once.

--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -222,7 +222,10 @@
 // the expected latency of each busy shard. The last reply also lists the units that
 // will not be answered.
 func (c *collector) reply(last bool) *peer.ScatterReply {
-	out := &peer.ScatterReply{Last: last}
+	out := &peer.ScatterReply{
+		Last:      last,
+		Untouched: last && !c.mayHaveExecuted(),
+	}
 	var records [][]byte
 	for _, p := range c.answers.list {
 		// A partial from a target contains one unit.
--- a/entryd/pkg/scatterer/crash.go
+++ b/entryd/pkg/scatterer/crash.go
@@ -61,7 +61,10 @@
 
 // rejectAll returns the reply to a request of another daemon that was sent to no target.
 func rejectAll(in *peer.ScatterRequest, reason peer.Reason) *peer.ScatterReply {
-	reply := &peer.ScatterReply{Last: true}
+	reply := &peer.ScatterReply{
+		Last:      true,
+		Untouched: true,
+	}
 	for i := range in.GetShards() {
 		reply.Lacks = append(reply.Lacks, &peer.ScatterLack{
 			Shard:  uint32(i),
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -151,6 +151,7 @@
 			return
 		}
 	}
+	j.awaitWithheld(ctx)
 	j.stop()
 }
 
@@ -180,7 +181,8 @@
 			continue
 		}
 		open := j.open[a.Nonce]
-		if open == nil {
+		if open == nil || open.dest.owner != nil && j.query.Done() {
+			// What goes on at the end is cancelled by stop, once awaitWithheld has returned.
 			continue
 		}
 		open.cancelQueue()
@@ -268,6 +270,7 @@
 		return
 	}
 	a.log.Result = "replied"
+	a.notExecuted = e.reply.GetUntouched()
 	var missing []router.MissingUnit
 	for _, l := range e.reply.GetLacks() {
 		if int(l.GetShard()) < len(a.units) {
--- a/entryd/pkg/scatterer/withhold.go
+++ b/entryd/pkg/scatterer/withhold.go
@@ -1,6 +1,7 @@
 package scatterer
 
 import (
+	"context"
 	"errors"
 	"maps"
 	"slices"
@@ -13,6 +14,9 @@
 	"plantaincleat/tier/gen/peer"
 )
 
+// wordTimeout bounds the time in which owners tell that they have sent a request to no target.
+const wordTimeout = 20 * time.Millisecond
+
 // recordAnnouncement records what an answer announces of the process that sent it, which
 // need not be the target: another process may have its address. It reports whether the
 // target has asked for a pause. err is the error with which the answer was returned, and
@@ -65,6 +69,58 @@
 	return admitted
 }
 
+// awaitWithheld waits for the replies of the owners that are left if the request cannot be
+// served because targets are paused or have used up their limits. The owners withhold it for
+// the same reason and say so at once, so that the caller can be told that no target has
+// executed it.
+func (j *job) awaitWithheld(ctx context.Context) {
+	if !j.root || !j.unserved() {
+		return
+	}
+	timer := j.Clock.NewTimer(wordTimeout)
+	defer timer.Stop()
+	for j.awaitsOwner() {
+		select {
+		case e := <-j.events:
+			j.handle(e)
+		case <-timer.Chan():
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// unserved reports whether too few units are covered and targets of one are withheld.
+func (j *job) unserved() bool {
+	now, covered, withheld := j.Clock.Now(), 0, false
+	for u := range j.pools {
+		if j.query.Covered(u) {
+			covered++
+		} else {
+			withheld = withheld || isWithheld(j.reason(u, now))
+		}
+	}
+	return withheld && float64(covered) < j.route.GetFloor()*float64(len(j.pools))
+}
+
+// awaitsOwner reports whether an owner has not replied yet, and no attempt before has been
+// executed, so that its reply matters.
+func (j *job) awaitsOwner() bool {
+	awaits := false
+	for _, a := range j.attempts {
+		_, open := j.open[a.nonce]
+		switch {
+		case a.notExecuted:
+		case open && a.dest.owner != nil:
+			awaits = true
+		case !open:
+			return false
+		}
+	}
+	return awaits
+}
+
 // reason returns the reason why a unit is not covered. If there was no target to send it
 // to, the reason says whether that is because of the targets' own announcements.
 func (j *job) reason(unit int, now time.Time) peer.Reason {
