Targets that send bytes without end lose the connection, and cost the daemon none

Callers saw: after some answers without end, a target was not used any more by the daemons that had got them, until these restarted. Cause: an answer with a part that was not read yet held its connection, and was never closed if it was not the one returned: an answer over shards, one without a signature, an error that another answer followed, one that came after the end. A refusal with a long body was taken for an answer. Class: a resource that is handed over by an event, and dropped where the event is not wanted. Why this works: the job keeps the answers that stream and closes all but the one that it returns, those that arrive after it has ended included.

--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -212,6 +212,11 @@
 	}
 	_, err := io.CopyN(&body, resp.Body, bodyLimit)
 	a.Body = body.Bytes()
+	refusal := cl.refusalOf(resp)
+	if err == nil && refusal != nil {
+		// The rest of the body tells nothing more, and may have no end.
+		return a, refusal
+	}
 	if err == nil {
 		c.limiter.left = math.MaxInt64
 		a.Rest = &streamedBody{
@@ -229,13 +234,19 @@
 	now := cl.clock.Now()
 	c.expires = now.Add(idleTime(resp.Header))
 	cl.recordAnswer(now)
+	return a, refusal
+}
+
+// refusalOf returns the error of a response that reports that the request was not executed,
+// and nil for any other.
+func (cl *Client) refusalOf(resp *http.Response) error {
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
-		return a, fmt.Errorf("target %s: %w", cl.address, ErrWrongTarget)
+		return fmt.Errorf("target %s: %w", cl.address, ErrWrongTarget)
 	case resp.Header.Get(cl.headers.NotExecuted) != "":
-		return a, fmt.Errorf("target %s: status %d: %w", cl.address, resp.StatusCode, ErrNotExecuted)
+		return fmt.Errorf("target %s: status %d: %w", cl.address, resp.StatusCode, ErrNotExecuted)
 	}
-	return a, nil
+	return nil
 }
 
 // idleTime returns how long an idle connection may be reused, from the timeout in
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -168,6 +168,9 @@
 	if !sent && answer != nil && answer.Rest != nil {
 		_ = answer.Rest.Close()
 	}
+	if j.finished.Load() {
+		j.closeUnread()
+	}
 }
 
 // recordSpan records the trace span of an attempt.
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -142,6 +142,7 @@
 		defer span.End()
 	}
 	c.startAll(ctx)
+	defer c.finish(nil)
 	defer c.stop()
 	go c.awaitAccepted(stream, c.accepted)
 	timer := c.Clock.NewTimer(time.Hour)
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"plantaincleat/entryd/pkg/assigner"
@@ -56,6 +57,10 @@
 	// failure is an error response of a target. It is returned if no attempt succeeds.
 	failure  *httpsender.Answer
 	attempts []*attempt
+	// streams holds the answers of which a part has not been read yet, and finished is true
+	// once no more of them are used.
+	streams  []*httpsender.Answer
+	finished atomic.Bool
 }
 
 // event is a message from an attempt to its job.
@@ -173,6 +178,32 @@
 	j.cancel()
 }
 
+// finish closes the streams of all answers but one, which may be nil, those that come later
+// included. A target may send bytes without end until its connection is closed.
+func (j *job) finish(used *httpsender.Answer) {
+	for _, answer := range j.streams {
+		if answer != used {
+			_ = answer.Rest.Close()
+		}
+	}
+	j.finished.Store(true)
+	j.closeUnread()
+}
+
+// closeUnread closes the streams of the answers that the job has not read.
+func (j *job) closeUnread() {
+	for {
+		select {
+		case e := <-j.events:
+			if e.answer != nil && e.answer.Rest != nil {
+				_ = e.answer.Rest.Close()
+			}
+		default:
+			return
+		}
+	}
+}
+
 // apply starts and cancels attempts as the query has decided.
 func (j *job) apply(actions []router.Action[destination]) {
 	for _, a := range actions {
@@ -200,6 +231,9 @@
 		j.acceptOwner(a)
 		return
 	}
+	if e.answer != nil && e.answer.Rest != nil {
+		j.streams = append(j.streams, e.answer)
+	}
 	if e.last {
 		delete(j.open, a.nonce)
 		a.log.Took = e.took
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -164,7 +164,9 @@
 	j := newRoot(s, r, route, plan)
 	j.run(ctx)
 	j.recordCrashes()
-	return j.result(ctx)
+	res = j.result(ctx)
+	j.finish(res.Answer)
+	return res
 }
 
 // notExecuted reports whether an attempt that ended with err was certainly not
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,9 @@
 	Unsigned
 	// Unresponsive executes the request and never answers.
 	Unresponsive
+	// Endless executes the request and sends the bytes of SetEndless until the caller closes
+	// the connection.
+	Endless
 )
 
 // Responder is one target. Create it with New. It is safe for concurrent use.
@@ -86,12 +90,24 @@
 	pauseLength  time.Duration
 	lastDeadline time.Duration
 	pause        chan struct{}
+	endless      Stream
 	crashesOn    func(r *http.Request) bool
 	onCrash      func()
 
 	listener net.Listener
 	server   *http.Server
 	ended    atomic.Bool
+	// streaming is the number of connections on which the target sends bytes without end.
+	streaming atomic.Int64
+}
+
+// Stream is a sequence of bytes that does not end.
+type Stream struct {
+	// Head is sent once. The first %s in it stands for the id of the request, and the second
+	// for the target's signature.
+	Head string
+	// Repeated is sent again and again.
+	Repeated string
 }
 
 // New starts a target on a loopback address. It executes at most slots requests at
@@ -180,6 +196,16 @@
 	r.fault = f
 }
 
+// SetEndless sets the bytes that the fault Endless sends.
+func (r *Responder) SetEndless(s Stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endless = s
+}
+
+// Streaming returns the number of connections on which the target sends bytes without end.
+func (r *Responder) Streaming() int { return int(r.streaming.Load()) }
+
 // Pause makes later requests wait, before their execution, until the returned
 // function is called.
 func (r *Responder) Pause() func() {
@@ -416,6 +442,9 @@
 	case Truncate, ExtraAnswer, MismatchedAnswer, NoContentLength:
 		r.writeMalformed(w, id, fault)
 		return
+	case Endless:
+		r.writeEndless(w, id)
+		return
 	case ServerError:
 		w.Header().Set(headerSignature, r.Signature(id))
 		w.WriteHeader(http.StatusInternalServerError)
@@ -428,6 +457,38 @@
 	_, _ = w.Write(r.Records())
 }
 
+const (
+	// endlessInterval is the time between two writes of bytes without end, and endlessSize
+	// their size at least.
+	endlessInterval = time.Millisecond
+	endlessSize     = 32 << 10
+)
+
+// writeEndless takes over the connection and writes until the caller closes it.
+func (r *Responder) writeEndless(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	r.streaming.Add(1)
+	defer r.streaming.Add(-1)
+	r.mu.Lock()
+	s := r.endless
+	r.mu.Unlock()
+	head := strings.Replace(strings.Replace(s.Head, "%s", id, 1), "%s", r.Signature(id), 1)
+	if _, err := io.WriteString(conn, head); err != nil {
+		return
+	}
+	part := strings.Repeat(s.Repeated, endlessSize/len(s.Repeated)+1)
+	for !r.ended.Load() {
+		if _, err := io.WriteString(conn, part); err != nil {
+			return
+		}
+		time.Sleep(endlessInterval)
+	}
+}
+
 // writeMalformed takes over the connection and writes an answer that a correct
 // server does not send.
 func (r *Responder) writeMalformed(w http.ResponseWriter, id string, fault Fault) {
