--- a/entryd/pkg/httpsender/endcheck.go
+++ b/entryd/pkg/httpsender/endcheck.go
@@ -87,14 +87,18 @@
 		nc, err := cl.dial(ctx, "tcp", cl.address)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
-			return endCheck{state: refuses}, nil
+			return endCheck{
+				state: refuses,
+			}, nil
 		case noAnswer(err) && !cl.hasSoundConn():
 			return endCheck{
 				state: isGone,
 				took:  endCheckTimeout,
 			}, nil
 		case err != nil:
-			return endCheck{}, nil
+			return endCheck{
+				state: goesOn,
+			}, nil
 		}
 		opened := cl.clock.Now()
 		if !cl.hasSoundConn() && closedWithin(nc, closeWait) {
@@ -105,7 +109,9 @@
 			}, nil
 		}
 		cl.keep(nc)
-		return endCheck{}, nil
+		return endCheck{
+			state: goesOn,
+		}, nil
 	})
 	return check.(endCheck)
 }
--- a/entryd/pkg/scatterer/crash_test.go
+++ b/entryd/pkg/scatterer/crash_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/router"
@@ -94,3 +96,60 @@
 		t.Errorf("result %+v, want a refusal", res)
 	}
 }
+
+// replyStream is the stream of a request of another daemon. It keeps the last reply.
+type replyStream struct {
+	grpc.ServerStream
+	ctx   context.Context
+	reply chan *peer.ScatterReply
+}
+
+func (s *replyStream) Context() context.Context { return s.ctx }
+
+func (s *replyStream) Send(r *peer.ScatterReply) error {
+	s.reply <- r
+	return nil
+}
+
+func (s *replyStream) Recv() (*peer.ScatterRequest, error) { return nil, io.EOF }
+
+// TestOwnerLooksAgainAfterItsTurn guards against a suspected request that waited at the owner
+// of a shard for an equal one, and that is sent although that one has shown that it crashes
+// targets.
+func TestOwnerLooksAgainAfterItsTurn(t *testing.T) {
+	catalogs := newCatalogs(10)
+	s := New(Options{
+		Clock:    clockwork.NewRealClock(),
+		Catalogs: catalogs,
+	})
+	r := &Request{Method: "GET", Path: "/all/x", Caller: "first"}
+	other := &Request{Method: "GET", Path: "/all/x", Caller: "second"}
+	endTurn := s.takeTurn(t.Context(), "shard-2", time.Second)
+	stream := &replyStream{
+		ctx:   t.Context(),
+		reply: make(chan *peer.ScatterReply, 1),
+	}
+	in := &peer.ScatterRequest{
+		Route:     "all",
+		Shards:    []string{"shard-2"},
+		Suspected: true,
+		Content:   other.Subject().Content(),
+		Caller:    other.Subject().Caller(),
+	}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- s.serveSuspected(stream, in, catalogs.Catalog(), catalogs.Catalog().Route("all"), other.Subject())
+	}()
+	for range 3 {
+		plan := s.crashes.Plan(s.Clock.Now(), r.Subject())
+		s.crashes.RecordCrashes(s.Clock.Now(), &plan, "shard-2", 1)
+	}
+	endTurn()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	reply := <-stream.reply
+	if len(reply.GetLacks()) != 1 || reply.GetLacks()[0].GetReason() != peer.Reason_REASON_QUARANTINED || !reply.GetUntouched() {
+		t.Errorf("reply %v, want a refusal that promises that nothing was sent", reply)
+	}
+}
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -38,9 +38,9 @@
 	// ended holds, for each unit, the number of targets that ended while they had the
 	// request, each sent after the end of the one before was known.
 	ended map[int]int
-	// sampled holds, for the units that were asked for, whether the request is among those
-	// that the limits of the unit's targets allow.
-	sampled map[int]bool
+	// samples holds, for each unit, whether the request is among those that the limits of
+	// the unit's targets allow.
+	samples []sample
 	// goal is the latest time to return an answer that meets the latency goal.
 	goal  time.Time
 	query *router.Query[destination]
@@ -116,7 +116,7 @@
 func (j *job) prepare(options router.Options) {
 	j.open = make(map[uint64]*attempt)
 	j.ended = make(map[int]int)
-	j.sampled = make(map[int]bool)
+	j.samples = make([]sample, len(j.pools))
 	options.MaxExecutions = min(options.MaxExecutions, j.maxAttempts())
 	j.events = make(chan event, eventsPerAttempt*len(j.pools)*(options.MaxExecutions+1))
 	j.query = router.New(len(j.pools), options, &selector{job: j}, &extraBudget{job: j}, func() uint64 { return j.nonces.Add(1) })
@@ -178,32 +178,6 @@
 	j.cancel()
 }
 
-// finish closes the streams of all answers but one, which may be nil, those that come later
-// included. A target may send bytes without end until its connection is closed.
-func (j *job) finish(used *httpsender.Answer) {
-	for _, answer := range j.streams {
-		if answer != used {
-			_ = answer.Rest.Close()
-		}
-	}
-	j.finished.Store(true)
-	j.closeUnread()
-}
-
-// closeUnread closes the streams of the answers that the job has not read.
-func (j *job) closeUnread() {
-	for {
-		select {
-		case e := <-j.events:
-			if e.answer != nil && e.answer.Rest != nil {
-				_ = e.answer.Rest.Close()
-			}
-		default:
-			return
-		}
-	}
-}
-
 // apply starts and cancels attempts as the query has decided.
 func (j *job) apply(actions []router.Action[destination]) {
 	for _, a := range actions {
@@ -262,18 +236,6 @@
 	j.apply(j.query.Answer(a.nonce, a.units, nil, true, now))
 }
 
-// acceptOwner processes the acknowledgement of an owner, unless its units were sent
-// elsewhere in the meantime. An owner makes second attempts only after it was told
-// that it is accepted.
-func (j *job) acceptOwner(a *attempt) {
-	if a.withdrawn {
-		return
-	}
-	a.accepted = true
-	j.query.RecordAccepted(a.nonce)
-	a.sendAccepted()
-}
-
 // storeAnswer stores the answer for a unit.
 func (j *job) storeAnswer(unit int, answer *httpsender.Answer) {
 	if !j.route.Scattered() {
@@ -286,55 +248,3 @@
 		records:    answer.Body,
 	})
 }
-
-// handleReply processes the reply or the failure of an owner.
-func (j *job) handleReply(e event, now time.Time) {
-	a := e.attempt
-	if e.err != nil {
-		a.log.Result = e.err.Error()
-		j.apply(j.query.FailAttempt(a.nonce, a.ownerFailureReason(e.err), now))
-		return
-	}
-	j.recordLoads(a, e.reply, now)
-	j.recordEnded(a, e.reply)
-	j.recordWithheld(a, e.reply, now)
-	covered := j.storeReply(a, e.reply)
-	if !e.last {
-		j.apply(j.query.RecordPartial(a.nonce, covered, now))
-		return
-	}
-	a.log.Result = "replied"
-	a.notExecuted = e.reply.GetUntouched()
-	var missing []router.MissingUnit
-	for _, l := range e.reply.GetLacks() {
-		if int(l.GetShard()) < len(a.units) {
-			missing = append(missing, router.MissingUnit{
-				Unit:   a.units[l.GetShard()],
-				Reason: l.GetReason(),
-			})
-		}
-	}
-	j.apply(j.query.Answer(a.nonce, covered, missing, true, now))
-}
-
-// storeReply stores the partial of a reply and returns its units. It returns nil if
-// the reply is inconsistent or not used.
-func (j *job) storeReply(a *attempt, reply *peer.ScatterReply) []int {
-	if !j.query.Pending(a.nonce) || len(reply.GetCovered()) != len(reply.GetSignatures()) {
-		return nil
-	}
-	p := &partial{
-		signatures: reply.GetSignatures(),
-		records:    reply.GetRecords(),
-	}
-	for _, index := range reply.GetCovered() {
-		if int(index) >= len(a.units) {
-			return nil
-		}
-		p.units = append(p.units, a.units[index])
-	}
-	if len(p.units) == 0 || !j.answers.add(p) {
-		return nil
-	}
-	return p.units
-}
--- /dev/null
+++ b/entryd/pkg/scatterer/reply.go
@@ -0,0 +1,72 @@
+package scatterer
+
+import (
+	"time"
+
+	"plantaincleat/entryd/pkg/router"
+	"plantaincleat/tier/gen/peer"
+)
+
+// acceptOwner processes the acknowledgement of an owner, unless its units were sent
+// elsewhere in the meantime. An owner makes second attempts only after it was told
+// that it is accepted.
+func (j *job) acceptOwner(a *attempt) {
+	if a.withdrawn {
+		return
+	}
+	a.accepted = true
+	j.query.RecordAccepted(a.nonce)
+	a.sendAccepted()
+}
+
+// handleReply processes the reply or the failure of an owner.
+func (j *job) handleReply(e event, now time.Time) {
+	a := e.attempt
+	if e.err != nil {
+		a.log.Result = e.err.Error()
+		j.apply(j.query.FailAttempt(a.nonce, a.ownerFailureReason(e.err), now))
+		return
+	}
+	j.recordLoads(a, e.reply, now)
+	j.recordEnded(a, e.reply)
+	j.recordWithheld(a, e.reply, now)
+	covered := j.storeReply(a, e.reply)
+	if !e.last {
+		j.apply(j.query.RecordPartial(a.nonce, covered, now))
+		return
+	}
+	a.log.Result = "replied"
+	a.notExecuted = e.reply.GetUntouched()
+	var missing []router.MissingUnit
+	for _, l := range e.reply.GetLacks() {
+		if int(l.GetShard()) < len(a.units) {
+			missing = append(missing, router.MissingUnit{
+				Unit:   a.units[l.GetShard()],
+				Reason: l.GetReason(),
+			})
+		}
+	}
+	j.apply(j.query.Answer(a.nonce, covered, missing, true, now))
+}
+
+// storeReply stores the partial of a reply and returns its units. It returns nil if
+// the reply is inconsistent or not used.
+func (j *job) storeReply(a *attempt, reply *peer.ScatterReply) []int {
+	if !j.query.Pending(a.nonce) || len(reply.GetCovered()) != len(reply.GetSignatures()) {
+		return nil
+	}
+	p := &partial{
+		signatures: reply.GetSignatures(),
+		records:    reply.GetRecords(),
+	}
+	for _, index := range reply.GetCovered() {
+		if int(index) >= len(a.units) {
+			return nil
+		}
+		p.units = append(p.units, a.units[index])
+	}
+	if len(p.units) == 0 || !j.answers.add(p) {
+		return nil
+	}
+	return p.units
+}
--- a/entryd/pkg/scatterer/withhold.go
+++ b/entryd/pkg/scatterer/withhold.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"plantaincleat/entryd/pkg/cataloger"
@@ -55,20 +53,6 @@
 	return out
 }
 
-// sample reports whether a unit may be sent to a target. It may not if all targets that
-// could serve it have named limits, and the request is not among those that they allow.
-func (j *job) sample(unit int, now time.Time) bool {
-	if !j.route.Scattered() {
-		return true
-	}
-	admitted, known := j.sampled[unit]
-	if !known {
-		admitted = j.pools[unit].Sample(now, j.request.ID)
-		j.sampled[unit] = admitted
-	}
-	return admitted
-}
-
 // awaitWithheld waits for the replies of the owners that are left if the request cannot be
 // served because targets are paused or have used up their limits. The owners withhold it for
 // the same reason and say so at once, so that the caller can be told that no target has
@@ -128,7 +112,7 @@
 	if reason != peer.Reason_REASON_UNREACHABLE {
 		return reason
 	}
-	if admitted, known := j.sampled[unit]; known && !admitted {
+	if j.samples[unit] == heldBack {
 		return peer.Reason_REASON_LIMITED
 	}
 	pool := j.pools[unit]
@@ -195,107 +179,3 @@
 	wait, _ := j.untilServing(j.pools, floor, now)
 	return wait
 }
-
-// refuseWithheld returns a refusal if the targets of so many shards of the route are paused
-// or have used up their limits that its floor cannot be reached, and nil otherwise. The
-// caller may come back when enough of them get requests again.
-func (s *Scatterer) refuseWithheld(route *cataloger.Route) *Result {
-	pools, floor := route.Pools(), route.GetFloor()
-	if !route.Scattered() {
-		// A request goes to one of the pools, so that one of them is enough.
-		floor = minReachable
-	}
-	wait, reason := s.untilServing(pools, floor, s.Clock.Now())
-	if wait <= 0 {
-		return nil
-	}
-	return refuse(route, reason, max(wait, minRetry))
-}
-
-// untilServing returns the time until the fraction floor of the pools has a target that may
-// get requests, and the reason why it has none, or zero if it has one now.
-func (s *Scatterer) untilServing(pools []*cataloger.Pool, floor float64, now time.Time) (time.Duration, peer.Reason) {
-	reported := s.pauses.list(now)
-	var ends []time.Time
-	reason := peer.Reason_REASON_PAUSED
-	for _, p := range pools {
-		until, r := s.withheldUntil(p, reported, now)
-		if until.IsZero() {
-			continue
-		}
-		ends = append(ends, until)
-		reason = max(reason, r)
-	}
-	slices.SortFunc(ends, time.Time.Compare)
-	enough := max(floor, minReachable) * float64(len(pools))
-	wait := time.Duration(0)
-	for i, end := range ends {
-		if float64(len(pools)-len(ends)+i) >= enough {
-			break
-		}
-		wait = end.Sub(now)
-	}
-	return wait, reason
-}
-
-// withheldUntil returns the time until which all targets of a pool are withheld from this
-// daemon, or from the owner that sends to them, and the reason. What this daemon may send
-// within the targets' limits does not matter where an owner sends.
-func (s *Scatterer) withheldUntil(p *cataloger.Pool, reported map[string]ownerPause, now time.Time) (time.Time, peer.Reason) {
-	owner := s.firstOwner(p)
-	if w := p.Withheld(now); !w.Until.IsZero() && (!w.Limited || owner == "" || owner == s.ID) {
-		return w.Until, withheldReason(w)
-	}
-	if r, ok := reported[p.Name()]; ok && owner == r.owner {
-		return r.until, r.reason
-	}
-	return time.Time{}, peer.Reason_REASON_UNSPECIFIED
-}
-
-// firstOwner returns the id of the first owner of a pool's shard, or an empty string if it
-// has none.
-func (s *Scatterer) firstOwner(p *cataloger.Pool) string {
-	if s.Placement == nil {
-		return ""
-	}
-	ranked := s.Placement.Owners().Ranked(p.Name())
-	if len(ranked) == 0 {
-		return ""
-	}
-	return ranked[0].ID
-}
-
-// ownerPause is the time until which a shard's targets get no requests of its owner, which
-// has reported it with the reason.
-type ownerPause struct {
-	owner  string
-	until  time.Time
-	reason peer.Reason
-}
-
-// shardPauses holds what the owners of shards have reported. It does not hold for the owner
-// that follows them. The zero value is empty. It is safe for concurrent use.
-type shardPauses struct {
-	mu      sync.Mutex
-	byShard map[string]ownerPause
-}
-
-func (sp *shardPauses) record(shard string, p ownerPause) {
-	sp.mu.Lock()
-	defer sp.mu.Unlock()
-	if sp.byShard == nil {
-		sp.byShard = make(map[string]ownerPause)
-	}
-	sp.byShard[shard] = p
-}
-
-// list returns the pauses that are not over, by shard. It is nil if there are none.
-func (sp *shardPauses) list(now time.Time) map[string]ownerPause {
-	sp.mu.Lock()
-	defer sp.mu.Unlock()
-	if len(sp.byShard) == 0 {
-		return nil
-	}
-	maps.DeleteFunc(sp.byShard, func(_ string, p ownerPause) bool { return !now.Before(p.until) })
-	return maps.Clone(sp.byShard)
-}
