A configuration whose version is not known is not taken for an older one

Found by reading: daemons of an earlier build do not state the operators' version. A new one beside them would have refused each configuration that it got from them, until it reads the store itself. TestOlderVersionIsRefused has the case; it failed before.

--- a/entryd/pkg/adopter/adopter.go
+++ b/entryd/pkg/adopter/adopter.go
@@ -326,9 +326,10 @@
 
 // olderVersion reports whether the operators have replaced a configuration by the one in
 // force. It may have a higher revision all the same, from a store that has returned from a
-// copy.
+// copy. The version may be unknown, from a peer of an earlier build.
 func (m *Machine) olderVersion(head *config.Head) bool {
-	return head.GetVersion() < m.current.GetHead().GetVersion()
+	version := head.GetVersion()
+	return version > 0 && version < m.current.GetHead().GetVersion()
 }
 
 // staleness returns the time since the last confirmation, or since the start if
--- a/entryd/pkg/adopter/adopter_test.go
+++ b/entryd/pkg/adopter/adopter_test.go
@@ -329,4 +329,8 @@
 	if m.Revision() != 93 {
 		t.Errorf("revision %d in force, want 93, whose version is that in force", m.Revision())
 	}
+	m.Step(start, PeerAnswered{Peer: "b", Accepted: withVersion(94, 0, 4)})
+	if m.Revision() != 94 {
+		t.Errorf("revision %d in force, want 94, whose version is not known", m.Revision())
+	}
 }
