Bytes before the first request are not the answer to it

Found by reading: a target that sends an answer on a new connection before any request had it taken for the answer to the first request, unless it had another request's id. Connections in use were looked at before each request, new ones were not. TestDoRefusesAnswerBeforeRequest: no error before, not sent after.

--- a/entryd/pkg/httpsender/endcheck.go
+++ b/entryd/pkg/httpsender/endcheck.go
@@ -124,8 +124,10 @@
 	if !c.unused || c.client.answeredSince(c.client.clock.Now().Add(-recentAnswer)) {
 		return true
 	}
-	open := closeWait - c.client.clock.Since(c.opened)
-	return open <= 0 || !closedWithin(c.Conn, open)
+	if open := closeWait - c.client.clock.Since(c.opened); open > 0 && closedWithin(c.Conn, open) {
+		return false
+	}
+	return c.usable()
 }
 
 // noAnswer reports whether a connection could not be opened because the address did not
--- a/entryd/pkg/httpsender/endcheck_test.go
+++ b/entryd/pkg/httpsender/endcheck_test.go
@@ -4,11 +4,14 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
 // TestDoReportsEndedTarget guards against taking the end of a target for a broken
@@ -148,3 +151,27 @@
 		t.Errorf("request to a target that has returned: %v", err)
 	}
 }
+
+// TestDoRefusesAnswerBeforeRequest guards against bytes that a target sends on a new
+// connection before any request, and that are taken for the answer to the first one.
+func TestDoRefusesAnswerBeforeRequest(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody")
+		}
+	}()
+	var d net.Dialer
+	c := NewClient(l.Addr().String(), headers, d.DialContext, clockwork.NewRealClock())
+	if _, err := do(c, request("a")); !errors.Is(err, ErrNotSent) {
+		t.Errorf("error %v, want ErrNotSent", err)
+	}
+}
