The adopter's mutant applies again: the check of the version stands apart

TestRevisionMutantIsFound failed since the check of versions had joined the line that the mutant replaces. The mutant is the same, and is found.

--- a/entryd/pkg/adopter/adopter.go
+++ b/entryd/pkg/adopter/adopter.go
@@ -274,7 +274,10 @@
 // and is ignored.
 func (m *Machine) observe(head *config.Head, at time.Time) {
 	revision := head.GetRevision()
-	if revision == 0 || revision < m.Revision() || revision < m.evidence.revision || m.olderVersion(head) {
+	if revision == 0 || revision < m.Revision() || revision < m.evidence.revision {
+		return
+	}
+	if m.olderVersion(head) {
 		return
 	}
 	if revision == m.Revision() && !bytes.Equal(head.GetDigest(), m.current.Head.GetDigest()) {
