A request that an intermediary has not read did not end the target

Callers saw, beside a load of 17 to 21 on 8 cores and behind addresses that accept and close: ordinary requests were refused for minutes as if they crashed targets (1,276 of 1,319 over all shards got 503). Cause: whether a target had been there when a request was sent was told by times alone. On a busy host an intermediary may close a connection to a dead address later than 5 ms after it was opened, and the request was blamed. Since the content alone counts, equal requests of all callers were refused. Why this works: an intermediary that closes a connection for a dead address has not read the request, so that its kernel resets the connection. One that had a target has read it, and ends the connection without. The connection is kept until the check has ended, when the reset has arrived.

--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -38,8 +38,8 @@
 	unused bool
 	// reusable is true if the connection can carry another request.
 	reusable bool
-	// opened is when the connection was opened, and sent when the last request was sent.
-	opened, sent time.Time
+	// opened is when the connection was opened.
+	opened time.Time
 	// expires is when an idle connection must not be used any more.
 	expires time.Time
 }
@@ -131,7 +131,6 @@
 		return nil, fmt.Errorf("target %s: connection was closed before the request: %w", cl.address, ErrNotSent)
 	}
 	now := cl.clock.Now()
-	c.sent = now
 	if err := c.SetDeadline(r.Deadline); err != nil {
 		return nil, fmt.Errorf("target %s: set deadline of connection: %w: %w", cl.address, ErrNotSent, err)
 	}
--- a/entryd/pkg/httpsender/endcheck.go
+++ b/entryd/pkg/httpsender/endcheck.go
@@ -54,22 +54,48 @@
 }
 
 // endedDuring reports whether the target's process has ended while it had the request that
-// was sent on a connection. If the address refuses connections, the target has accepted the
-// connection itself. Behind an intermediary, the target must have been there when the
-// request was sent; otherwise it may have ended before. It was there if the connection was
-// open for longer than the intermediary keeps one open for a target that has ended.
-func (cl *Client) endedDuring(c *conn) bool {
+// was sent on a connection, which has failed with err. If the address refuses connections,
+// the target has accepted the connection itself. Behind an intermediary, the target must have
+// been there when the request was sent; otherwise it may have ended before. It was there if
+// it has answered a request since the connection was opened, or if the intermediary has read
+// the request and kept the connection for longer than it keeps one now that the target has
+// ended.
+func (cl *Client) endedDuring(c *conn, err error) bool {
 	lasted := cl.clock.Since(c.opened)
 	check := cl.checkEnd()
 	switch check.state {
 	case refuses:
 		return true
 	case isGone:
-		return cl.answeredSince(c.opened) || c.sent.Sub(c.opened) >= closeWait || lasted > check.took+closeWait
+		return cl.answeredSince(c.opened) || lasted > check.took && c.wasRead(err)
 	}
 	return false
 }
 
+// wasRead reports whether the other side has read all that was sent on a connection that it
+// has closed. The kernel resets a connection that is closed with unread bytes, or that gets
+// bytes after it was closed.
+func (c *conn) wasRead(err error) bool {
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := -1
+	err = raw.Control(func(fd uintptr) {
+		if n, e := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR); e == nil {
+			pending = n
+		}
+	})
+	return err == nil && pending == 0
+}
+
 // answeredSince reports whether the target has answered a request after a time.
 func (cl *Client) answeredSince(t time.Time) bool {
 	cl.mu.Lock()
--- a/entryd/pkg/httpsender/endcheck_test.go
+++ b/entryd/pkg/httpsender/endcheck_test.go
@@ -61,8 +61,10 @@
 		accepts, closes bool
 		// silent is true if the target has not answered since the connection was opened.
 		silent bool
-		// waited is how long the connection was open when the request was sent.
-		waited time.Duration
+		// unread is true if the request was not read before the connection was closed.
+		unread bool
+		// lasted is how long the connection was open.
+		lasted time.Duration
 		// dialError is the error of new connections that are not accepted. Nil means that
 		// they time out.
 		dialError error
@@ -74,8 +76,9 @@
 		{name: "only new connections are not accepted", others: 1},
 		{name: "new connections stay open", accepts: true},
 		{name: "daemon has no descriptor for a new connection", dialError: syscall.EMFILE},
-		{name: "ended before the request was sent", accepts: true, closes: true, silent: true},
-		{name: "connection was open before the request was sent", accepts: true, closes: true, silent: true, waited: closeWait, ended: true},
+		{name: "ended before the request was sent", accepts: true, closes: true, silent: true, unread: true, lasted: time.Second},
+		{name: "connection was open no longer than another one now", accepts: true, closes: true, silent: true},
+		{name: "request was read, and the connection open for longer", accepts: true, closes: true, silent: true, lasted: time.Second, ended: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -115,12 +118,16 @@
 			if !test.silent {
 				c.recordAnswer(time.Now())
 			}
-			last.sent = last.opened.Add(test.waited)
+			last.opened = last.opened.Add(-test.lasted)
 			// The target closes the connection that was opened last.
 			if err := broken.(*net.TCPConn).CloseRead(); err != nil {
 				t.Fatal(err)
 			}
-			if got := c.endedDuring(last); got != test.ended {
+			err := io.ErrUnexpectedEOF
+			if test.unread {
+				err = syscall.ECONNRESET
+			}
+			if got := c.endedDuring(last, err); got != test.ended {
 				t.Errorf("ended %v, want %v", got, test.ended)
 			}
 		})
--- a/entryd/pkg/httpsender/httpsender.go
+++ b/entryd/pkg/httpsender/httpsender.go
@@ -126,6 +126,10 @@
 	switch {
 	case stop() && c.reusable && !streaming:
 		cl.recycle(c)
+	case closedByTarget(err):
+		// The state of the connection tells whether the request was read.
+		cl.releaseSlot()
+		defer c.close()
 	case err != nil || !streaming:
 		cl.discard(c)
 	}
@@ -133,7 +137,7 @@
 	case err == nil:
 	case ctx.Err() != nil:
 		err = errors.Join(err, ctx.Err())
-	case closedByTarget(err) && cl.endedDuring(c):
+	case closedByTarget(err) && cl.endedDuring(c, err):
 		err = fmt.Errorf("%w: %w", ErrEnded, err)
 	}
 	return answer, err
