A limit beyond the range of numbers neither ends the daemon nor keeps requests from its target

Found by reading: at a limit of 1e300 the number of daemons that may send was computed as a negative one, and a daemon that did not know the fleet yet ended by a panic. Limits above a million count as a million. TestHighestLimitIsNone ended by a panic before.

--- a/entryd/pkg/withholder/limit.go
+++ b/entryd/pkg/withholder/limit.go
@@ -14,6 +14,8 @@
 	// MinLimit is the lowest limit that is honoured, in requests a second of the fleet. A
 	// target without any requests could not take its limit back.
 	MinLimit = 0.1
+	// MaxLimit is the limit that higher ones count as. No target gets so many requests.
+	MaxLimit = 1e6
 	// limitLogInterval is the least time between two log lines on the limit of a process.
 	limitLogInterval = time.Second
 	// deniedRetry is the time after which a daemon that may not send to a target looks again
@@ -51,7 +53,7 @@
 	case limit < MinLimit:
 		return MinLimit, fmt.Errorf("limit %q: %w, %g", text, ErrLimitTooLow, MinLimit)
 	}
-	return limit, nil
+	return min(limit, MaxLimit), nil
 }
 
 // Members are the daemons among which the limits of targets are divided. It is immutable.
