--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -14,7 +14,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -101,15 +100,6 @@
 	streaming atomic.Int64
 }
 
-// Stream is a sequence of bytes that does not end.
-type Stream struct {
-	// Head is sent once. The first %s in it stands for the id of the request, and the second
-	// for the target's signature.
-	Head string
-	// Repeated is sent again and again.
-	Repeated string
-}
-
 // New starts a target on a loopback address. It executes at most slots requests at
 // once. Its answers consist of the given number of records, which are derived from
 // its id.
@@ -196,16 +186,6 @@
 	r.fault = f
 }
 
-// SetEndless sets the bytes that the fault Endless sends.
-func (r *Responder) SetEndless(s Stream) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.endless = s
-}
-
-// Streaming returns the number of connections on which the target sends bytes without end.
-func (r *Responder) Streaming() int { return int(r.streaming.Load()) }
-
 // Pause makes later requests wait, before their execution, until the returned
 // function is called.
 func (r *Responder) Pause() func() {
@@ -457,38 +437,6 @@
 	_, _ = w.Write(r.Records())
 }
 
-const (
-	// endlessInterval is the time between two writes of bytes without end, and endlessSize
-	// their size at least.
-	endlessInterval = time.Millisecond
-	endlessSize     = 32 << 10
-)
-
-// writeEndless takes over the connection and writes until the caller closes it.
-func (r *Responder) writeEndless(w http.ResponseWriter, id string) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	defer func() { _ = conn.Close() }()
-	r.streaming.Add(1)
-	defer r.streaming.Add(-1)
-	r.mu.Lock()
-	s := r.endless
-	r.mu.Unlock()
-	head := strings.Replace(strings.Replace(s.Head, "%s", id, 1), "%s", r.Signature(id), 1)
-	if _, err := io.WriteString(conn, head); err != nil {
-		return
-	}
-	part := strings.Repeat(s.Repeated, endlessSize/len(s.Repeated)+1)
-	for !r.ended.Load() {
-		if _, err := io.WriteString(conn, part); err != nil {
-			return
-		}
-		time.Sleep(endlessInterval)
-	}
-}
-
 // writeMalformed takes over the connection and writes an answer that a correct
 // server does not send.
 func (r *Responder) writeMalformed(w http.ResponseWriter, id string, fault Fault) {
