--- a/prover/pkg/soaker/announcements.go
+++ b/prover/pkg/soaker/announcements.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"plantaincleat/standin/pkg/arrivalchecker"
+	"plantaincleat/standin/pkg/platformsimulator"
 )
 
 const (
@@ -35,21 +36,28 @@
 	targets[len(targets)-1].SetLeaving(true)
 }
 
-// askForPauses makes the targets of a service refuse requests and ask for pauses until the
-// duration has passed: one of them, or all in one of four cases.
-func (s *Soak) askForPauses(r *rand.Rand, duration time.Duration) {
-	defer s.ledger.beginDisruption(s.allNumbers()...)()
+// pickTargets returns one target of a random service, or all of them in one of four cases. It
+// returns none if none of them runs.
+func (s *Soak) pickTargets(r *rand.Rand) []*platformsimulator.Target {
 	service := "single"
 	if n := r.IntN(shards + 1); n < shards {
 		service = fmt.Sprintf("shard-%02d", n)
 	}
 	targets := s.fleet.platform.ServiceTargets(service)
+	if len(targets) > 0 && r.IntN(4) > 0 {
+		targets = targets[:1]
+	}
+	return targets
+}
+
+// askForPauses makes the targets of a service refuse requests and ask for pauses until the
+// duration has passed: one of them, or all in one of four cases.
+func (s *Soak) askForPauses(r *rand.Rand, duration time.Duration) {
+	defer s.ledger.beginDisruption(s.allNumbers()...)()
+	targets := s.pickTargets(r)
 	if len(targets) == 0 {
 		return
 	}
-	if r.IntN(4) > 0 {
-		targets = targets[:1]
-	}
 	pause := minPause + time.Duration(r.Int64N(int64(maxPause-minPause)))
 	for _, t := range targets {
 		t.AskForPauses(pause)
@@ -64,17 +72,10 @@
 // and limitTime have passed: one of them, or all in one of four cases.
 func (s *Soak) nameLimits(r *rand.Rand, duration time.Duration) {
 	defer s.ledger.beginDisruption(s.allNumbers()...)()
-	service := "single"
-	if n := r.IntN(shards + 1); n < shards {
-		service = fmt.Sprintf("shard-%02d", n)
-	}
-	targets := s.fleet.platform.ServiceTargets(service)
+	targets := s.pickTargets(r)
 	if len(targets) == 0 {
 		return
 	}
-	if r.IntN(4) > 0 {
-		targets = targets[:1]
-	}
 	limit := fmt.Sprintf("%.1f", minLimit+r.Float64()*(maxLimit-minLimit))
 	for _, t := range targets {
 		t.SetLimit(limit)
