The log of a refused request says which daemons have reported the late shards

Refusals by forecast did not tell the reports of daemons without links to targets from queues at the targets. No change of logic.

--- a/entryd/pkg/forecaster/forecaster.go
+++ b/entryd/pkg/forecaster/forecaster.go
@@ -38,14 +38,15 @@
 
 // report is the expected latency of a shard at the time of its owner's reply.
 type report struct {
+	owner   string
 	latency time.Duration
 	at      time.Time
 }
 
-// RecordLatency records the latency that the owner of a shard expects for one
-// more request. A latency of zero or less marks the shard as idle and removes
+// RecordLatency records the latency that the owner of a shard, given by its id, expects
+// for one more request. A latency of zero or less marks the shard as idle and removes
 // its report.
-func (f *Forecaster) RecordLatency(now time.Time, shard string, latency time.Duration) {
+func (f *Forecaster) RecordLatency(now time.Time, owner, shard string, latency time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.reports == nil {
@@ -56,6 +57,7 @@
 		return
 	}
 	f.reports[shard] = report{
+		owner:   owner,
 		latency: latency,
 		at:      now,
 	}
@@ -75,6 +77,14 @@
 	return max(last.latency-age, 0)
 }
 
+// Reporter returns the id of the owner that reported the latency of a shard last, or an
+// empty string if the shard is idle.
+func (f *Forecaster) Reporter(shard string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reports[shard].owner
+}
+
 // Query describes a request for which Admit makes a forecast.
 type Query struct {
 	// Route is the name of the route. Probes are counted per route.
@@ -87,10 +97,15 @@
 	Latencies []time.Duration
 }
 
+// MaxLatency returns the expected latency above which a shard counts as late.
+func (q *Query) MaxLatency() time.Duration {
+	return time.Duration(maxWaitFraction * float64(q.Left))
+}
+
 // Admit reports whether a request should be sent. If it returns false, wait is the
 // time until the first of the late shards is expected to answer in time again.
 func (f *Forecaster) Admit(now time.Time, q Query) (wait time.Duration, ok bool) {
-	limit := time.Duration(maxWaitFraction * float64(q.Left))
+	limit := q.MaxLatency()
 	late, shortest := 0, time.Duration(0)
 	for _, d := range q.Latencies {
 		if d <= limit {
--- a/entryd/pkg/forecaster/forecaster_test.go
+++ b/entryd/pkg/forecaster/forecaster_test.go
@@ -80,7 +80,7 @@
 
 func TestExpectedLatencyDrainsAndExpires(t *testing.T) {
 	var f Forecaster
-	f.RecordLatency(begin, "s", 100*ms)
+	f.RecordLatency(begin, "owner", "s", 100*ms)
 	tests := []struct {
 		after, want time.Duration
 	}{
@@ -94,7 +94,7 @@
 			t.Errorf("expected latency %v after the report is %v, want %v", test.after, got, test.want)
 		}
 	}
-	f.RecordLatency(begin, "s", 0)
+	f.RecordLatency(begin, "owner", "s", 0)
 	if f.ExpectedLatency(begin, "s") != 0 {
 		t.Error("report of latency 0 did not clear the expected latency")
 	}
--- a/entryd/pkg/scatterer/overload.go
+++ b/entryd/pkg/scatterer/overload.go
@@ -1,6 +1,10 @@
 package scatterer
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"plantaincleat/entryd/pkg/cataloger"
@@ -36,7 +40,7 @@
 		latencies[l.GetShard()] = time.Duration(l.GetFinish()) * time.Millisecond
 	}
 	for index, u := range a.units {
-		j.forecast.RecordLatency(now, j.pools[u].Name(), latencies[uint32(index)])
+		j.forecast.RecordLatency(now, a.dest.owner.id, j.pools[u].Name(), latencies[uint32(index)])
 	}
 }
 
@@ -59,7 +63,28 @@
 	if ok {
 		return nil
 	}
-	return refuse(route, peer.Reason_REASON_SHED, min(max(wait, minRetry), r.longestRetry(now)))
+	res := refuse(route, peer.Reason_REASON_SHED, min(max(wait, minRetry), r.longestRetry(now)))
+	res.LateShards = s.lateShards(route, &q)
+	return res
+}
+
+// lateShards describes the shards that count as late in a forecast: how many of them each
+// daemon has reported, and the highest latency.
+func (s *Scatterer) lateShards(route *cataloger.Route, q *forecaster.Query) []string {
+	counts := make(map[string]int)
+	highest := make(map[string]time.Duration)
+	for i, p := range route.Pools() {
+		if d := q.Latencies[i]; d > q.MaxLatency() {
+			reporter := cmp.Or(s.forecast.Reporter(p.Name()), s.ID)
+			counts[reporter]++
+			highest[reporter] = max(highest[reporter], d)
+		}
+	}
+	var out []string
+	for _, reporter := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, fmt.Sprintf("%d shards of %s, up to %v", counts[reporter], reporter, highest[reporter].Round(time.Millisecond)))
+	}
+	return out
 }
 
 // shardLatency returns the latency that is expected for one more request to a shard.
--- a/entryd/pkg/scatterer/request.go
+++ b/entryd/pkg/scatterer/request.go
@@ -78,6 +78,8 @@
 	Reason peer.Reason
 	// RetryAfter is the time after which a refused request may be sent again.
 	RetryAfter time.Duration
+	// LateShards describes the shards because of which the forecast refused the request.
+	LateShards []string
 	// Attempts are the attempts in the order of their start.
 	Attempts []Attempt
 	// Hedges counts the shards that were sent as hedges, and Retries those that were
