--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -70,13 +70,7 @@
 }
 
 // allNumbers returns the numbers of all daemons.
-func (s *Soak) allNumbers() []int {
-	var out []int
-	for _, d := range s.fleet.daemons {
-		out = append(out, d.number)
-	}
-	return out
-}
+func (s *Soak) allNumbers() []int { return s.fleet.numbers() }
 
 // restart starts a daemon whose process was told to end and has ended, and
 // waits until it listens. A process that does not listen yet may not have
--- a/prover/pkg/soaker/fleet.go
+++ b/prover/pkg/soaker/fleet.go
@@ -164,6 +164,20 @@
 	return netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 0, byte(1 + dc), 0}), 24)
 }
 
+// daemonPrefix returns the prefix that holds only the address of a daemon.
+func daemonPrefix(d *daemon) netip.Prefix {
+	return netip.PrefixFrom(netip.MustParseAddr(d.ip), netip.IPv4Unspecified().BitLen())
+}
+
+// numbers returns the numbers of all daemons.
+func (f *fleet) numbers() []int {
+	var out []int
+	for _, d := range f.daemons {
+		out = append(out, d.number)
+	}
+	return out
+}
+
 // openLink opens a link of the relay and returns its address, or "" after
 // logging the error.
 func (f *fleet) openLink(name, to string) string {
--- a/standin/pkg/relayer/conn.go
+++ b/standin/pkg/relayer/conn.go
@@ -48,6 +48,10 @@
 // ended or the connection is closed.
 func (c *conn) run() {
 	defer c.close(false)
+	if action, _ := c.relayer.rules.Load().match(c.flow(Up)); action == Refuse {
+		c.close(true)
+		return
+	}
 	if !c.waitWhileCut(Up) || !c.dialServer() {
 		return
 	}
--- a/standin/pkg/relayer/rules.go
+++ b/standin/pkg/relayer/rules.go
@@ -19,6 +19,8 @@
 	Cut Action = "cut"
 	// Reset closes connections with a TCP reset.
 	Reset Action = "reset"
+	// Refuse closes new connections with a TCP reset. Open ones pass.
+	Refuse Action = "refuse"
 )
 
 // Direction is the direction of bytes on a connection.
@@ -53,9 +55,9 @@
 // Validate returns an error that names the first invalid field.
 func (r Rule) Validate() error {
 	switch r.Action {
-	case Pass, Cut, Reset:
+	case Pass, Cut, Reset, Refuse:
 	default:
-		return eris.Errorf("field action: %q is none of pass, cut, reset", r.Action)
+		return eris.Errorf("field action: %q is none of pass, cut, reset, refuse", r.Action)
 	}
 	if _, err := path.Match(r.Link, ""); err != nil {
 		return eris.Wrapf(err, "field link: %q", r.Link)
