A lost link is not the end of a target

What callers saw: a request that was in flight when a daemon lost its links by resets was suspected of crashing targets, was sent without hedges and in turn from then on, by all daemons, and refused after three such losses.

Cause: the end of a target was read from what this daemon's links show: a reset, and new connections that are reset or refused. A cut looks the same from one side.

Why this works: before an end counts, two other daemons are asked whether they reach the target; its own health answer, which names the process, decides. If they do not reach it, or none answers within 100 ms, the end counts as before. Weighed and tried: the daemon's contact with any other target (TestCrashOfManyDeniesNoRequest and TestCrashingRequestIsRefused, all shards, fail: when one request ends half of all targets, two random probes find none).

TestIsolationCondemnsNoRequest: failed before with 4 requests suspected at the daemon and 2 at another; passes. TestCrashingRequestReachesNoMoreTargets passes (14 cases), as do the assembler's crash tests, twice.

--- a/entryd/pkg/reachdetector/probe.go
+++ b/entryd/pkg/reachdetector/probe.go
@@ -35,7 +35,7 @@
 			if i >= firstProbes && !d.sleep(ctx, firstWait) {
 				return
 			}
-			if c.target.Client().Probe(ctx, c.path) == nil {
+			if _, err := c.target.Client().Probe(ctx, c.path); err == nil {
 				answered.Add(1)
 				cancel()
 			}
@@ -55,6 +55,22 @@
 	}
 }
 
+// ReachesTarget reports whether a target answers a probe of this daemon. An answer of another
+// process at its address does not count.
+func (d *Detector) ReachesTarget(ctx context.Context, target string) bool {
+	ctx, cancel := clockwork.WithTimeout(ctx, d.Clock, probeTimeout)
+	defer cancel()
+	for _, p := range d.Catalogs.Catalog().Pools() {
+		for _, r := range p.Replicas() {
+			if r.ID() == target {
+				process, err := r.Client().Probe(ctx, p.ProbePath())
+				return err == nil && process == target
+			}
+		}
+	}
+	return false
+}
+
 // pick returns up to n random targets, from as many data centres as possible.
 func (d *Detector) pick(n int) []candidate {
 	now := d.Clock.Now()
--- a/entryd/pkg/reachdetector/reachdetector_test.go
+++ b/entryd/pkg/reachdetector/reachdetector_test.go
@@ -24,10 +24,11 @@
 const (
 	answers linkState = iota
 	// refuses fails at once, hangs never connects, and silent connects without an answer,
-	// like an intermediary without a target behind it.
+	// like an intermediary without a target behind it. At replaced, another process answers.
 	refuses
 	hangs
 	silent
+	replaced
 )
 
 // network connects a daemon with targets in three data centres.
@@ -63,8 +64,12 @@
 			<-ctx.Done()
 			return
 		}
+		process := address
+		if state == replaced {
+			process = "another"
+		}
 		// The daemon may have given the probe up.
-		_, _ = fmt.Fprint(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		_, _ = fmt.Fprintf(server, "HTTP/1.1 200 OK\r\nProcess: %s\r\nContent-Length: 0\r\n\r\n", process)
 	}()
 	return client, nil
 }
@@ -79,7 +84,9 @@
 	catalogs := cataloger.New(cataloger.Options{
 		Clock:   clockwork.NewRealClock(),
 		Dial:    n.Dial,
-		Headers: &httpsender.Headers{},
+		Headers: &httpsender.Headers{
+			Process: "Process",
+		},
 	})
 	cfg := &config.Config{}
 	var ids []string
@@ -221,3 +228,28 @@
 		t.Error("daemon with two targets is isolated")
 	}
 }
+
+// TestReachesTarget guards against the end of a target that is taken for a lost link, because
+// another process or an intermediary accepts connections at its address.
+func TestReachesTarget(t *testing.T) {
+	tests := []struct {
+		name  string
+		state linkState
+		want  bool
+	}{
+		{name: "answers", state: answers, want: true},
+		{name: "refuses", state: refuses},
+		{name: "hangs", state: hangs},
+		{name: "intermediary", state: silent},
+		{name: "another process", state: replaced},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n, ids, d := newTargets(t, 2)
+			n.set(test.state, ids[0])
+			if got := d.ReachesTarget(t.Context(), ids[0]); got != test.want {
+				t.Errorf("target reached %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -151,6 +151,7 @@
 		},
 	})
 	j.recordReach(ctx, target, admitted, answer, err)
+	err = j.checkEnded(ctx, target, err)
 	now := j.Clock.Now()
 	paused := answer != nil && j.recordAnnouncement(target, answer, err, begin, now)
 	if admitted {
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -38,7 +38,7 @@
 		return status.Errorf(codes.FailedPrecondition, "refuse request %s: sent %d ms ago, more than the maximum age", in.GetId(), age)
 	}
 	if len(in.GetShards()) == 0 {
-		return stream.SendHeader(metadata.MD{})
+		return s.serveProbe(stream, in)
 	}
 	catalog := s.Catalogs.Catalog()
 	route := catalog.Route(in.GetRoute())
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -13,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.opentelemetry.io/otel/attribute"
+	"golang.org/x/sync/singleflight"
 	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/assigner"
@@ -102,6 +103,9 @@
 	Doubtful() bool
 	// Lost returns a channel that is closed while the daemon is isolated.
 	Lost() <-chan struct{}
+	// ReachesTarget reports whether a target, and not another process at its address, answers
+	// a probe of this daemon.
+	ReachesTarget(ctx context.Context, target string) bool
 }
 
 // DefaultRemotePenalty is the default of Options.RemotePenalty.
@@ -126,6 +130,7 @@
 	forecast      forecaster.Forecaster
 	pauses        shardPauses
 	unreached     unreachedShards
+	linkChecks    singleflight.Group
 	crashes       crashtracker.Tracker
 	turns         crashtracker.Turns
 }
