--- a/entryd/pkg/reachdetector/reachdetector_test.go
+++ b/entryd/pkg/reachdetector/reachdetector_test.go
@@ -82,8 +82,8 @@
 		links: make(map[string]linkState),
 	}
 	catalogs := cataloger.New(cataloger.Options{
-		Clock:   clockwork.NewRealClock(),
-		Dial:    n.Dial,
+		Clock: clockwork.NewRealClock(),
+		Dial:  n.Dial,
 		Headers: &httpsender.Headers{
 			Process: "Process",
 		},
--- a/entryd/pkg/scatterer/linkcheck.go
+++ b/entryd/pkg/scatterer/linkcheck.go
@@ -23,8 +23,9 @@
 	// linkCheckTimeout bounds the time in which other daemons tell whether they reach a
 	// target.
 	linkCheckTimeout = 100 * time.Millisecond
-	// linkCheckPeers is the number of daemons that are asked.
-	linkCheckPeers = 2
+	// linkCheckPeers is the number of daemons that are asked. Many of them may have lost their
+	// own links at the same time.
+	linkCheckPeers = 5
 )
 
 // checkEnded returns the error of an attempt, without httpsender.ErrEnded if another daemon
