Late replies of an owner outlast its acknowledgements

An owner out of service was back 7 to 250 ms later, after an acknowledgement in time.

Cause: one sum for late acknowledgements and late replies, which an acknowledgement set to 0. It is sent before a target is asked, so that it says nothing of replies: an owner whose replies never come stayed in service as long as two requests at a time did not miss.

Why this works: each sign takes back its own kind only. Late replies count for a second after the last one, so that the owner is tried again.

--- a/entryd/pkg/scatterer/crash_test.go
+++ b/entryd/pkg/scatterer/crash_test.go
@@ -46,8 +46,8 @@
 					},
 				}, test.err, j.Clock.Now())
 			}
-			if o.outOfService() != test.outOfService {
-				t.Errorf("out of service: %v, want %v", o.outOfService(), test.outOfService)
+			if got := o.outOfService(j.Clock.Now()); got != test.outOfService {
+				t.Errorf("out of service: %v, want %v", got, test.outOfService)
 			}
 		})
 	}
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -32,7 +32,7 @@
 	begin := j.Clock.Now()
 	defer func() { j.recordSpan(a, begin, j.Clock.Now()) }()
 	o := a.dest.owner
-	ackTimer := time.AfterFunc(o.ackTimeout(), func() { o.recordMiss(lateAckWeight) })
+	ackTimer := time.AfterFunc(o.ackTimeout(), func() { o.recordLateAck(j.Clock.Now()) })
 	defer ackTimer.Stop()
 	stream, err := j.openStream(call.ctx, a, begin)
 	if err == nil {
@@ -43,7 +43,7 @@
 		return
 	}
 	if ackTimer.Stop() {
-		o.recordInTime()
+		o.recordAckInTime(j.Clock.Now())
 	}
 	o.ackEstimator.Answer(j.Clock.Now(), a.ticket, estimator.Report{Incarnation: 1})
 	a.acknowledged = true
@@ -63,7 +63,7 @@
 // receiveReplies passes the replies of an owner to the job.
 func (j *job) receiveReplies(ctx context.Context, call *relayCall, a *attempt, stream peer.Peer_ScatterClient, begin time.Time) {
 	o := a.dest.owner
-	goalTimer := time.AfterFunc(j.goal.Sub(begin)+goalGrace, func() { o.recordMiss(lateReplyWeight) })
+	goalTimer := time.AfterFunc(j.goal.Sub(begin)+goalGrace, func() { o.recordLateReply(j.Clock.Now()) })
 	defer goalTimer.Stop()
 	for {
 		reply, err := stream.Recv()
@@ -71,7 +71,9 @@
 			j.ownerFailed(ctx, a, err, begin)
 			return
 		}
-		goalTimer.Stop()
+		if goalTimer.Stop() {
+			o.recordReplyInTime(j.Clock.Now())
+		}
 		last := reply.GetLast() || reply.GetAnswer().GetContinued()
 		answer := call.decodeAnswer(reply, stream)
 		sent := j.sendEvent(event{
@@ -173,7 +175,7 @@
 		a.dest.owner.ackEstimator.Drop()
 	}
 	if ctx.Err() == nil && !errors.Is(err, errQuarantined) {
-		a.dest.owner.recordMiss(lateAckWeight)
+		a.dest.owner.recordLateAck(j.Clock.Now())
 	}
 	j.sendEvent(event{
 		attempt: a,
@@ -207,6 +209,6 @@
 		return
 	}
 	if _, err = stream.Recv(); errors.Is(err, io.EOF) && s.Clock.Since(begin) <= maxAckTimeout {
-		o.recordInTime()
+		o.recordAckInTime(s.Clock.Now())
 	}
 }
--- a/entryd/pkg/scatterer/owner.go
+++ b/entryd/pkg/scatterer/owner.go
@@ -15,13 +15,18 @@
 	ownerSlots = 64
 	// lateAckWeight is the weight of a late acknowledgement and of a failed request,
 	// lateReplyWeight that of a late reply. An owner is out of service once the sum of
-	// the weights since the last acknowledgement in time reaches missLimit.
+	// the weights reaches missLimit. An acknowledgement in time takes back late
+	// acknowledgements and failures, and a reply in time the late replies: it is sent before a
+	// target is asked, so that it says nothing of replies.
 	lateAckWeight   = 2
 	lateReplyWeight = 1
 	missLimit       = 3
 	// ownerProbeInterval is the time between two probes of an owner that is out of
 	// service.
 	ownerProbeInterval = 400 * time.Millisecond
+	// lateRepliesLife is the time without a late reply after which the late replies do not
+	// count any more, so that an owner which gets no requests because of them is tried again.
+	lateRepliesLife = time.Second
 	// ackTimeoutFactor times the p95 latency of acknowledgements is the time after which
 	// an acknowledgement is late. minAckTimeout and maxAckTimeout bound that time.
 	ackTimeoutFactor = 3
@@ -40,10 +45,11 @@
 	ackEstimator *estimator.Estimator
 
 	mu sync.Mutex
-	// misses is the sum of the weights of late messages and failed requests, limited to
-	// missLimit.
-	misses    int
-	lastProbe time.Time
+	// lateAcks is the sum of the weights of late acknowledgements and failed requests, and
+	// lateReplies that of late replies. Both are limited to missLimit.
+	lateAcks, lateReplies int
+	lastLateReply         time.Time
+	lastProbe             time.Time
 }
 
 // ackTimeout returns the time after which an acknowledgement is late.
@@ -51,32 +57,57 @@
 	return min(max(ackTimeoutFactor*o.ackEstimator.P95(), minAckTimeout), maxAckTimeout)
 }
 
-// recordMiss records a late acknowledgement, a late reply or a failed request with its
-// weight.
-func (o *owner) recordMiss(weight int) {
+// recordLateAck records a late acknowledgement or a failed request.
+func (o *owner) recordLateAck(now time.Time) {
+	o.record(now, func() { o.lateAcks = min(o.lateAcks+lateAckWeight, missLimit) })
+}
+
+// recordLateReply records a reply that did not come by the goal.
+func (o *owner) recordLateReply(now time.Time) {
+	o.record(now, func() {
+		o.expireLateReplies(now)
+		o.lateReplies = min(o.lateReplies+lateReplyWeight, missLimit)
+		o.lastLateReply = now
+	})
+}
+
+// recordAckInTime records that the owner acknowledged in time.
+func (o *owner) recordAckInTime(now time.Time) { o.record(now, func() { o.lateAcks = 0 }) }
+
+// recordReplyInTime records that the owner replied by the goal.
+func (o *owner) recordReplyInTime(now time.Time) { o.record(now, func() { o.lateReplies = 0 }) }
+
+// record changes the sums and logs whether the owner is out of service because of it.
+func (o *owner) record(now time.Time, change func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	before := o.misses
-	o.misses = min(o.misses+weight, missLimit)
-	if before < missLimit && o.misses == missLimit {
-		slog.Info("owner is out of service after late acknowledgements, late replies or failed requests", "owner", o.id, "misses", o.misses)
+	before := o.missed(now)
+	change()
+	switch after := o.missed(now); {
+	case after && !before:
+		slog.Info("owner is out of service after late acknowledgements, late replies or failed requests", "owner", o.id, "late_acks", o.lateAcks, "late_replies", o.lateReplies)
+	case before && !after:
+		slog.Info("owner is back in service after an acknowledgement or a reply in time", "owner", o.id)
 	}
 }
 
-// recordInTime records that the owner acknowledged in time, and puts it back in service.
-func (o *owner) recordInTime() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.misses == missLimit {
-		slog.Info("owner is back in service after an acknowledgement in time", "owner", o.id)
+// expireLateReplies forgets late replies that are too old. The caller holds o.mu.
+func (o *owner) expireLateReplies(now time.Time) {
+	if now.Sub(o.lastLateReply) >= lateRepliesLife {
+		o.lateReplies = 0
 	}
-	o.misses = 0
 }
 
-func (o *owner) outOfService() bool {
+// missed reports whether the owner is out of service. The caller holds o.mu.
+func (o *owner) missed(now time.Time) bool {
+	o.expireLateReplies(now)
+	return o.lateAcks+o.lateReplies >= missLimit
+}
+
+func (o *owner) outOfService(now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.misses >= missLimit
+	return o.missed(now)
 }
 
 // probeDue reports whether an owner that is out of service should be probed now. It
--- a/entryd/pkg/scatterer/partial_test.go
+++ b/entryd/pkg/scatterer/partial_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -48,28 +49,29 @@
 // TestOwnerOutOfServiceAfterMisses covers late acknowledgements and late replies. A
 // frozen owner may still acknowledge, so that late replies count as well.
 func TestOwnerOutOfServiceAfterMisses(t *testing.T) {
+	begin := time.Unix(1000, 0)
 	tests := []struct {
 		name  string
 		steps func(o *owner)
 		want  bool
 	}{
-		{name: "one late acknowledgement", steps: func(o *owner) { o.recordMiss(lateAckWeight) }},
-		{name: "consecutive late acknowledgements", steps: func(o *owner) { o.recordMiss(lateAckWeight); o.recordMiss(lateAckWeight) }, want: true},
+		{name: "one late acknowledgement", steps: func(o *owner) { o.recordLateAck(begin) }},
+		{name: "consecutive late acknowledgements", steps: func(o *owner) { o.recordLateAck(begin); o.recordLateAck(begin) }, want: true},
 		{name: "replies missing after acknowledgements", steps: func(o *owner) {
-			o.recordMiss(lateReplyWeight)
-			o.recordMiss(lateReplyWeight)
-			o.recordMiss(lateReplyWeight)
+			o.recordLateReply(begin)
+			o.recordLateReply(begin)
+			o.recordLateReply(begin)
 		}, want: true},
-		{name: "late acknowledgements with one in time between them", steps: func(o *owner) { o.recordMiss(lateAckWeight); o.recordInTime(); o.recordMiss(lateAckWeight) }},
-		{name: "in time again", steps: func(o *owner) { o.recordMiss(lateAckWeight); o.recordMiss(lateAckWeight); o.recordInTime() }},
+		{name: "late acknowledgements with one in time between them", steps: func(o *owner) { o.recordLateAck(begin); o.recordAckInTime(begin); o.recordLateAck(begin) }},
+		{name: "in time again", steps: func(o *owner) { o.recordLateAck(begin); o.recordLateAck(begin); o.recordAckInTime(begin) }},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var all owners
 			o := all.get(assigner.Daemon{ID: "d", Address: "a"})
 			test.steps(o)
-			if o.outOfService() != test.want {
-				t.Errorf("out of service %v, want %v", o.outOfService(), test.want)
+			if got := o.outOfService(begin); got != test.want {
+				t.Errorf("out of service %v, want %v", got, test.want)
 			}
 			now := clockwork.NewFakeClock().Now()
 			if !o.probeDue(now) || o.probeDue(now.Add(ownerProbeInterval/2)) || !o.probeDue(now.Add(ownerProbeInterval)) {
--- a/entryd/pkg/scatterer/relay.go
+++ b/entryd/pkg/scatterer/relay.go
@@ -45,7 +45,7 @@
 		if slices.Contains(tried, dest) || j.Placement.Isolated(d.ID) || j.partitionedFrom(d.DataCentre) {
 			continue
 		}
-		if !dest.owner.outOfService() {
+		if !dest.owner.outOfService(now) {
 			return dest, true
 		}
 		if dest.owner.probeDue(now) {
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -52,7 +52,7 @@
 		if slices.Contains(tried, dest) || j.partitionedFrom(d.DataCentre) {
 			continue
 		}
-		if !dest.owner.outOfService() {
+		if !dest.owner.outOfService(now) {
 			return dest, true
 		}
 		if dest.owner.probeDue(now) {
@@ -127,7 +127,7 @@
 	if !s.job.route.GetIdempotent() {
 		return s.job.request.Deadline.Sub(s.job.request.Received)
 	}
-	if s.Failed(dest, time.Time{}) {
+	if s.Failed(dest, s.job.Clock.Now()) {
 		return 0
 	}
 	if dest.owner != nil {
@@ -143,7 +143,7 @@
 // slow targets.
 func (s *selector) Prompt(_ int, dest destination, now time.Time) bool {
 	if dest.owner != nil {
-		return !dest.owner.outOfService()
+		return !dest.owner.outOfService(now)
 	}
 	left := s.job.goal.Sub(now)
 	d := s.expectedCost(dest.replica, now)
@@ -151,9 +151,9 @@
 }
 
 // Failed implements router.Chooser.
-func (s *selector) Failed(dest destination, _ time.Time) bool {
+func (s *selector) Failed(dest destination, now time.Time) bool {
 	if dest.owner != nil {
-		return dest.owner.outOfService() || s.job.Placement.Isolated(dest.owner.id) || s.job.partitionedFrom(dest.owner.datacentre)
+		return dest.owner.outOfService(now) || s.job.Placement.Isolated(dest.owner.id) || s.job.partitionedFrom(dest.owner.datacentre)
 	}
 	return dest.replica.Replaced() || dest.replica.Estimator().Suspected() || s.job.partitionedFrom(dest.replica.DataCentre())
 }
