Probes of data centres must be answered, not only connected

What callers would see: behind intermediaries that accept connections for what they do not reach, a partition of the data centre is never detected, and requests for other data centres wait until they expire.

Why this works: a daemon speaks first on a new connection (settings of HTTP/2; not with TLS, where the connection counts as before), and a target answers its health path. No more connections than before.

TestDetectorPartitioned, 'this data centre partitioned behind intermediaries', holds only now.

--- a/entryd/pkg/partitiondetector/partitiondetector.go
+++ b/entryd/pkg/partitiondetector/partitiondetector.go
@@ -1,5 +1,6 @@
 // Package partitiondetector detects whether a network partition separates this
-// daemon's data centre from all remote data centres. It opens connections as probes.
+// daemon's data centre from all remote data centres. Probes must be answered: an open
+// connection alone may be that of an intermediary.
 //
 // A partitioned daemon still serves the shards of its own data centre. Callers that
 // need other shards are better served by another data centre, so the daemon reports
@@ -7,6 +8,7 @@
 package partitiondetector
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -23,7 +25,7 @@
 const (
 	// probeInterval is the time between two rounds of probes.
 	probeInterval = 250 * time.Millisecond
-	// probeTimeout bounds the time to open one connection.
+	// probeTimeout bounds one probe.
 	probeTimeout = 250 * time.Millisecond
 	// fallbackDelay is the time without an answer of a daemon after which a target is probed
 	// as well.
@@ -45,14 +47,18 @@
 // were lost recently.
 type Peers func() map[string][]string
 
-// Options configure a Detector. All fields are required.
+// Options configure a Detector. All fields but Silent are required.
 type Options struct {
 	// DataCentre is the data centre of this daemon.
 	DataCentre string
 	Catalogs   Catalogs
 	Peers      Peers
 	Clock      clockwork.Clock
-	Dial       httpsender.Dial
+	// Dial opens a connection to a daemon.
+	Dial httpsender.Dial
+	// Silent is true if daemons send nothing on a new connection before the other side does,
+	// as with TLS. A connection alone then shows that a daemon is reached.
+	Silent bool
 }
 
 // Detector probes the remote data centres. Partitioned is safe for concurrent use
@@ -94,7 +100,7 @@
 }
 
 // probeRound probes each remote data centre once: a daemon, and if that does not answer
-// within fallbackDelay, a target. A connection to either shows that the data centre is
+// within fallbackDelay, a target. An answer of either shows that the data centre is
 // reachable.
 func (d *Detector) probeRound(ctx context.Context) {
 	d.roundNumber++
@@ -140,7 +146,7 @@
 
 // probeDataCentres probes all remote data centres in parallel and returns which of
 // them were reached.
-func (d *Detector) probeDataCentres(ctx context.Context, peers, targets map[string][]string) map[string]bool {
+func (d *Detector) probeDataCentres(ctx context.Context, peers map[string][]string, targets map[string][]target) map[string]bool {
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := make(map[string]bool)
@@ -162,28 +168,29 @@
 // probeEither reports whether a daemon or a target answers, a different one in each round.
 // A target is asked if the daemon has not answered within fallbackDelay; a new connection
 // costs it more than a daemon.
-func (d *Detector) probeEither(ctx context.Context, peers, targets []string) bool {
-	peer, target := d.pick(peers), d.pick(targets)
+func (d *Detector) probeEither(ctx context.Context, peers []string, targets []target) bool {
 	daemon := make(chan bool, 1)
-	go func() { daemon <- d.probe(ctx, peer) }()
+	go func() { daemon <- d.probePeer(ctx, pick(peers, d.roundNumber)) }()
 	select {
 	case ok := <-daemon:
-		return ok || d.probe(ctx, target)
+		return ok || d.probeTarget(ctx, pick(targets, d.roundNumber))
 	case <-d.Clock.After(fallbackDelay):
 	}
-	return d.probe(ctx, target) || <-daemon
+	return d.probeTarget(ctx, pick(targets, d.roundNumber)) || <-daemon
 }
 
-// pick returns the address to probe in this round, or an empty string if there is none.
-func (d *Detector) pick(addresses []string) string {
-	if len(addresses) == 0 {
-		return ""
+// pick returns the element to probe in a round, or the zero value if there is none.
+func pick[T any](list []T, round int) T {
+	if len(list) == 0 {
+		var none T
+		return none
 	}
-	return addresses[d.roundNumber%len(addresses)]
+	return list[round%len(list)]
 }
 
-// probe opens a connection to an address and reports whether it succeeded.
-func (d *Detector) probe(ctx context.Context, address string) bool {
+// probePeer reports whether the daemon at an address answers: it opens a connection, on which
+// the daemon sends the first bytes.
+func (d *Detector) probePeer(ctx context.Context, address string) bool {
 	if address == "" {
 		return false
 	}
@@ -194,20 +201,46 @@
 		return false
 	}
 	// The connection is only a probe, so an error of Close does not matter.
-	_ = conn.Close()
-	return true
+	defer func() { _ = conn.Close() }()
+	if d.Silent {
+		return true
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil
+}
+
+// target is a target with the path at which it answers probes.
+type target struct {
+	*cataloger.Replica
+	probePath string
+}
+
+// probeTarget reports whether a target answers a probe.
+func (d *Detector) probeTarget(ctx context.Context, t target) bool {
+	if t.Replica == nil {
+		return false
+	}
+	ctx, cancel := clockwork.WithTimeout(ctx, d.Clock, probeTimeout)
+	defer cancel()
+	_, err := t.Client().Probe(ctx, t.probePath)
+	return err == nil
 }
 
-// targets returns the addresses of the targets by data centre, sorted.
-func (d *Detector) targets() map[string][]string {
-	out := make(map[string][]string)
+// targets returns the targets by data centre, sorted by address.
+func (d *Detector) targets() map[string][]target {
+	out := make(map[string][]target)
 	for _, p := range d.Catalogs.Catalog().Pools() {
 		for _, r := range p.Replicas() {
-			out[r.DataCentre()] = append(out[r.DataCentre()], r.Address())
+			out[r.DataCentre()] = append(out[r.DataCentre()], target{
+				Replica:   r,
+				probePath: p.ProbePath(),
+			})
 		}
 	}
-	for _, addresses := range out {
-		slices.Sort(addresses)
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b target) int { return cmp.Compare(a.Address(), b.Address()) })
 	}
 	return out
 }
--- a/entryd/pkg/partitiondetector/partitiondetector_test.go
+++ b/entryd/pkg/partitiondetector/partitiondetector_test.go
@@ -1,9 +1,12 @@
 package partitiondetector
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,14 +15,19 @@
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/tier/gen/config"
 )
 
 // catalogOf returns a catalog with a target in each of some data centres.
-func catalogOf(datacentres ...string) *cataloger.Cataloger {
-	c := cataloger.New(cataloger.Options{Clock: clockwork.NewRealClock()})
+func catalogOf(dial httpsender.Dial, datacentres ...string) *cataloger.Cataloger {
+	c := cataloger.New(cataloger.Options{
+		Clock:   clockwork.NewRealClock(),
+		Dial:    dial,
+		Headers: &httpsender.Headers{},
+	})
 	cfg := &config.Config{
-		Pools: []*config.Pool{{Name: "p"}},
+		Pools: []*config.Pool{{Name: "p", Probe: "/health"}},
 	}
 	for _, dc := range datacentres {
 		cfg.Targets = append(cfg.Targets, &config.Target{
@@ -36,6 +44,30 @@
 	return c
 }
 
+// answering returns a connection to a server that answers a request, and that begins to speak
+// if it is a daemon.
+func answering(address string) net.Conn {
+	client, server := net.Pipe()
+	go func() {
+		defer func() { _ = server.Close() }()
+		// The probe ends as soon as it has read something.
+		if strings.HasPrefix(address, "daemon") {
+			_, _ = io.WriteString(server, "settings")
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+			_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	}()
+	return client
+}
+
+// mute returns a connection to an intermediary without a server behind it.
+func mute() net.Conn {
+	client, _ := net.Pipe()
+	return client
+}
+
 // TestDetectorPartitioned checks the state after enough rounds, one failure pattern
 // for each case, and that it clears once all data centres answer again.
 func TestDetectorPartitioned(t *testing.T) {
@@ -44,11 +76,14 @@
 		datacentres []string
 		// unreachable holds substrings of the addresses that refuse connections.
 		unreachable []string
-		want        bool
+		// accepted is true if intermediaries accept connections to those addresses.
+		accepted bool
+		want     bool
 	}{
 		{name: "all answer", datacentres: []string{"a", "b", "c"}},
 		{name: "one remote data centre unreachable", datacentres: []string{"a", "b", "c"}, unreachable: []string{"-b"}},
 		{name: "this data centre partitioned", datacentres: []string{"a", "b", "c"}, unreachable: []string{"-b", "-c"}, want: true},
+		{name: "this data centre partitioned behind intermediaries", datacentres: []string{"a", "b", "c"}, unreachable: []string{"-b", "-c"}, accepted: true, want: true},
 		{name: "all remote daemons killed, targets reachable", datacentres: []string{"a", "b", "c"}, unreachable: []string{"daemon-b", "daemon-c"}},
 		{name: "targets unreachable, daemons reachable", datacentres: []string{"a", "b", "c"}, unreachable: []string{"target"}},
 		{name: "two data centres: partitioned side unknown", datacentres: []string{"a", "b"}, unreachable: []string{"-b"}},
@@ -57,9 +92,21 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			unreachable := test.unreachable
+			dial := func(_ context.Context, _, address string) (net.Conn, error) {
+				for _, d := range unreachable {
+					switch {
+					case !strings.Contains(address, d):
+					case test.accepted:
+						return mute(), nil
+					default:
+						return nil, errors.New("no answer")
+					}
+				}
+				return answering(address), nil
+			}
 			detector := New(Options{
 				DataCentre: "a",
-				Catalogs:   catalogOf(test.datacentres...),
+				Catalogs:   catalogOf(dial, test.datacentres...),
 				Peers: func() map[string][]string {
 					out := map[string][]string{}
 					for _, dc := range test.datacentres {
@@ -68,15 +115,7 @@
 					return out
 				},
 				Clock: clockwork.NewRealClock(),
-				Dial: func(_ context.Context, _, address string) (net.Conn, error) {
-					for _, d := range unreachable {
-						if strings.Contains(address, d) {
-							return nil, errors.New("no answer")
-						}
-					}
-					c, _ := net.Pipe()
-					return c, nil
-				},
+				Dial:  dial,
 			})
 			detector.probeRound(context.Background())
 			if detector.Partitioned() {
@@ -100,15 +139,16 @@
 // TestDetectorRoundTime guards against requests that are held at a data centre
 // that is cut off for as long as one probe after the other takes.
 func TestDetectorRoundTime(t *testing.T) {
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	detector := New(Options{
 		DataCentre: "a",
-		Catalogs:   catalogOf("a", "b", "c"),
+		Catalogs:   catalogOf(dial, "a", "b", "c"),
 		Peers:      func() map[string][]string { return map[string][]string{"b": {"daemon-b"}, "c": {"daemon-c"}} },
 		Clock:      clockwork.NewRealClock(),
-		Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			<-ctx.Done()
-			return nil, ctx.Err()
-		},
+		Dial:       dial,
 	})
 	begin := time.Now()
 	detector.probeRound(context.Background())
@@ -121,18 +161,18 @@
 // hundreds of daemons, they would take the targets' capacity.
 func TestDetectorAsksNoTarget(t *testing.T) {
 	var targets atomic.Int64
+	dial := func(_ context.Context, _, address string) (net.Conn, error) {
+		if strings.HasPrefix(address, "target") {
+			targets.Add(1)
+		}
+		return answering(address), nil
+	}
 	detector := New(Options{
 		DataCentre: "a",
-		Catalogs:   catalogOf("a", "b", "c"),
+		Catalogs:   catalogOf(dial, "a", "b", "c"),
 		Peers:      func() map[string][]string { return map[string][]string{"b": {"daemon-b"}, "c": {"daemon-c"}} },
 		Clock:      clockwork.NewRealClock(),
-		Dial: func(_ context.Context, _, address string) (net.Conn, error) {
-			if strings.HasPrefix(address, "target") {
-				targets.Add(1)
-			}
-			c, _ := net.Pipe()
-			return c, nil
-		},
+		Dial:       dial,
 	})
 	for range 5 {
 		detector.probeRound(context.Background())
