--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -63,6 +64,7 @@
 	{name: "pauses", run: (*Soak).askForPauses},
 	{name: "store copy", run: (*Soak).returnStoreFromCopy},
 	{name: "limits", run: (*Soak).nameLimits},
+	{name: "isolation", run: (*Soak).isolateDaemons},
 }
 
 func (s *Soak) randomDaemon(r *rand.Rand) *daemon {
@@ -278,6 +280,38 @@
 	time.Sleep(duration)
 }
 
+// isolateDaemons keeps some daemons, those of a data centre, or all from all targets.
+func (s *Soak) isolateDaemons(r *rand.Rand, duration time.Duration) {
+	defer s.ledger.beginDisruption(s.allNumbers()...)()
+	isolated := s.allNumbers()
+	switch r.IntN(4) {
+	case 0:
+	case 1:
+		dc := r.IntN(len(dataCentres))
+		isolated = slices.DeleteFunc(isolated, func(n int) bool { return n%len(dataCentres) != dc })
+	default:
+		r.Shuffle(len(isolated), func(i, j int) { isolated[i], isolated[j] = isolated[j], isolated[i] })
+		isolated = isolated[:1+r.IntN(len(isolated)-1)]
+	}
+	action := []relayer.Action{relayer.Cut, relayer.Reset, relayer.Refuse}[r.IntN(3)]
+	defer s.fleet.addRules(s.fleet.isolationRules(action, isolated)...)()
+	defer s.ledger.beginCut(isolated...)()
+	time.Sleep(duration)
+}
+
+// isolationRules returns the relay rules that keep daemons from all targets.
+func (f *fleet) isolationRules(action relayer.Action, isolated []int) []relayer.Rule {
+	var rules []relayer.Rule
+	for _, number := range isolated {
+		rules = append(rules, relayer.Rule{
+			Link:   targetLink("*"),
+			From:   daemonPrefix(f.daemons[number]),
+			Action: action,
+		})
+	}
+	return rules
+}
+
 // partitionDataCentre partitions a data centre from the others.
 func (s *Soak) partitionDataCentre(r *rand.Rand, duration time.Duration) {
 	defer s.ledger.beginDisruption(s.allNumbers()...)()
--- a/prover/pkg/soaker/isolation_test.go
+++ b/prover/pkg/soaker/isolation_test.go
@@ -43,19 +43,6 @@
 	return s.calls-s.served > failuresAllowed+s.calls/failuresAllowedOf
 }
 
-// isolationRules returns the relay rules that keep daemons from all targets.
-func (f *fleet) isolationRules(action relayer.Action, isolated []int) []relayer.Rule {
-	var rules []relayer.Rule
-	for _, number := range isolated {
-		rules = append(rules, relayer.Rule{
-			Link:   targetLink("*"),
-			From:   daemonPrefix(f.daemons[number]),
-			Action: action,
-		})
-	}
-	return rules
-}
-
 // awaitReady waits until all daemons are ready.
 func (s *Soak) awaitReady(t *testing.T) {
 	t.Helper()
