A relay of an earlier build does not make a write look as if it had not run

What callers would see: during a roll from a build without relays, an isolated daemon of the new build sends a write twice. An earlier build serves it and replies without the answer; the unit then counts as unreachable, which means not executed. TestRelayReplies, 'daemon of a build before relays', failed before: sent again. It counts as failed now.

Also bounded: what the reach detector keeps of targets that answer, and old words of owners.

--- a/entryd/pkg/reachdetector/reachdetector.go
+++ b/entryd/pkg/reachdetector/reachdetector.go
@@ -69,7 +69,7 @@
 type record struct {
 	// waiting is the number of requests in flight.
 	waiting int
-	// silentSince is when the target began to leave requests unanswered, or zero.
+	// silentSince is when the target began to leave requests unanswered.
 	silentSince time.Time
 	// patience is the time after which the target is silent.
 	patience time.Duration
@@ -87,7 +87,8 @@
 	// suspected wakes Run.
 	suspected chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// records holds the targets that have left requests unanswered.
 	records map[string]*record
 	// heard is when any target was last heard from.
 	heard time.Time
@@ -144,14 +145,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.Clock.Now()
+	d.heard = now
 	r := d.record(target)
 	r.end()
 	r.failed = false
-	r.silentSince = time.Time{}
-	if r.waiting > 0 {
-		r.silentSince = now
+	r.silentSince = now
+	if r.waiting == 0 {
+		delete(d.records, target)
 	}
-	d.heard = now
 }
 
 // RecordFailed records that a request has lost its connection.
@@ -206,7 +207,6 @@
 	for id, r := range d.records {
 		since := now.Sub(r.silentSince)
 		switch {
-		case r.silentSince.IsZero():
 		case since > silenceLife && r.waiting <= 0:
 			delete(d.records, id)
 		case r.failed || since > r.patience:
--- a/entryd/pkg/scatterer/reply.go
+++ b/entryd/pkg/scatterer/reply.go
@@ -51,6 +51,13 @@
 			})
 		}
 	}
+	if !j.route.Scattered() && e.answer == nil && len(missing) == 0 {
+		// A daemon of a build before relays serves the request and does not pass the answer on.
+		missing = append(missing, router.MissingUnit{
+			Unit:   a.units[0],
+			Reason: peer.Reason_REASON_FAILED,
+		})
+	}
 	j.apply(j.query.Answer(a.nonce, covered, missing, true, now))
 }
 
--- a/entryd/pkg/scatterer/unreachedshards.go
+++ b/entryd/pkg/scatterer/unreachedshards.go
@@ -1,6 +1,7 @@
 package scatterer
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -33,6 +34,7 @@
 		delete(u.until, key)
 		return
 	}
+	maps.DeleteFunc(u.until, func(_ ownedShard, until time.Time) bool { return !now.Before(until) })
 	if u.until == nil {
 		u.until = make(map[ownedShard]time.Time)
 	}
