--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -191,15 +191,7 @@
 	ctx, cancel := clockwork.WithTimeout(context.Background(), s.Clock, ownerProbeInterval)
 	defer cancel()
 	begin := s.Clock.Now()
-	conn, err := s.Dial(o.address)
-	if err != nil {
-		return
-	}
-	stream, err := peer.NewPeerClient(conn).Scatter(ctx)
-	if err != nil {
-		return
-	}
-	err = stream.Send(&peer.ScatterRequest{
+	stream, err := s.openProbe(ctx, o.address, &peer.ScatterRequest{
 		Sent: begin.UnixMilli(),
 	})
 	if err != nil {
@@ -212,3 +204,19 @@
 		o.recordAckInTime(s.Clock.Now())
 	}
 }
+
+// openProbe opens a stream to a daemon and sends a request without shards.
+func (s *Scatterer) openProbe(ctx context.Context, address string, in *peer.ScatterRequest) (peer.Peer_ScatterClient, error) {
+	conn, err := s.Dial(address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to daemon at %s: %w", address, err)
+	}
+	stream, err := peer.NewPeerClient(conn).Scatter(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("open probe stream to daemon at %s: %w", address, err)
+	}
+	if err := stream.Send(in); err != nil {
+		return nil, fmt.Errorf("send probe to daemon at %s: %w", address, err)
+	}
+	return stream, nil
+}
--- a/entryd/pkg/scatterer/linkcheck.go
+++ b/entryd/pkg/scatterer/linkcheck.go
@@ -69,15 +69,7 @@
 
 // reaches asks a daemon whether it reaches a target. A daemon that does not answer does not.
 func (s *Scatterer) reaches(ctx context.Context, d assigner.Daemon, target string) bool {
-	conn, err := s.Dial(d.Address)
-	if err != nil {
-		return false
-	}
-	stream, err := peer.NewPeerClient(conn).Scatter(ctx)
-	if err != nil {
-		return false
-	}
-	err = stream.Send(&peer.ScatterRequest{
+	stream, err := s.openProbe(ctx, d.Address, &peer.ScatterRequest{
 		Sent:  s.Clock.Now().UnixMilli(),
 		Reach: target,
 	})
--- a/prover/pkg/soaker/cut_test.go
+++ b/prover/pkg/soaker/cut_test.go
@@ -28,12 +28,7 @@
 		fleet: f,
 	}
 	client := &http.Client{Timeout: callerDeadline}
-	for begin := time.Now(); !f.daemons[0].ready.Load(); time.Sleep(pollInterval) {
-		f.pollReadiness(client, f.daemons[0])
-		if time.Since(begin) > recoveryLimit {
-			t.Fatal("daemon 0 did not become ready after its start")
-		}
-	}
+	s.awaitReady(t)
 	time.Sleep(servedPeriod)
 	c := &caller{
 		soak:   s,
