--- a/prover/pkg/deployer/faults.go
+++ b/prover/pkg/deployer/faults.go
@@ -144,7 +144,23 @@
 	return rules
 }
 
-// HealPartitions restores all links that Partition has cut.
+// Isolate cuts the links from some daemons to all targets until HealPartitions. It replaces
+// an earlier partition.
+func (d *Deployment) Isolate(daemons ...*Daemon) {
+	d.t.Helper()
+	var rules []relayer.Rule
+	for _, m := range daemons {
+		address := netip.MustParseAddr(m.Settings.GetSource())
+		rules = append(rules, relayer.Rule{
+			Link:   "*/target-*",
+			From:   netip.PrefixFrom(address, address.BitLen()),
+			Action: relayer.Cut,
+		})
+	}
+	d.setRules(rules)
+}
+
+// HealPartitions restores all links that Partition or Isolate has cut.
 func (d *Deployment) HealPartitions() {
 	d.t.Helper()
 	d.setRules([]relayer.Rule{})
