What targets announce in answers to probes is read, and paused targets are not probed

TestProbeAnswerAnnounces. A daemon that is asked whether it reaches a target does not probe one that may get no requests.

--- a/entryd/pkg/httpsender/httpsender.go
+++ b/entryd/pkg/httpsender/httpsender.go
@@ -24,8 +24,6 @@
 	Deadline string
 	// Instance carries the id of the target that may execute the request.
 	Instance string
-	// Process carries, in some responses, the id of the target that sends them.
-	Process string
 	// NotExecuted marks the response to a request that the target did not execute.
 	NotExecuted string
 }
--- a/entryd/pkg/partitiondetector/partitiondetector.go
+++ b/entryd/pkg/partitiondetector/partitiondetector.go
@@ -47,7 +47,7 @@
 // were lost recently.
 type Peers func() map[string][]string
 
-// Options configure a Detector. All fields but Silent are required.
+// Options configure a Detector. All fields but Silent and OnAnswer are required.
 type Options struct {
 	// DataCentre is the data centre of this daemon.
 	DataCentre string
@@ -59,6 +59,9 @@
 	// Silent is true if daemons send nothing on a new connection before the other side does,
 	// as with TLS. A connection alone then shows that a daemon is reached.
 	Silent bool
+	// OnAnswer is called with the answers of targets to probes, in which they may announce
+	// something. It may be nil.
+	OnAnswer func(target *cataloger.Target, answer *httpsender.Answer)
 }
 
 // Detector probes the remote data centres. Partitioned is safe for concurrent use
@@ -224,19 +227,28 @@
 	}
 	ctx, cancel := clockwork.WithTimeout(ctx, d.Clock, probeTimeout)
 	defer cancel()
-	_, err := t.Client().Probe(ctx, t.probePath)
+	answer, err := t.Client().Probe(ctx, t.probePath)
+	if err == nil && d.OnAnswer != nil {
+		d.OnAnswer(t.Target, answer)
+	}
 	return err == nil
 }
 
-// targets returns the targets by data centre, sorted by address.
+// targets returns the targets that may get requests by data centre, sorted by address. A data
+// centre that has only others has an empty list.
 func (d *Detector) targets() map[string][]target {
 	out := make(map[string][]target)
+	now := d.Clock.Now()
 	for _, p := range d.Catalogs.Catalog().Pools() {
 		for _, r := range p.Replicas() {
-			out[r.DataCentre()] = append(out[r.DataCentre()], target{
-				Replica:   r,
-				probePath: p.ProbePath(),
-			})
+			list := out[r.DataCentre()]
+			if !r.Unavailable(now) {
+				list = append(list, target{
+					Replica:   r,
+					probePath: p.ProbePath(),
+				})
+			}
+			out[r.DataCentre()] = list
 		}
 	}
 	for _, list := range out {
--- a/entryd/pkg/reachdetector/probe.go
+++ b/entryd/pkg/reachdetector/probe.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/httpsender"
 )
 
 // candidate is a target that may be probed.
@@ -35,7 +36,7 @@
 			if i >= firstProbes && !d.sleep(ctx, firstWait) {
 				return
 			}
-			if _, err := c.target.Client().Probe(ctx, c.path); err == nil {
+			if d.ask(ctx, c) != nil {
 				answered.Add(1)
 				cancel()
 			}
@@ -55,17 +56,33 @@
 	}
 }
 
+// ask probes a target and returns its answer, or nil if there is none.
+func (d *Detector) ask(ctx context.Context, c candidate) *httpsender.Answer {
+	answer, err := c.target.Client().Probe(ctx, c.path)
+	if err != nil {
+		return nil
+	}
+	if d.OnAnswer != nil {
+		d.OnAnswer(c.target, answer)
+	}
+	return answer
+}
+
 // ReachesTarget reports whether a target answers a probe of this daemon. An answer of another
-// process at its address does not count.
+// process at its address does not count, and a target that may get no requests is not asked.
 func (d *Detector) ReachesTarget(ctx context.Context, target string) bool {
 	ctx, cancel := clockwork.WithTimeout(ctx, d.Clock, probeTimeout)
 	defer cancel()
 	for _, p := range d.Catalogs.Catalog().Pools() {
 		for _, r := range p.Replicas() {
-			if r.ID() == target {
-				process, err := r.Client().Probe(ctx, p.ProbePath())
-				return err == nil && process == target
+			if r.ID() != target || r.Unavailable(d.Clock.Now()) {
+				continue
 			}
+			answer := d.ask(ctx, candidate{
+				target: r.Target,
+				path:   p.ProbePath(),
+			})
+			return answer != nil && answer.Header.Get(d.ProcessHeader) == target
 		}
 	}
 	return false
--- a/entryd/pkg/reachdetector/reachdetector.go
+++ b/entryd/pkg/reachdetector/reachdetector.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/httpsender"
 )
 
 const (
@@ -61,6 +62,11 @@
 type Options struct {
 	Clock    clockwork.Clock
 	Catalogs Catalogs
+	// ProcessHeader is the header in which an answer names the process that gave it.
+	ProcessHeader string
+	// OnAnswer is called with the answers to probes, in which targets may announce something.
+	// It may be nil.
+	OnAnswer func(target *cataloger.Target, answer *httpsender.Answer)
 	// OnChange is called when an isolation begins or ends. It may be nil.
 	OnChange func(isolated bool)
 }
--- a/entryd/pkg/reachdetector/reachdetector_test.go
+++ b/entryd/pkg/reachdetector/reachdetector_test.go
@@ -82,11 +82,9 @@
 		links: make(map[string]linkState),
 	}
 	catalogs := cataloger.New(cataloger.Options{
-		Clock: clockwork.NewRealClock(),
-		Dial:  n.Dial,
-		Headers: &httpsender.Headers{
-			Process: "Process",
-		},
+		Clock:   clockwork.NewRealClock(),
+		Dial:    n.Dial,
+		Headers: &httpsender.Headers{},
 	})
 	cfg := &config.Config{}
 	var ids []string
@@ -112,8 +110,9 @@
 		Config: cfg,
 	})
 	d := New(Options{
-		Clock:    clockwork.NewRealClock(),
-		Catalogs: catalogs,
+		Clock:         clockwork.NewRealClock(),
+		Catalogs:      catalogs,
+		ProcessHeader: "Process",
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
--- a/entryd/pkg/scatterer/withhold_test.go
+++ b/entryd/pkg/scatterer/withhold_test.go
@@ -10,6 +10,7 @@
 
 	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/httpsender"
+	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/peer"
 )
 
@@ -161,3 +162,42 @@
 	}
 	return assigner.NewOwners("self", daemons, newCatalogs(10).Catalog().Shards())
 }
+
+// TestProbeAnswerAnnounces guards against announcements that nothing reads because they are in
+// the answers to probes, and against those of another process at a target's address.
+func TestProbeAnswerAnnounces(t *testing.T) {
+	tests := []struct {
+		name    string
+		status  int
+		header  http.Header
+		leaving bool
+		paused  bool
+	}{
+		{name: "healthy", status: http.StatusOK, header: http.Header{"Instance": {"shard-0far"}}},
+		{name: "leaving", status: http.StatusOK, header: http.Header{"Instance": {"shard-0far"}, "Leaving": {"1"}}, leaving: true},
+		{name: "pause", status: http.StatusServiceUnavailable, header: http.Header{"Retry-After": {"2"}}, paused: true},
+		{name: "another process is leaving", status: http.StatusOK, header: http.Header{"Instance": {"shard-1far"}, "Leaving": {"1"}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			catalogs := newCatalogs(0)
+			clock := clockwork.NewFakeClock()
+			s := New(Options{
+				Clock:          clock,
+				Catalogs:       catalogs,
+				InstanceHeader: "Instance",
+				Announcements: withholder.Headers{
+					Leaving: "Leaving",
+				},
+			})
+			target := catalogs.Catalog().Pool("shard-0").Replicas()[0]
+			s.RecordProbe(target.Target, &httpsender.Answer{
+				Status: test.status,
+				Header: test.header,
+			})
+			if target.State().Leaving() != test.leaving || target.State().PausedUntil(clock.Now()).IsZero() == test.paused {
+				t.Errorf("leaving %v, paused until %v; want %v, %v", target.State().Leaving(), target.State().PausedUntil(clock.Now()), test.leaving, test.paused)
+			}
+		})
+	}
+}
