--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -27,7 +27,7 @@
 // merged answer, or to a relay, which replies with the answer of one target.
 func (j *job) sendToOwner(ctx context.Context, a *attempt) {
 	defer a.cancel()
-	call := newRelayCall(ctx, j.request.Deadline)
+	call := newPeerCall(ctx, j.request.Deadline)
 	defer call.end()
 	begin := j.Clock.Now()
 	defer func() { j.recordSpan(a, begin, j.Clock.Now()) }()
@@ -61,7 +61,7 @@
 }
 
 // receiveReplies passes the replies of an owner to the job.
-func (j *job) receiveReplies(ctx context.Context, call *relayCall, a *attempt, stream peer.Peer_ScatterClient, begin time.Time) {
+func (j *job) receiveReplies(ctx context.Context, call *peerCall, a *attempt, stream peer.Peer_ScatterClient, begin time.Time) {
 	o := a.dest.owner
 	goalTimer := time.AfterFunc(j.goal.Sub(begin)+goalGrace, func() { o.recordLateReply(j.Clock.Now()) })
 	defer goalTimer.Stop()
--- a/entryd/pkg/scatterer/relay.go
+++ b/entryd/pkg/scatterer/relay.go
@@ -77,9 +77,9 @@
 	return n
 }
 
-// relayCall is a call of another daemon. Its context ends with that of the attempt, until an
+// peerCall is a call of another daemon. Its context ends with that of the attempt, until an
 // answer is received that is passed on in pieces.
-type relayCall struct {
+type peerCall struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	// detach separates the call from the context of the attempt.
@@ -87,15 +87,15 @@
 	detached bool
 }
 
-func newRelayCall(ctx context.Context, deadline time.Time) *relayCall {
-	c := &relayCall{}
+func newPeerCall(ctx context.Context, deadline time.Time) *peerCall {
+	c := &peerCall{}
 	c.ctx, c.cancel = context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	c.detach = context.AfterFunc(ctx, c.cancel)
 	return c
 }
 
 // end ends the call unless the rest of an answer is still read from it.
-func (c *relayCall) end() {
+func (c *peerCall) end() {
 	if !c.detached {
 		c.detach()
 		c.cancel()
@@ -104,7 +104,7 @@
 
 // decodeAnswer returns the answer of a target in a reply, or nil. If its body is passed on in
 // pieces, closing Answer.Rest ends the call.
-func (c *relayCall) decodeAnswer(reply *peer.ScatterReply, stream peer.Peer_ScatterClient) *httpsender.Answer {
+func (c *peerCall) decodeAnswer(reply *peer.ScatterReply, stream peer.Peer_ScatterClient) *httpsender.Answer {
 	in := reply.GetAnswer()
 	if in == nil {
 		return nil
