A notice of an isolation holds for a minute at most, and only plain requests take a relayed answer

A notice with a far expiry and the last sequence would have kept a daemon without shards for good, since it could not be corrected; a reply with an answer for a request over shards would have covered units that are not in it.

--- a/entryd/pkg/gossiper/notices.go
+++ b/entryd/pkg/gossiper/notices.go
@@ -176,10 +176,20 @@
 	return slices.Compact(out)
 }
 
+// maxIsolationLife is the longest time for which the notice of an isolation may hold. A
+// daemon renews its notice; one that would hold for longer is not well-formed.
+const maxIsolationLife = time.Minute
+
+// outlastsLimit reports whether a notice would hold for longer than it may.
+func outlastsLimit(n *peer.Notice, now time.Time) bool {
+	i := n.GetIsolation()
+	return i != nil && i.GetExpires() > now.Add(maxIsolationLife).UnixMilli()
+}
+
 // add merges a notice and reports whether the set has changed.
 func (f *noticeSet) add(n *peer.Notice, copies int, now time.Time) bool {
 	key, ok := noticeKeyOf(n)
-	if !ok || expiry(n) <= now.UnixMilli() {
+	if !ok || expiry(n) <= now.UnixMilli() || outlastsLimit(n, now) {
 		return false
 	}
 	old, known := f.byKey[key]
--- a/entryd/pkg/gossiper/suspicions_test.go
+++ b/entryd/pkg/gossiper/suspicions_test.go
@@ -39,3 +39,36 @@
 		t.Errorf("hash %x of an empty set, want 0", set.hash)
 	}
 }
+
+// TestIsolationWithoutEndIsIgnored guards against a notice by which a daemon owns no shards for
+// good.
+func TestIsolationWithoutEndIsIgnored(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tests := []struct {
+		name string
+		life time.Duration
+		want bool
+	}{
+		{name: "usual", life: 10 * time.Second, want: true},
+		{name: "longest", life: maxIsolationLife, want: true},
+		{name: "too long", life: maxIsolationLife + time.Millisecond},
+		{name: "over", life: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			set := newNoticeSet()
+			added := set.add(&peer.Notice{
+				Body: &peer.Notice_Isolation{
+					Isolation: &peer.Isolation{
+						Daemon:   "d",
+						Expires:  now.Add(test.life).UnixMilli(),
+						Isolated: true,
+					},
+				},
+			}, 1, now)
+			if added != test.want {
+				t.Errorf("notice taken: %v, want %v", added, test.want)
+			}
+		})
+	}
+}
--- a/entryd/pkg/scatterer/reply.go
+++ b/entryd/pkg/scatterer/reply.go
@@ -31,7 +31,7 @@
 	j.recordEnded(a, e.reply)
 	j.recordWithheld(a, e.reply, now)
 	covered := j.storeReply(a, e.reply)
-	if e.answer != nil {
+	if e.answer != nil && !j.route.Scattered() {
 		covered = j.storeRelayed(a, e)
 	}
 	if !e.last {
