--- a/entryd/pkg/dialer/socket.go
+++ b/entryd/pkg/dialer/socket.go
@@ -11,11 +11,12 @@
 
 const (
 	// unackedTimeout is how long sent data may stay unacknowledged before the
-	// kernel closes the connection. The kernel's default is many minutes.
+	// kernel closes the connection. The kernel's default is many minutes. It also
+	// decides when keep-alive probes give up.
 	unackedTimeout = 2 * time.Second
 	// probeIdle is the time without received data after which the kernel sends
 	// keep-alive probes, one in each probeInterval. It closes the connection
-	// after probeCount unanswered probes.
+	// after unackedTimeout without an answer, before probeCount probes are sent.
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
