Order and forecast at too little room by priority and value

Cause: a target's queue knew only goals and the forecast at the root only the time to the goal, so that a burst of a less urgent kind delayed the more urgent one, and a request that would be late without any queue was refused although its return gains nothing.

Change: package valuer (forecaster is part of it) decides the order at a target, by priority, then goals, with one send in 16 at least for a kind that is passed over; a full queue makes room for a more urgent request; queues are bounded in bytes as well. Owners report the latency for the most urgent priority and the service time beside the present latency; reports of earlier builds count for all priorities. A request to one target is refused at once if no target is expected to answer by its deadline.

Tests that use the queue are adapted to its arguments; the checks are as before. The property test found that a kind whose requests leave at their deadlines lost its turn; passes are kept.

--- a/entryd/pkg/estimator/estimator.go
+++ b/entryd/pkg/estimator/estimator.go
@@ -281,6 +281,12 @@
 	return latency
 }
 
+// WaitFor returns the time that the target needs for a number of requests, as a part of the
+// expected latency.
+func (e *Estimator) WaitFor(requests int) time.Duration {
+	return time.Duration(float64(e.service.Load()) * float64(requests) / e.slots)
+}
+
 // Cost returns the expected latency, increased according to the failure ratio. Each
 // refused or failed request has to be repeated on another target.
 func (e *Estimator) Cost(now time.Time) time.Duration {
--- a/entryd/pkg/httpsender/client.go
+++ b/entryd/pkg/httpsender/client.go
@@ -10,12 +10,11 @@
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/singleflight"
+
+	"plantaincleat/entryd/pkg/valuer"
 )
 
 const (
-	// waitersPerConnection times the maximum number of connections is the capacity of
-	// the queue.
-	waitersPerConnection = 8
 	// maxIdle is how long a connection is kept idle. A target may state a shorter time
 	// in the Keep-Alive header.
 	maxIdle = 20 * time.Second
@@ -87,6 +86,14 @@
 	return cl.open
 }
 
+// LessUrgent returns the number of requests that wait for a connection behind those of a
+// rank.
+func (cl *Client) LessUrgent(rank uint32) int {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	return cl.queue.LessUrgent(rank)
+}
+
 // ConnectTime returns how long it took to open the last connection, or zero if none
 // has been opened yet.
 func (cl *Client) ConnectTime() time.Duration {
@@ -146,9 +153,9 @@
 
 // acquire returns an idle or a new connection. It waits in the queue if the maximum
 // number of connections is open.
-func (cl *Client) acquire(ctx context.Context, goal time.Time) (*conn, error) {
+func (cl *Client) acquire(ctx context.Context, o valuer.Offer) (*conn, error) {
 	for {
-		c, wait, err := cl.reserve(goal)
+		c, wait, err := cl.reserve(o)
 		if err != nil {
 			return nil, err
 		}
@@ -170,7 +177,7 @@
 // reserve returns an idle connection or, if all are in use, a channel to wait on.
 // If it returns neither, it has reserved a slot in which the caller may open a
 // connection.
-func (cl *Client) reserve(goal time.Time) (*conn, chan *conn, error) {
+func (cl *Client) reserve(o valuer.Offer) (*conn, chan *conn, error) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	now := cl.clock.Now()
@@ -188,17 +195,22 @@
 		cl.open++
 		return nil, nil, nil
 	}
-	if len(cl.queue) >= waitersPerConnection*cl.maxOpen {
+	cl.queue.MaxLen, cl.queue.MaxBytes = waitersPerConnection*cl.maxOpen, maxWaitingBytes
+	wait := cl.queue.add(now, o)
+	if wait == nil {
 		return nil, nil, fmt.Errorf("target %s: %w", cl.address, ErrBusy)
 	}
-	return nil, cl.queue.add(goal), nil
+	return nil, wait, nil
 }
 
 // awaitConn waits until a connection is assigned on a channel of the queue. It
 // returns nil if the caller may open a connection instead.
 func (cl *Client) awaitConn(ctx context.Context, wait chan *conn) (*conn, error) {
 	select {
-	case c := <-wait:
+	case c, ok := <-wait:
+		if !ok {
+			return nil, fmt.Errorf("target %s: turned away for a more urgent request or past its deadline: %w", cl.address, ErrBusy)
+		}
 		return c, nil
 	case <-ctx.Done():
 	}
@@ -208,10 +220,12 @@
 	if removed {
 		return nil, fmt.Errorf("target %s: wait for a connection: %w: %w", cl.address, ErrNotSent, ctx.Err())
 	}
-	// The connection was assigned before the request could be removed.
-	if c := <-wait; c != nil {
+	// The connection was assigned, or the request turned away, before it could be removed.
+	switch c, ok := <-wait; {
+	case !ok:
+	case c != nil:
 		cl.recycle(c)
-	} else {
+	default:
 		cl.releaseSlot()
 	}
 	return nil, fmt.Errorf("target %s: wait for a connection: %w: %w", cl.address, ErrNotSent, ctx.Err())
@@ -241,8 +255,8 @@
 		c.close()
 		return
 	}
-	if len(cl.queue) > 0 {
-		cl.queue.next(cl.clock.Now()) <- c
+	if ready := cl.queue.next(cl.clock.Now()); ready != nil {
+		ready <- c
 		return
 	}
 	cl.idle = append(cl.idle, c)
@@ -258,9 +272,11 @@
 func (cl *Client) releaseSlot() {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
-	if len(cl.queue) > 0 && cl.open <= cl.maxOpen {
-		cl.queue.next(cl.clock.Now()) <- nil
-		return
+	if cl.open <= cl.maxOpen {
+		if ready := cl.queue.next(cl.clock.Now()); ready != nil {
+			ready <- nil
+			return
+		}
 	}
 	cl.open--
 }
--- a/entryd/pkg/httpsender/client_test.go
+++ b/entryd/pkg/httpsender/client_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/entryd/pkg/valuer"
 )
 
 var headers = &Headers{
@@ -348,7 +350,7 @@
 			var q queue
 			var channels []chan *conn
 			for _, g := range test.goals {
-				channels = append(channels, q.add(g))
+				channels = append(channels, q.add(now, valuer.Offer{Goal: g}))
 			}
 			for _, want := range test.want {
 				if q.next(now) != channels[want] {
--- a/entryd/pkg/httpsender/httpsender.go
+++ b/entryd/pkg/httpsender/httpsender.go
@@ -14,6 +14,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"plantaincleat/entryd/pkg/valuer"
 )
 
 // Headers names the headers of the protocol between daemons and targets.
@@ -43,8 +45,11 @@
 	Target   string
 	Deadline time.Time
 	// Goal is the latest time at which the request can be sent and still be answered
-	// before its latency goal. Requests that wait for a connection are ordered by it.
+	// before its latency goal. Requests of the same rank that wait for a connection are
+	// ordered by it.
 	Goal time.Time
+	// Rank is the priority of the request, 0 for the highest.
+	Rank uint32
 	// Gate is entered before the first byte is sent. It may be nil.
 	Gate *Gate
 	// Admit decides whether the target may get the request. It is called once, after the
@@ -119,7 +124,12 @@
 // closed, Do finds out whether the target has ended. The context queue must end no later
 // than ctx and bounds the wait for a connection.
 func (cl *Client) Do(ctx, queue context.Context, r *Request) (*Answer, error) {
-	c, err := cl.acquire(queue, r.Goal)
+	c, err := cl.acquire(queue, valuer.Offer{
+		Rank:     r.Rank,
+		Goal:     r.Goal,
+		Deadline: r.Deadline,
+		Bytes:    len(r.Path) + len(r.Body),
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/entryd/pkg/httpsender/overload_test.go
+++ b/entryd/pkg/httpsender/overload_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"plantaincleat/entryd/pkg/valuer"
 )
 
 // TestQueueOrderUnderOverload simulates a single remaining replica that gets a third
@@ -27,9 +29,9 @@
 		for now := begin; arrived < requests; now = now.Add(service) {
 			for ; arrived < requests && !begin.Add(time.Duration(arrived)*interval).After(now); arrived++ {
 				at := begin.Add(time.Duration(arrived) * interval)
-				goals[q.add(at.Add(goal-before))] = at.Add(goal)
+				goals[q.add(now, valuer.Offer{Goal: at.Add(goal - before)})] = at.Add(goal)
 			}
-			if len(q) == 0 {
+			if q.Len() == 0 {
 				continue
 			}
 			if one := q.next(now); !now.Add(service).After(goals[one]) {
--- a/entryd/pkg/httpsender/queue.go
+++ b/entryd/pkg/httpsender/queue.go
@@ -1,58 +1,65 @@
 package httpsender
 
 import (
-	"slices"
 	"time"
+
+	"plantaincleat/entryd/pkg/valuer"
 )
 
-// queue holds the requests that wait for a connection. The zero value is empty.
-type queue []waiter
+const (
+	// waitersPerConnection times the maximum number of connections is the greatest number
+	// of requests that wait.
+	waitersPerConnection = 8
+	// maxWaitingBytes is the greatest size of the requests that wait for one target. It is
+	// a small part of the memory of a small host.
+	maxWaitingBytes = 4 << 20
+)
 
-// waiter is one request in the queue.
-type waiter struct {
-	// ready receives a connection, or nil as permission to open one.
-	ready chan *conn
-	// goal is the latest useful time to send the request.
-	goal time.Time
+// queue holds the requests that wait for a connection. Each is known by a channel that
+// receives a connection, or nil as permission to open one. The channel is closed if the
+// request is turned away. The zero value is empty.
+type queue struct {
+	valuer.Queue[chan *conn]
+	waiters map[chan *conn]*valuer.Waiter[chan *conn]
 }
 
-// add appends a request that should be sent before goal. The returned channel
-// receives a connection, or nil as permission to open one.
-func (q *queue) add(goal time.Time) chan *conn {
-	w := waiter{
-		ready: make(chan *conn, 1),
-		goal:  goal,
+// add adds a request and returns its channel, or nil if there is no room for it.
+func (q *queue) add(now time.Time, o valuer.Offer) chan *conn {
+	w, dropped := q.Add(now, o, make(chan *conn, 1))
+	q.turnAway(dropped)
+	if w == nil {
+		return nil
 	}
-	*q = append(*q, w)
-	return w.ready
+	if q.waiters == nil {
+		q.waiters = make(map[chan *conn]*valuer.Waiter[chan *conn])
+	}
+	q.waiters[w.Value] = w
+	return w.Value
 }
 
-// remove removes the request that waits on a channel and reports whether it was
-// still in the queue.
+// remove removes the request that waits on a channel and reports whether it was still in
+// the queue.
 func (q *queue) remove(ready chan *conn) bool {
-	i := slices.IndexFunc(*q, func(w waiter) bool { return w.ready == ready })
-	if i < 0 {
-		return false
-	}
-	*q = slices.Delete(*q, i, i+1)
-	return true
+	w := q.waiters[ready]
+	delete(q.waiters, ready)
+	return w != nil && q.Remove(w)
 }
 
-// next removes a request from the queue and returns its channel. It selects the
-// request with the earliest goal that has not passed. If all goals have passed, it
-// selects the request that has waited longest. Requests that will be late anyway
-// thus get only the capacity that the others leave.
+// next removes the request to be sent next and returns its channel, or nil if none waits.
 func (q *queue) next(now time.Time) chan *conn {
-	best := 0
-	for i, w := range *q {
-		if !w.goal.After(now) {
-			continue
-		}
-		if b := (*q)[best]; !b.goal.After(now) || w.goal.Before(b.goal) {
-			best = i
-		}
+	w, expired := q.Next(now)
+	q.turnAway(expired)
+	if w == nil {
+		return nil
+	}
+	delete(q.waiters, w.Value)
+	return w.Value
+}
+
+// turnAway tells requests that they will not be sent.
+func (q *queue) turnAway(list []*valuer.Waiter[chan *conn]) {
+	for _, w := range list {
+		delete(q.waiters, w.Value)
+		close(w.Value)
 	}
-	ready := (*q)[best].ready
-	*q = slices.Delete(*q, best, best+1)
-	return ready
 }
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -141,6 +141,7 @@
 		Target:   target.ID(),
 		Deadline: j.request.Deadline,
 		Goal:     j.goal.Add(-target.Estimator().Service()),
+		Rank:     j.rank,
 		Gate:     &a.gate,
 		Admit: func() bool {
 			admitted = target.State().Enter(j.Clock.Now())
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -82,6 +82,8 @@
 type collector struct {
 	*job
 	in *peer.ScatterRequest
+	// urgent is the rank of the most urgent route over shards.
+	urgent uint32
 	// sent holds for each unit whether a reply has contained it.
 	sent []bool
 	// pastGoal is true once the first reply after the goal was sent.
@@ -114,6 +116,7 @@
 		request:   r,
 		route:     route,
 		plan:      plan,
+		rank:      route.GetRank(),
 		goal:      now.Add(time.Duration(in.GetGoal()) * time.Microsecond),
 	}
 	for _, name := range in.GetShards() {
@@ -127,6 +130,7 @@
 	return &collector{
 		job:      j,
 		in:       in,
+		urgent:   mostUrgent(catalog),
 		sent:     make([]bool, len(j.pools)),
 		accepted: make(chan struct{}),
 	}
@@ -261,11 +265,8 @@
 			out.Unreached = append(out.Unreached, uint32(u))
 		}
 		// What may be due to this daemon's links is not reported as a load of targets.
-		if d := c.bestLatency(pool, now); d >= minReportedLatency && !doubtful {
-			out.Loads = append(out.Loads, &peer.ScatterLoad{
-				Shard:  uint32(u),
-				Finish: uint32(d.Milliseconds()),
-			})
+		if load := c.loadOf(pool, c.urgent, now); load.Latency >= minReportedLatency && !doubtful {
+			out.Loads = append(out.Loads, encodeLoad(u, load))
 		}
 	}
 	out.Leaving = c.leavingTargets(now)
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -41,6 +41,8 @@
 	// samples holds, for each unit, whether the request is among those that the limits of
 	// the unit's targets allow.
 	samples []sample
+	// rank is the priority of the request, 0 for the highest.
+	rank uint32
 	// goal is the latest time to return an answer that meets the latency goal.
 	goal  time.Time
 	query *router.Query[destination]
@@ -87,6 +89,7 @@
 		root:      true,
 		confirmed: true,
 		plan:      plan,
+		rank:      route.GetRank(),
 		goal:      s.goal(r, route),
 	}
 	options := router.Options{
--- a/entryd/pkg/scatterer/overload.go
+++ b/entryd/pkg/scatterer/overload.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"plantaincleat/entryd/pkg/cataloger"
-	"plantaincleat/entryd/pkg/forecaster"
+	"plantaincleat/entryd/pkg/valuer"
 	"plantaincleat/tier/gen/peer"
 )
 
@@ -15,28 +18,55 @@
 // it to other daemons.
 const minReportedLatency = 20 * time.Millisecond
 
-// bestLatency returns the lowest expected latency of the replicas of a pool, or zero if
-// the pool has no usable replica.
-func (s *Scatterer) bestLatency(p *cataloger.Pool, now time.Time) time.Duration {
-	var best time.Duration
+// bestLatency returns the lowest expected latency of the replicas of a pool for a request of
+// a rank, and the part of it that is not spent waiting, or zeros if the pool has no usable
+// replica. A request does not wait for less urgent ones that are not on a connection yet.
+func (s *Scatterer) bestLatency(p *cataloger.Pool, rank uint32, now time.Time) (best, service time.Duration) {
 	found := false
 	for _, r := range p.Replicas() {
 		if r.Unavailable(now) || r.Vanished() {
 			continue
 		}
-		if d := r.Estimator().ExpectedLatency(now); !found || d < best {
-			best, found = d, true
+		e := r.Estimator()
+		d := e.ExpectedLatency(now) - e.WaitFor(r.Client().LessUrgent(rank))
+		if !found || d < best {
+			best, service, found = d, e.Service(), true
+		}
+	}
+	return best, min(service, best)
+}
+
+// loadOf returns the load of a shard that this daemon sends requests to.
+func (s *Scatterer) loadOf(p *cataloger.Pool, urgent uint32, now time.Time) valuer.Load {
+	latency, service := s.bestLatency(p, math.MaxUint32, now)
+	load := valuer.Load{
+		Latency: latency,
+		Urgent:  latency,
+		Service: service,
+	}
+	if latency >= minReportedLatency {
+		load.Urgent, _ = s.bestLatency(p, urgent, now)
+	}
+	return load
+}
+
+// mostUrgent returns the rank of the most urgent route over shards.
+func mostUrgent(catalog *cataloger.Catalog) uint32 {
+	urgent := uint32(math.MaxUint32)
+	for route := range catalog.Routes() {
+		if route.Scattered() {
+			urgent = min(urgent, route.GetRank())
 		}
 	}
-	return best
+	return urgent
 }
 
 // recordLoads records the latencies that an owner expects for its shards, and of which of them
 // it reaches no target. A shard that is not in the reply counts as idle.
 func (j *job) recordLoads(a *attempt, reply *peer.ScatterReply, now time.Time) {
-	latencies := make(map[uint32]time.Duration, len(reply.GetLoads()))
+	loads := make(map[uint32]valuer.Load, len(reply.GetLoads()))
 	for _, l := range reply.GetLoads() {
-		latencies[l.GetShard()] = time.Duration(l.GetFinish()) * time.Millisecond
+		loads[l.GetShard()] = decodeLoad(l)
 	}
 	unreached := make(map[uint32]bool)
 	for _, index := range reply.GetUnreached() {
@@ -44,24 +74,57 @@
 	}
 	for index, u := range a.units {
 		j.unreached.record(now, a.dest.owner.id, j.pools[u].Name(), unreached[uint32(index)])
-		j.forecast.RecordLatency(now, a.dest.owner.id, j.pools[u].Name(), latencies[uint32(index)])
+		j.forecast.RecordLoad(now, a.dest.owner.id, j.pools[u].Name(), loads[uint32(index)])
 	}
 }
 
-// refuseOverloaded returns a refusal if too few shards of the route are expected to
-// answer before the goal, and nil otherwise.
-func (s *Scatterer) refuseOverloaded(r *Request, route *cataloger.Route) *Result {
-	if !route.Scattered() {
-		return nil
+// encodeLoad returns the report of the load of a shard.
+func encodeLoad(shard int, load valuer.Load) *peer.ScatterLoad {
+	return &peer.ScatterLoad{
+		Shard:   uint32(shard),
+		Finish:  uint32(load.Latency.Milliseconds()),
+		Urgent:  proto.Uint32(uint32(load.Urgent.Milliseconds())),
+		Service: uint32(load.Service.Milliseconds()),
+	}
+}
+
+// decodeLoad returns the load in a report. That of an earlier build counts for all
+// priorities.
+func decodeLoad(l *peer.ScatterLoad) valuer.Load {
+	load := valuer.Load{
+		Latency: time.Duration(l.GetFinish()) * time.Millisecond,
+		Service: time.Duration(l.GetService()) * time.Millisecond,
 	}
+	load.Urgent = load.Latency
+	if l.Urgent != nil {
+		load.Urgent = min(load.Latency, time.Duration(l.GetUrgent())*time.Millisecond)
+	}
+	return load
+}
+
+// refuseOverloaded returns a refusal if the request is worth more when it returns later, and
+// nil otherwise.
+func (s *Scatterer) refuseOverloaded(r *Request, catalog *cataloger.Catalog, route *cataloger.Route) *Result {
 	now := s.Clock.Now()
-	q := forecaster.Query{
-		Route: route.GetName(),
-		Left:  s.goal(r, route).Sub(now),
-		Floor: route.GetFloor(),
+	if !route.Scattered() {
+		return s.refuseFull(r, route, now)
 	}
+	q := valuer.Query{
+		Route:     route.GetName(),
+		Left:      s.goal(r, route).Sub(now),
+		Remaining: r.Deadline.Sub(now),
+		Floor:     route.GetFloor(),
+		Late:      lateWorth(r, route),
+	}
+	urgent := mostUrgent(catalog)
 	for _, p := range route.Pools() {
-		q.Latencies = append(q.Latencies, s.shardLatency(p, now))
+		load := s.shardLoad(p, urgent, now)
+		latency := load.Latency
+		if route.GetRank() <= urgent {
+			latency = load.Urgent
+		}
+		q.Latencies = append(q.Latencies, latency)
+		q.Services = append(q.Services, load.Service)
 	}
 	wait, ok := s.forecast.Admit(now, q)
 	if ok {
@@ -72,9 +135,41 @@
 	return res
 }
 
+// refuseFull returns a refusal if no target of a route without shards is expected to answer
+// before the deadline because of what waits for it, and nil otherwise.
+func (s *Scatterer) refuseFull(r *Request, route *cataloger.Route, now time.Time) *Result {
+	best := time.Duration(math.MaxInt64)
+	for _, p := range route.Pools() {
+		for _, replica := range p.Replicas() {
+			if replica.Unavailable(now) || replica.Vanished() {
+				continue
+			}
+			if replica.Estimator().Suspected() {
+				// Its queue says nothing of the room, and it may answer again.
+				return nil
+			}
+			e := replica.Estimator()
+			best = min(best, e.ExpectedLatency(now)-e.WaitFor(replica.Client().LessUrgent(route.GetRank())))
+		}
+	}
+	if best == math.MaxInt64 {
+		return nil
+	}
+	wait, ok := s.forecast.AdmitSingle(now, route.GetName(), best, r.Deadline.Sub(now))
+	if ok {
+		return nil
+	}
+	return refuse(route, peer.Reason_REASON_SHED, min(max(wait, minRetry), r.longestRetry(now)))
+}
+
+// lateWorth returns the worth of a late answer to a request.
+func lateWorth(r *Request, route *cataloger.Route) float64 {
+	return valuer.LateWorth(route.GetGoal().AsDuration(), r.Deadline.Sub(r.Received))
+}
+
 // lateShards describes the shards that count as late in a forecast: how many of them each
 // daemon has reported, and the highest latency.
-func (s *Scatterer) lateShards(route *cataloger.Route, q *forecaster.Query, now time.Time) []string {
+func (s *Scatterer) lateShards(route *cataloger.Route, q *valuer.Query, now time.Time) []string {
 	counts := make(map[string]int)
 	highest := make(map[string]time.Duration)
 	for i, p := range route.Pools() {
@@ -91,13 +186,13 @@
 	return out
 }
 
-// shardLatency returns the latency that is expected for one more request to a shard.
-// If another daemon sends it, it is the latency which that daemon has reported.
-func (s *Scatterer) shardLatency(p *cataloger.Pool, now time.Time) time.Duration {
+// shardLoad returns the load of a shard. If another daemon sends to it, it is that which the
+// daemon has reported.
+func (s *Scatterer) shardLoad(p *cataloger.Pool, urgent uint32, now time.Time) valuer.Load {
 	if owner := s.sender(p, now); owner != s.ID {
-		return s.forecast.ExpectedLatency(now, owner, p.Name())
+		return s.forecast.Load(now, owner, p.Name())
 	}
-	return s.bestLatency(p, now)
+	return s.loadOf(p, urgent, now)
 }
 
 // sender returns the id of the daemon that sends the next request to a shard: the first of its
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -19,8 +19,8 @@
 	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/cataloger"
 	"plantaincleat/entryd/pkg/crashtracker"
-	"plantaincleat/entryd/pkg/forecaster"
 	"plantaincleat/entryd/pkg/httpsender"
+	"plantaincleat/entryd/pkg/valuer"
 	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/pkg/tracer"
 )
@@ -127,7 +127,7 @@
 	running       atomic.Int64
 	endedAttempts atomic.Int64
 	owners        owners
-	forecast      forecaster.Forecaster
+	forecast      valuer.Forecast
 	pauses        shardPauses
 	unreached     unreachedShards
 	linkChecks    singleflight.Group
@@ -188,7 +188,7 @@
 	if res := s.refuseWithheld(route); res != nil {
 		return res
 	}
-	if res := s.refuseOverloaded(r, route); res != nil {
+	if res := s.refuseOverloaded(r, s.Catalogs.Catalog(), route); res != nil {
 		return res
 	}
 	ctx, span := tracer.StartSpan(tracer.Extract(ctx, r.Header.Get("Traceparent")), "request",
--- a/entryd/pkg/forecaster/forecaster_test.go
+++ b/entryd/pkg/valuer/forecast_test.go
@@ -1,4 +1,4 @@
-package forecaster
+package valuer
 
 import (
 	"testing"
@@ -50,7 +50,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			var f Forecaster
+			var f Forecast
 			f.lastProbes = map[string]time.Time{"": begin}
 			wait, ok := f.Admit(begin, test.q)
 			if ok != test.want {
@@ -66,7 +66,7 @@
 // TestAdmitProbesDuringOverload checks that one request per probe interval is
 // admitted, so that the end of an overload is noticed.
 func TestAdmitProbesDuringOverload(t *testing.T) {
-	var f Forecaster
+	var f Forecast
 	admitted := 0
 	for i := range 100 {
 		if _, ok := f.Admit(begin.Add(time.Duration(i)*10*ms), Query{Route: "r", Left: 100 * ms, Floor: 0.9, Latencies: latencies(5, time.Second, 5)}); ok {
@@ -78,9 +78,9 @@
 	}
 }
 
-func TestExpectedLatencyDrainsAndExpires(t *testing.T) {
-	var f Forecaster
-	f.RecordLatency(begin, "owner", "s", 100*ms)
+func TestLoadDrainsAndExpires(t *testing.T) {
+	var f Forecast
+	f.RecordLoad(begin, "owner", "s", Load{Latency: 100 * ms, Urgent: 100 * ms})
 	tests := []struct {
 		after, want time.Duration
 	}{
@@ -90,12 +90,12 @@
 		{after: reportLife, want: 0},
 	}
 	for _, test := range tests {
-		if got := f.ExpectedLatency(begin.Add(test.after), "owner", "s"); got != test.want {
-			t.Errorf("expected latency %v after the report is %v, want %v", test.after, got, test.want)
+		if got := f.Load(begin.Add(test.after), "owner", "s"); got.Latency != test.want || got.Urgent != test.want {
+			t.Errorf("load %v after the report is %v, want %v", test.after, got, test.want)
 		}
 	}
-	f.RecordLatency(begin, "owner", "s", 0)
-	if f.ExpectedLatency(begin, "owner", "s") != 0 {
+	f.RecordLoad(begin, "owner", "s", Load{})
+	if f.Load(begin, "owner", "s") != (Load{}) {
 		t.Error("report of latency 0 did not clear the expected latency")
 	}
 }
--- /dev/null
+++ b/entryd/pkg/valuer/queue.go
@@ -0,0 +1,202 @@
+package valuer
+
+import (
+	"slices"
+	"time"
+)
+
+// maxPassed is the number of sends in a row that may pass over a waiting kind of request.
+// It bounds what the less urgent kinds take from the more urgent ones to one send in 16.
+const maxPassed = 15
+
+// Offer is what the order of a queue depends on.
+type Offer struct {
+	// Rank is the priority of the request, 0 for the highest. The requests of one rank are
+	// a kind.
+	Rank uint32
+	// Goal is the latest time at which the request can be sent and still be answered before
+	// its latency goal.
+	Goal time.Time
+	// Deadline is the time from which the request is not sent any more. Zero means none.
+	Deadline time.Time
+	// Bytes is the size of the request.
+	Bytes int
+}
+
+func (o *Offer) expired(now time.Time) bool {
+	return !o.Deadline.IsZero() && !now.Before(o.Deadline)
+}
+
+// Waiter is a request in a Queue.
+type Waiter[T any] struct {
+	// Value identifies the request to the caller.
+	Value T
+	offer Offer
+}
+
+// Queue holds the requests that wait for a target, in the order of their arrival. The zero
+// value is empty and has no bounds. It is not safe for concurrent use.
+type Queue[T any] struct {
+	// MaxLen and MaxBytes bound the number and the size of the requests. Zero means no
+	// bound.
+	MaxLen, MaxBytes int
+
+	waiting []*Waiter[T]
+	bytes   int
+	// passed holds, for each kind, the number of sends since its last one during which it
+	// waited. It also counts if its requests have left the queue at their deadlines in between.
+	passed map[uint32]int
+}
+
+// Len returns the number of requests.
+func (q *Queue[T]) Len() int { return len(q.waiting) }
+
+// Bytes returns the size of the requests.
+func (q *Queue[T]) Bytes() int { return q.bytes }
+
+// LessUrgent returns the number of requests that wait behind those of a rank.
+func (q *Queue[T]) LessUrgent(rank uint32) int {
+	n := 0
+	for _, w := range q.waiting {
+		if w.offer.Rank > rank {
+			n++
+		}
+	}
+	return n
+}
+
+// Add adds a request. If there is no room for it, Add makes room by turning away less urgent
+// requests, the least urgent and latest first. If that is not enough, or if the deadline has
+// passed, it adds nothing and returns no waiter. The requests in dropped have been removed.
+func (q *Queue[T]) Add(now time.Time, o Offer, value T) (w *Waiter[T], dropped []*Waiter[T]) {
+	if o.expired(now) {
+		return nil, nil
+	}
+	dropped = q.RemoveExpired(now)
+	victims, ok := q.victims(o)
+	if !ok {
+		return nil, dropped
+	}
+	for _, v := range victims {
+		q.Remove(v)
+	}
+	w = &Waiter[T]{
+		Value: value,
+		offer: o,
+	}
+	q.waiting = append(q.waiting, w)
+	q.bytes += o.Bytes
+	return w, append(dropped, victims...)
+}
+
+// victims returns the requests that have to be turned away to make room for another one, and
+// false if there are not enough less urgent ones.
+func (q *Queue[T]) victims(o Offer) (victims []*Waiter[T], ok bool) {
+	n, bytes := len(q.waiting)+1, q.bytes+o.Bytes
+	fits := func() bool {
+		return (q.MaxLen <= 0 || n <= q.MaxLen) && (q.MaxBytes <= 0 || bytes <= q.MaxBytes)
+	}
+	if fits() {
+		return nil, true
+	}
+	candidates := slices.Clone(q.waiting)
+	slices.Reverse(candidates)
+	slices.SortStableFunc(candidates, func(a, b *Waiter[T]) int { return int(b.offer.Rank) - int(a.offer.Rank) })
+	for _, c := range candidates {
+		if c.offer.Rank <= o.Rank {
+			break
+		}
+		victims = append(victims, c)
+		n--
+		bytes -= c.offer.Bytes
+		if fits() {
+			return victims, true
+		}
+	}
+	return nil, false
+}
+
+// Remove removes a request and reports whether it was still in the queue.
+func (q *Queue[T]) Remove(w *Waiter[T]) bool {
+	i := slices.Index(q.waiting, w)
+	if i < 0 {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.bytes -= w.offer.Bytes
+	return true
+}
+
+// RemoveExpired removes and returns the requests that are past their deadline.
+func (q *Queue[T]) RemoveExpired(now time.Time) []*Waiter[T] {
+	var out []*Waiter[T]
+	for _, w := range q.waiting {
+		if w.offer.expired(now) {
+			out = append(out, w)
+		}
+	}
+	for _, w := range out {
+		q.Remove(w)
+	}
+	return out
+}
+
+// Next removes and returns the request to be sent next, or nil if none waits. It is of the
+// most urgent kind, unless another kind was passed over maxPassed times. Within a kind, the
+// earliest goal that has not passed goes first. If all goals have passed, it is the request
+// that has waited longest: requests that will be late anyway get only the room that the
+// others of their kind leave. The requests in expired have been removed because they are past
+// their deadline.
+func (q *Queue[T]) Next(now time.Time) (w *Waiter[T], expired []*Waiter[T]) {
+	expired = q.RemoveExpired(now)
+	if len(q.waiting) == 0 {
+		clear(q.passed)
+		return nil, expired
+	}
+	rank := q.nextRank()
+	for _, c := range q.waiting {
+		if c.offer.Rank == rank && (w == nil || before(&c.offer, &w.offer, now)) {
+			w = c
+		}
+	}
+	q.countPassed(rank)
+	q.Remove(w)
+	return w, expired
+}
+
+// before reports whether a request goes before one of the same kind that arrived earlier.
+func before(o, earlier *Offer, now time.Time) bool {
+	if !o.Goal.After(now) {
+		return false
+	}
+	return !earlier.Goal.After(now) || o.Goal.Before(earlier.Goal)
+}
+
+// nextRank returns the kind of the next send: the one that was passed over most often, if
+// that was maxPassed times or more, and otherwise the most urgent one.
+func (q *Queue[T]) nextRank() uint32 {
+	next := q.waiting[0].offer.Rank
+	for _, w := range q.waiting[1:] {
+		r := w.offer.Rank
+		starved, other := max(q.passed[next], maxPassed-1), max(q.passed[r], maxPassed-1)
+		if other > starved || other == starved && r < next {
+			next = r
+		}
+	}
+	return next
+}
+
+// countPassed counts a send for the waiting kinds that it passes over.
+func (q *Queue[T]) countPassed(sent uint32) {
+	if q.passed == nil {
+		q.passed = make(map[uint32]int)
+	}
+	kinds := make(map[uint32]bool)
+	for _, w := range q.waiting {
+		kinds[w.offer.Rank] = true
+	}
+	for rank := range kinds {
+		q.passed[rank]++
+	}
+	q.passed[sent] = 0
+}
--- /dev/null
+++ b/entryd/pkg/valuer/queue_test.go
@@ -0,0 +1,223 @@
+package valuer
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// offer returns an offer whose goal and deadline lie the given times after begin.
+func offer(rank uint32, goal, deadline time.Duration) Offer {
+	return Offer{
+		Rank:     rank,
+		Goal:     begin.Add(goal),
+		Deadline: begin.Add(deadline),
+		Bytes:    1,
+	}
+}
+
+// TestQueueOrder guards against requests that are sent before others whose delay costs their
+// callers more.
+func TestQueueOrder(t *testing.T) {
+	tests := []struct {
+		name   string
+		offers []Offer
+		want   []int
+	}{
+		{name: "priority first", offers: []Offer{offer(2, 10*ms, time.Second), offer(1, 50*ms, time.Second), offer(0, 90*ms, time.Second)}, want: []int{2, 1, 0}},
+		{name: "earliest goal of a kind", offers: []Offer{offer(1, 50*ms, time.Second), offer(1, 10*ms, time.Second)}, want: []int{1, 0}},
+		{name: "passed goals after the others of a kind", offers: []Offer{offer(1, -ms, time.Second), offer(1, 50*ms, time.Second), offer(2, 10*ms, time.Second)}, want: []int{1, 0, 2}},
+		{name: "past the deadline not at all", offers: []Offer{offer(1, -9*ms, 0), offer(2, 10*ms, time.Second)}, want: []int{1}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var q Queue[int]
+			for i, o := range test.offers {
+				q.Add(begin.Add(-10*ms), o, i)
+			}
+			for _, want := range test.want {
+				if w, _ := q.Next(begin); w == nil || w.Value != want {
+					t.Fatalf("next is %v, want request %d", w, want)
+				}
+			}
+			if w, _ := q.Next(begin); w != nil {
+				t.Errorf("request %d was sent", w.Value)
+			}
+		})
+	}
+}
+
+// TestQueueMakesRoomForMoreUrgent guards against a burst of a less urgent kind that fills the
+// queue, so that the more urgent one is turned away.
+func TestQueueMakesRoomForMoreUrgent(t *testing.T) {
+	q := Queue[int]{
+		MaxLen: 4,
+	}
+	for i := range 10 {
+		q.Add(begin, offer(2, 100*ms, time.Second), i)
+	}
+	w, dropped := q.Add(begin, offer(1, 100*ms, time.Second), 10)
+	if w == nil || len(dropped) != 1 || dropped[0].Value != 3 {
+		t.Fatalf("urgent request in queue: %v, turned away: %v; want the last of the less urgent ones turned away", w != nil, dropped)
+	}
+	if w, _ = q.Add(begin, offer(2, 100*ms, time.Second), 11); w != nil {
+		t.Error("less urgent request was added to a full queue")
+	}
+}
+
+// simulate returns the fractions of the requests of each kind that one target of the given
+// service time answers by their goals. Arrivals of a kind begin at its start.
+func simulate(service time.Duration, length time.Duration, kinds []burst) []float64 {
+	q := Queue[int]{
+		MaxLen: 32,
+	}
+	asked, inTime := make([]int, len(kinds)), make([]int, len(kinds))
+	next := make([]time.Duration, len(kinds))
+	for i, k := range kinds {
+		next[i] = k.start
+	}
+	for at := time.Duration(0); at < length; at += service {
+		for i, k := range kinds {
+			for ; next[i] <= at && next[i] < k.end; next[i] += k.interval {
+				asked[i]++
+				q.Add(begin.Add(at), offer(k.rank, next[i]+k.goal-service, next[i]+k.deadline), i)
+			}
+		}
+		now := begin.Add(at)
+		if w, _ := q.Next(now); w != nil && w.offer.Goal.After(now) {
+			inTime[w.Value]++
+		}
+	}
+	out := make([]float64, len(kinds))
+	for i := range kinds {
+		out[i] = float64(inTime[i]) / float64(max(asked[i], 1))
+	}
+	return out
+}
+
+// burst describes the arrivals of one kind.
+type burst struct {
+	rank                                 uint32
+	start, end, interval, goal, deadline time.Duration
+}
+
+// TestQueueUnderPatternsOfLoad guards against patterns of load in which the more urgent kind
+// loses its room, or the less urgent one all of it.
+func TestQueueUnderPatternsOfLoad(t *testing.T) {
+	urgent := burst{rank: 1, end: 4 * time.Second, interval: 40 * ms, goal: 200 * ms, deadline: 2500 * ms}
+	less := burst{rank: 2, end: 4 * time.Second, interval: 40 * ms, goal: 300 * ms, deadline: time.Second}
+	with := func(b burst, change func(*burst)) burst {
+		change(&b)
+		return b
+	}
+	tests := []struct {
+		name    string
+		service time.Duration
+		kinds   []burst
+		// want holds the least fraction of each kind.
+		want []float64
+	}{
+		{name: "wave: crest above the room for a second", service: 15 * ms, kinds: []burst{
+			urgent, less, with(less, func(b *burst) { b.start, b.end, b.interval = time.Second, 2*time.Second, 10*ms }),
+		}, want: []float64{0.95, 0.6, 0}},
+		{name: "burst of the less urgent kind", service: 20 * ms, kinds: []burst{
+			urgent, with(less, func(b *burst) { b.interval = 5 * ms }),
+		}, want: []float64{0.95, 0.05}},
+		{name: "burst of the more urgent kind", service: 20 * ms, kinds: []burst{
+			with(urgent, func(b *burst) { b.interval = 10 * ms }), less,
+		}, want: []float64{0.4, 0}},
+		{name: "slow shards across: twice the service time", service: 40 * ms, kinds: []burst{
+			with(urgent, func(b *burst) { b.interval = 60 * ms }), with(less, func(b *burst) { b.interval = 60 * ms }),
+		}, want: []float64{0.9, 0}},
+		{name: "hot institution of lower priority", service: 20 * ms, kinds: []burst{
+			urgent, with(urgent, func(b *burst) { b.rank, b.interval = 2, 4*ms }),
+		}, want: []float64{0.95, 0.05}},
+		{name: "mass restart: a second of arrivals at once", service: 20 * ms, kinds: []burst{
+			urgent, with(urgent, func(b *burst) { b.end, b.interval = ms, 50*time.Microsecond }), less,
+		}, want: []float64{0.8, 0, 0.4}},
+		{name: "data centre back: half of the service time after two seconds of too little room", service: 20 * ms, kinds: []burst{
+			with(urgent, func(b *burst) { b.end, b.interval = 2*time.Second, 15*ms }), with(urgent, func(b *burst) { b.start = 2500 * ms }),
+		}, want: []float64{0.6, 0.95}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := simulate(test.service, 4*time.Second, test.kinds)
+			for i, want := range test.want {
+				if got[i] < want {
+					t.Errorf("%.2f of the requests of kind %d answered in time, want %.2f (all: %.2f)", got[i], i, want, got)
+				}
+			}
+		})
+	}
+}
+
+// TestQueueProperties checks for random arrivals and sends that the order holds, that no kind
+// is passed over more often than stated, and that the queue keeps its bounds.
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const kinds = 3
+		q := Queue[Offer]{
+			MaxLen:   rapid.IntRange(1, 40).Draw(t, "length"),
+			MaxBytes: rapid.IntRange(1, 200).Draw(t, "bytes"),
+		}
+		now := begin
+		passed := make(map[uint32]int)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "ms")) * ms)
+			if rapid.IntRange(0, 2).Draw(t, "add") > 0 {
+				o := Offer{
+					Rank:     uint32(rapid.IntRange(0, kinds-1).Draw(t, "rank")),
+					Goal:     now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "goal")) * ms),
+					Deadline: now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "deadline")) * ms),
+					Bytes:    rapid.IntRange(0, 50).Draw(t, "size"),
+				}
+				w, dropped := q.Add(now, o, o)
+				for _, d := range dropped {
+					if !d.Value.expired(now) && (w == nil || d.Value.Rank <= o.Rank) {
+						t.Fatalf("request of rank %d turned away for one of rank %d", d.Value.Rank, o.Rank)
+					}
+				}
+				if q.Len() > q.MaxLen || q.Bytes() > q.MaxBytes {
+					t.Fatalf("%d requests of %d bytes wait, want at most %d and %d", q.Len(), q.Bytes(), q.MaxLen, q.MaxBytes)
+				}
+				continue
+			}
+			checkNext(t, &q, now, passed, kinds)
+		}
+	})
+}
+
+// checkNext sends the next request and checks it against those that wait on.
+func checkNext(t *rapid.T, q *Queue[Offer], now time.Time, passed map[uint32]int, kinds int) {
+	w, _ := q.Next(now)
+	if w == nil {
+		clear(passed)
+		return
+	}
+	if w.Value.expired(now) {
+		t.Fatal("request past its deadline was sent")
+	}
+	waiting := make(map[uint32]bool)
+	for _, other := range q.waiting {
+		waiting[other.offer.Rank] = true
+		if other.offer.Rank == w.offer.Rank && other.offer.Goal.After(now) && !w.offer.Goal.After(now) {
+			t.Fatal("request that cannot make its goal was sent before one that can")
+		}
+		if other.offer.Rank < w.offer.Rank && passed[w.offer.Rank] < maxPassed {
+			t.Fatalf("rank %d was sent before rank %d after %d sends", w.offer.Rank, other.offer.Rank, passed[w.offer.Rank])
+		}
+	}
+	for rank := range uint32(kinds) {
+		if rank == w.offer.Rank {
+			passed[rank] = 0
+			continue
+		}
+		if !waiting[rank] {
+			continue
+		}
+		if passed[rank]++; passed[rank] > maxPassed+kinds-2 {
+			t.Fatalf("rank %d was passed over %d times in a row", rank, passed[rank])
+		}
+	}
+}
