Retry-After in order and spread, returns preferred, partial answers by value

Cause: all callers refused by one forecast were told the same time, came back together and could be refused again for newcomers; at the goal any answer at the coverage left, also where a complete one late is worth more.

Change: Retry-After is spread over as long again as the wait, the most urgent kind first. At the goal an answer leaves if the square of its share is worth at least a late answer, goal through deadline. Counts of waits and refusals by priority: metric room, one log line a second.

--- a/entryd/pkg/httpsender/client.go
+++ b/entryd/pkg/httpsender/client.go
@@ -153,17 +153,20 @@
 
 // acquire returns an idle or a new connection. It waits in the queue if the maximum
 // number of connections is open.
-func (cl *Client) acquire(ctx context.Context, o valuer.Offer) (*conn, error) {
+func (cl *Client) acquire(ctx context.Context, r *Request) (*conn, error) {
+	begin := cl.clock.Now()
 	for {
-		c, wait, err := cl.reserve(o)
+		c, wait, err := cl.reserve(r.offer())
+		if wait != nil {
+			c, err = cl.awaitConn(ctx, wait)
+			r.Tally.RecordWait(r.Rank, cl.clock.Since(begin))
+		}
+		if errors.Is(err, ErrBusy) {
+			r.Tally.RecordTurnedAway(r.Rank)
+		}
 		if err != nil {
 			return nil, err
 		}
-		if wait != nil {
-			if c, err = cl.awaitConn(ctx, wait); err != nil {
-				return nil, err
-			}
-		}
 		if c == nil {
 			return cl.connect(ctx)
 		}
--- a/entryd/pkg/httpsender/httpsender.go
+++ b/entryd/pkg/httpsender/httpsender.go
@@ -50,6 +50,8 @@
 	Goal time.Time
 	// Rank is the priority of the request, 0 for the highest.
 	Rank uint32
+	// Tally counts waits for a connection. It may be nil.
+	Tally *valuer.Tally
 	// Gate is entered before the first byte is sent. It may be nil.
 	Gate *Gate
 	// Admit decides whether the target may get the request. It is called once, after the
@@ -124,12 +126,7 @@
 // closed, Do finds out whether the target has ended. The context queue must end no later
 // than ctx and bounds the wait for a connection.
 func (cl *Client) Do(ctx, queue context.Context, r *Request) (*Answer, error) {
-	c, err := cl.acquire(queue, valuer.Offer{
-		Rank:     r.Rank,
-		Goal:     r.Goal,
-		Deadline: r.Deadline,
-		Bytes:    len(r.Path) + len(r.Body),
-	})
+	c, err := cl.acquire(queue, r)
 	if err != nil {
 		return nil, err
 	}
--- a/entryd/pkg/httpsender/queue.go
+++ b/entryd/pkg/httpsender/queue.go
@@ -15,6 +15,16 @@
 	maxWaitingBytes = 4 << 20
 )
 
+// offer returns what the order of the queue depends on.
+func (r *Request) offer() valuer.Offer {
+	return valuer.Offer{
+		Rank:     r.Rank,
+		Goal:     r.Goal,
+		Deadline: r.Deadline,
+		Bytes:    len(r.Path) + len(r.Body),
+	}
+}
+
 // queue holds the requests that wait for a connection. Each is known by a channel that
 // receives a connection, or nil as permission to open one. The channel is closed if the
 // request is turned away. The zero value is empty.
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -52,8 +52,12 @@
 	// Deadline is the time at which the query ends.
 	Deadline time.Time
 	// Goal is the time from which the query ends as soon as its coverage reaches
-	// Floor. Zero means that the query waits for every unit.
+	// Floor and is worth more than a late answer with all units. Zero means that the
+	// query waits for every unit.
 	Goal time.Time
+	// Late is the worth of a late answer, in proportion to one in time. Zero means that
+	// it is worth nothing.
+	Late float64
 	// Floor is the least fraction of covered units, in [0,1], at which the query
 	// ends between Goal and Deadline.
 	Floor float64
@@ -240,18 +244,6 @@
 	return q.actions
 }
 
-// NextTick returns the time at which Tick should be called next.
-func (q *Query[P]) NextTick() time.Time {
-	next := q.options.Deadline
-	if g := q.options.Goal; !g.IsZero() && g.Before(next) && !q.goalPassed && !q.done {
-		next = g
-	}
-	if len(q.attempts) > 0 && q.nextHedge.Before(next) {
-		next = q.nextHedge
-	}
-	return next
-}
-
 // Done reports whether the query has ended.
 func (q *Query[P]) Done() bool { return q.done }
 
@@ -424,9 +416,8 @@
 	q.sendDeferred(now)
 	n := len(q.units)
 	q.goalPassed = !q.options.Goal.IsZero() && !now.Before(q.options.Goal)
-	early := q.goalPassed && float64(q.covered) >= q.options.Floor*float64(n)
 	unreachable := float64(n-q.closed) < q.options.MinCoverage*float64(n)
-	if q.covered+q.closed < n && !early && !unreachable && now.Before(q.options.Deadline) {
+	if q.covered+q.closed < n && !q.leavesNow(now) && !unreachable && now.Before(q.options.Deadline) {
 		return
 	}
 	q.done = true
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -142,6 +142,7 @@
 		Deadline: j.request.Deadline,
 		Goal:     j.goal.Add(-target.Estimator().Service()),
 		Rank:     j.rank,
+		Tally:    &j.tally,
 		Gate:     &a.gate,
 		Admit: func() bool {
 			admitted = target.State().Enter(j.Clock.Now())
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -104,6 +104,7 @@
 		options.Floor = route.GetFloor()
 		options.MinCoverage = route.GetFloor()
 		options.Goal = j.goal
+		options.Late = lateWorth(r, route)
 		if plan.Suspected {
 			options.FirstUnit = j.unitToTry(plan.Pool) + 1
 			options.FirstRequired = true
--- a/entryd/pkg/scatterer/overload.go
+++ b/entryd/pkg/scatterer/overload.go
@@ -2,14 +2,17 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/crashtracker"
 	"plantaincleat/entryd/pkg/valuer"
 	"plantaincleat/tier/gen/peer"
 )
@@ -104,8 +107,12 @@
 
 // refuseOverloaded returns a refusal if the request is worth more when it returns later, and
 // nil otherwise.
-func (s *Scatterer) refuseOverloaded(r *Request, catalog *cataloger.Catalog, route *cataloger.Route) *Result {
+func (s *Scatterer) refuseOverloaded(r *Request, catalog *cataloger.Catalog, route *cataloger.Route, subject crashtracker.Subject) *Result {
 	now := s.Clock.Now()
+	returned := s.returns.Take(now, subject)
+	if returned {
+		s.tally.RecordReturned(route.GetRank())
+	}
 	if !route.Scattered() {
 		return s.refuseFull(r, route, now)
 	}
@@ -115,6 +122,7 @@
 		Remaining: r.Deadline.Sub(now),
 		Floor:     route.GetFloor(),
 		Late:      lateWorth(r, route),
+		Returned:  returned,
 	}
 	urgent := mostUrgent(catalog)
 	for _, p := range route.Pools() {
@@ -130,7 +138,7 @@
 	if ok {
 		return nil
 	}
-	res := refuse(route, peer.Reason_REASON_SHED, min(max(wait, minRetry), r.longestRetry(now)))
+	res := s.refuseForRoom(r, route, kindOf(catalog, route), wait)
 	res.LateShards = s.lateShards(route, &q, now)
 	return res
 }
@@ -159,7 +167,44 @@
 	if ok {
 		return nil
 	}
-	return refuse(route, peer.Reason_REASON_SHED, min(max(wait, minRetry), r.longestRetry(now)))
+	return s.refuseForRoom(r, route, valuer.OnlyKind, wait)
+}
+
+// refuseForRoom returns the refusal of a request for which there is no room before a time.
+func (s *Scatterer) refuseForRoom(r *Request, route *cataloger.Route, kind valuer.Kind, wait time.Duration) *Result {
+	now := s.Clock.Now()
+	s.tally.RecordRefused(route.GetRank())
+	if counts, due := s.tally.Due(now); due {
+		slog.Info("too little room: requests were refused or turned away", "by_rank", counts)
+	}
+	after := valuer.RetryAfter(wait, minRetry, r.longestRetry(now), kind, rand.Float64())
+	return refuse(route, peer.Reason_REASON_SHED, after)
+}
+
+// recordRefusal remembers a request that was refused for too little room, so that it is
+// preferred when it returns.
+func (s *Scatterer) recordRefusal(res *Result) {
+	if res.Outcome == Refused && res.Reason == peer.Reason_REASON_SHED {
+		s.returns.Record(s.Clock.Now(), res.Subject, res.RetryAfter)
+	}
+}
+
+// Room returns who waited and who was turned away, by priority.
+func (s *Scatterer) Room() []valuer.KindCounts { return s.tally.Counts() }
+
+// kindOf returns how urgent a route over shards is among those of a catalog.
+func kindOf(catalog *cataloger.Catalog, route *cataloger.Route) valuer.Kind {
+	kind := valuer.OnlyKind
+	for other := range catalog.Routes() {
+		switch {
+		case !other.Scattered():
+		case other.GetRank() < route.GetRank():
+			return valuer.LessUrgent
+		case other.GetRank() > route.GetRank():
+			kind = valuer.MostUrgent
+		}
+	}
+	return kind
 }
 
 // lateWorth returns the worth of a late answer to a request.
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -128,6 +128,8 @@
 	endedAttempts atomic.Int64
 	owners        owners
 	forecast      valuer.Forecast
+	returns       valuer.Returns[crashtracker.Subject]
+	tally         valuer.Tally
 	pauses        shardPauses
 	unreached     unreachedShards
 	linkChecks    singleflight.Group
@@ -171,6 +173,7 @@
 	subject := r.Subject()
 	res := s.serve(ctx, r, route, subject)
 	res.Subject = subject
+	s.recordRefusal(res)
 	return res
 }
 
@@ -188,7 +191,7 @@
 	if res := s.refuseWithheld(route); res != nil {
 		return res
 	}
-	if res := s.refuseOverloaded(r, s.Catalogs.Catalog(), route); res != nil {
+	if res := s.refuseOverloaded(r, s.Catalogs.Catalog(), route, subject); res != nil {
 		return res
 	}
 	ctx, span := tracer.StartSpan(tracer.Extract(ctx, r.Header.Get("Traceparent")), "request",
--- a/entryd/pkg/valuer/valuer.go
+++ b/entryd/pkg/valuer/valuer.go
@@ -26,9 +26,7 @@
 // and has returned: the mean of an answer in time and of a late one.
 func returnWorth(late float64) float64 { return (1 + late) / 2 }
 
-// AnswerNow reports whether an answer with the given fraction of the shards should leave at
-// the latency goal. It has to cover floor. An incomplete answer is worth the square of its
+// AnswerNow reports whether an answer with the given fraction of the shards is worth more at
+// the latency goal than the complete one later. An incomplete answer is worth the square of its
 // fraction, and the complete one late.
-func AnswerNow(covered, floor, late float64) bool {
-	return covered >= floor && covered*covered >= late
-}
+func AnswerNow(covered, late float64) bool { return covered*covered >= late }
