--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/authenticator"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/entryd/pkg/latencytracker"
@@ -243,6 +244,7 @@
 	names    map[string]*Route
 	pools    map[string]*Pool
 	limits   *config.Limits
+	keys     *authenticator.Table
 }
 
 // Revision returns the revision of the configuration, or 0 if there is none.
@@ -252,6 +254,9 @@
 // accept a nil receiver.
 func (c *Catalog) Limits() *config.Limits { return c.limits }
 
+// Keys returns the table of the institutions and their keys.
+func (c *Catalog) Keys() *authenticator.Table { return c.keys }
+
 // Process returns the process of the target with an id that started last. If there is
 // none, its incarnation is unknown.
 func (c *Catalog) Process(id string) withholder.Process {
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/authenticator"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/entryd/pkg/withholder"
@@ -167,6 +168,7 @@
 		names:    make(map[string]*Route),
 		pools:    make(map[string]*Pool, len(cfg.GetPools())),
 		limits:   cfg.GetLimits(),
+		keys:     authenticator.NewTable(cfg.GetInstitutions()),
 	}
 	for _, p := range cfg.GetPools() {
 		out.pools[p.GetName()] = c.pool(p)
--- a/entryd/pkg/httphandler/parse.go
+++ b/entryd/pkg/httphandler/parse.go
@@ -2,9 +2,6 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -14,6 +11,7 @@
 	"strings"
 	"time"
 
+	"plantaincleat/entryd/pkg/authenticator"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/pkg/indexer"
 )
@@ -148,21 +146,10 @@
 	return in, nil
 }
 
-// hasValidToken reports whether the request's bearer token is one of the
-// institution's, which are configured as SHA-256 digests in hex.
+// hasValidToken reports whether the request's bearer token is one of the institution's.
 func hasValidToken(in *config.Institution, r *http.Request) bool {
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return false
-	}
-	sum := sha256.Sum256([]byte(token))
-	digest := hex.EncodeToString(sum[:])
-	for _, t := range in.GetTokens() {
-		if subtle.ConstantTimeCompare([]byte(strings.ToLower(t)), []byte(digest)) == 1 {
-			return true
-		}
-	}
-	return false
+	digest, ok := authenticator.Parse(r.Header.Get("Authorization"))
+	return authenticator.Holds(in, digest) && ok
 }
 
 // attemptNumber returns the number of this attempt from the Request-Attempt header,
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -109,6 +109,7 @@
 	for _, h := range in.GetHeaders() {
 		r.Header.Add(h.GetName(), h.GetValue())
 	}
+	s.describeOrigin(r, in, catalog, route)
 	j := &job{
 		Scatterer: s,
 		request:   r,
@@ -132,6 +133,17 @@
 	}
 }
 
+// describeOrigin sets the institution and the priority of a request of another daemon.
+func (s *Scatterer) describeOrigin(r *Request, in *peer.ScatterRequest, catalog *cataloger.Catalog, route *cataloger.Route) {
+	if catalog.Keys().Required() {
+		r.Institution = r.Header.Get(s.InstitutionHeader)
+	}
+	r.Rank = route.GetRank()
+	if in.Rank != nil {
+		r.Rank = in.GetRank()
+	}
+}
+
 // run serves the request until all units are answered or given up, or until the other
 // daemon ends the stream.
 func (c *collector) run(stream peer.Peer_ScatterServer) error {
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
@@ -145,6 +146,7 @@
 		Sent:     now.UnixMilli(),
 		Content:  j.plan.Subject().Content(),
 		Caller:   j.plan.Subject().Caller(),
+		Rank:     proto.Uint32(j.request.Rank),
 		// The units that wait for the first one are sent once it is answered, which
 		// ends the suspicion.
 		Suspected: j.plan.Suspected && (j.query.OnlyFirstSent() || !j.route.Scattered()),
--- a/entryd/pkg/scatterer/request.go
+++ b/entryd/pkg/scatterer/request.go
@@ -28,6 +28,12 @@
 	RTT time.Duration
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Institution is the name of the institution whose key the caller has sent, or empty
+	// if it sent none. Header contains it too.
+	Institution string
+	// Rank is the priority, 0 for the highest. It is that of the institution if it has one,
+	// else that of the route.
+	Rank uint32
 }
 
 // Subject returns what identifies the request when the caller sends it again with another
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -36,6 +36,9 @@
 	Announcements withholder.Headers
 	// InstanceHeader is the header with the id of the target that sends an answer.
 	InstanceHeader string
+	// InstitutionHeader is the header in which targets get the name of the institution of
+	// a request.
+	InstitutionHeader string
 	// RemotePenalty is added to the expected latency of a target in a remote data centre.
 	// Zero means DefaultRemotePenalty.
 	RemotePenalty time.Duration
