--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -141,7 +141,7 @@
 		Target:   target.ID(),
 		Deadline: j.request.Deadline,
 		Goal:     j.goal.Add(-target.Estimator().Service()),
-		Rank:     j.rank,
+		Rank:     j.request.Rank,
 		Tally:    &j.tally,
 		Gate:     &a.gate,
 		Admit: func() bool {
--- a/entryd/pkg/scatterer/overload.go
+++ b/entryd/pkg/scatterer/overload.go
@@ -111,7 +111,7 @@
 	now := s.Clock.Now()
 	returned := s.returns.Take(now, subject)
 	if returned {
-		s.tally.RecordReturned(route.GetRank())
+		s.tally.RecordReturned(r.Rank)
 	}
 	if !route.Scattered() {
 		return s.refuseFull(r, route, now)
@@ -128,7 +128,7 @@
 	for _, p := range route.Pools() {
 		load := s.shardLoad(p, urgent, now)
 		latency := load.Latency
-		if route.GetRank() <= urgent {
+		if r.Rank <= urgent {
 			latency = load.Urgent
 		}
 		q.Latencies = append(q.Latencies, latency)
@@ -138,7 +138,7 @@
 	if ok {
 		return nil
 	}
-	res := s.refuseForRoom(r, route, kindOf(catalog, route), wait)
+	res := s.refuseForRoom(r, route, kindOf(catalog, r.Rank), wait)
 	res.LateShards = s.lateShards(route, &q, now)
 	return res
 }
@@ -157,7 +157,7 @@
 				return nil
 			}
 			e := replica.Estimator()
-			best = min(best, e.ExpectedLatency(now)-e.WaitFor(replica.Client().LessUrgent(route.GetRank())))
+			best = min(best, e.ExpectedLatency(now)-e.WaitFor(replica.Client().LessUrgent(r.Rank)))
 		}
 	}
 	if best == math.MaxInt64 {
@@ -173,7 +173,7 @@
 // refuseForRoom returns the refusal of a request for which there is no room before a time.
 func (s *Scatterer) refuseForRoom(r *Request, route *cataloger.Route, kind valuer.Kind, wait time.Duration) *Result {
 	now := s.Clock.Now()
-	s.tally.RecordRefused(route.GetRank())
+	s.tally.RecordRefused(r.Rank)
 	if counts, due := s.tally.Due(now); due {
 		slog.Info("too little room: requests were refused or turned away", "by_rank", counts)
 	}
@@ -192,15 +192,15 @@
 // Room returns who waited and who was turned away, by priority.
 func (s *Scatterer) Room() []valuer.KindCounts { return s.tally.Counts() }
 
-// kindOf returns how urgent a route over shards is among those of a catalog.
-func kindOf(catalog *cataloger.Catalog, route *cataloger.Route) valuer.Kind {
+// kindOf returns how urgent a rank is among those of a catalog's routes over shards.
+func kindOf(catalog *cataloger.Catalog, rank uint32) valuer.Kind {
 	kind := valuer.OnlyKind
 	for other := range catalog.Routes() {
 		switch {
 		case !other.Scattered():
-		case other.GetRank() < route.GetRank():
+		case other.GetRank() < rank:
 			return valuer.LessUrgent
-		case other.GetRank() > route.GetRank():
+		case other.GetRank() > rank:
 			kind = valuer.MostUrgent
 		}
 	}
