Order at targets: less urgent requests use the time that more urgent ones can spare

Change: the earliest goal goes first, unless a more urgent request would lose more than half of its time to its goal; then the more urgent ones go first. Late requests of all priorities go after those that can make their goals.

--- a/entryd/pkg/httpsender/httpsender.go
+++ b/entryd/pkg/httpsender/httpsender.go
@@ -45,9 +45,11 @@
 	Target   string
 	Deadline time.Time
 	// Goal is the latest time at which the request can be sent and still be answered
-	// before its latency goal. Requests of the same rank that wait for a connection are
-	// ordered by it.
+	// before its latency goal. Requests that wait for a connection are ordered by it and by
+	// Rank.
 	Goal time.Time
+	// Work is the time for which the request delays those behind it.
+	Work time.Duration
 	// Rank is the priority of the request, 0 for the highest.
 	Rank uint32
 	// Tally counts waits for a connection. It may be nil.
--- a/entryd/pkg/httpsender/queue.go
+++ b/entryd/pkg/httpsender/queue.go
@@ -20,6 +20,7 @@
 	return valuer.Offer{
 		Rank:     r.Rank,
 		Goal:     r.Goal,
+		Work:     r.Work,
 		Deadline: r.Deadline,
 		Bytes:    len(r.Path) + len(r.Body),
 	}
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -141,6 +141,7 @@
 		Target:   target.ID(),
 		Deadline: j.request.Deadline,
 		Goal:     j.goal.Add(-target.Estimator().Service()),
+		Work:     target.Estimator().WaitFor(1),
 		Rank:     j.request.Rank,
 		Tally:    &j.tally,
 		Gate:     &a.gate,
--- a/entryd/pkg/valuer/forecast.go
+++ b/entryd/pkg/valuer/forecast.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// maxWaitFraction is the largest expected latency of a shard, as a fraction of
-	// the time left until the goal. A shard with a higher expected latency counts
-	// as late.
+	// maxWaitFraction is the largest expected latency of a shard, and the longest wait of
+	// a request for less urgent ones, as a fraction of the time left until the goal. A
+	// shard with a higher expected latency counts as late.
 	maxWaitFraction = 0.5
 	// reportLife is the age at which a report of another daemon is ignored.
 	reportLife = 400 * time.Millisecond
--- a/entryd/pkg/valuer/queue.go
+++ b/entryd/pkg/valuer/queue.go
@@ -17,6 +17,8 @@
 	// Goal is the latest time at which the request can be sent and still be answered before
 	// its latency goal.
 	Goal time.Time
+	// Work is the time for which the request delays those behind it.
+	Work time.Duration
 	// Deadline is the time from which the request is not sent any more. Zero means none.
 	Deadline time.Time
 	// Bytes is the size of the request.
@@ -141,49 +143,104 @@
 	return out
 }
 
-// Next removes and returns the request to be sent next, or nil if none waits. It is of the
-// most urgent kind, unless another kind was passed over maxPassed times. Within a kind, the
-// earliest goal that has not passed goes first. If all goals have passed, it is the request
-// that has waited longest: requests that will be late anyway get only the room that the
-// others of their kind leave. The requests in expired have been removed because they are past
-// their deadline.
+// Next removes and returns the request to be sent next, or nil if none waits. Requests whose
+// goals have not passed go first, the earliest goal before the others, unless that would take
+// from a more urgent request more than it can spare. If all goals have passed, it is the request of the most urgent kind
+// that has waited longest: requests that will be late anyway get only the room that the others
+// leave. A kind that was passed over maxPassed times goes before all of these. The requests in
+// expired have been removed because they are past their deadline.
 func (q *Queue[T]) Next(now time.Time) (w *Waiter[T], expired []*Waiter[T]) {
 	expired = q.RemoveExpired(now)
 	if len(q.waiting) == 0 {
 		clear(q.passed)
 		return nil, expired
 	}
-	rank := q.nextRank()
+	if rank, ok := q.starvedRank(); ok {
+		w = first(q.waiting, now, func(o *Offer) bool { return o.Rank == rank })
+	} else {
+		w = q.best(now)
+	}
+	q.countPassed(w.offer.Rank)
+	q.Remove(w)
+	return w, expired
+}
+
+// best returns the first request that takes no more from the more urgent ones than they can
+// spare.
+func (q *Queue[T]) best(now time.Time) *Waiter[T] {
+	w := first(q.waiting, now, func(*Offer) bool { return true })
+	for w.offer.Goal.After(now) && q.displaces(w, now) {
+		rank := w.offer.Rank
+		w = first(q.waiting, now, func(o *Offer) bool { return o.Rank < rank })
+	}
+	return w
+}
+
+// displaces reports whether a request that went first would take from a more urgent one more
+// than it can spare: of the time until its goal, maxWaitFraction may be spent waiting, since
+// the times of targets are not known exactly. A request that would miss its goal anyway has
+// nothing to lose.
+func (q *Queue[T]) displaces(w *Waiter[T], now time.Time) bool {
+	var urgent []*Waiter[T]
 	for _, c := range q.waiting {
-		if c.offer.Rank == rank && (w == nil || before(&c.offer, &w.offer, now)) {
+		if c.offer.Rank < w.offer.Rank && c.offer.Goal.After(now) {
+			urgent = append(urgent, c)
+		}
+	}
+	slices.SortStableFunc(urgent, func(a, b *Waiter[T]) int { return a.offer.Goal.Compare(b.offer.Goal) })
+	sendAt := now
+	for _, u := range urgent {
+		if !u.offer.Goal.After(sendAt) {
+			// It would miss its goal anyway, so that it is sent later.
+			continue
+		}
+		spare := time.Duration(maxWaitFraction * float64(u.offer.Goal.Sub(now)))
+		if now.Add(spare).Before(sendAt.Add(w.offer.Work)) {
+			return true
+		}
+		sendAt = sendAt.Add(u.offer.Work)
+	}
+	return false
+}
+
+// first returns the first request of those that are allowed, by goals and, among those whose
+// goals have passed, by rank and arrival. It returns nil if none is allowed.
+func first[T any](waiting []*Waiter[T], now time.Time, allowed func(*Offer) bool) *Waiter[T] {
+	var w *Waiter[T]
+	for _, c := range waiting {
+		if allowed(&c.offer) && (w == nil || before(&c.offer, &w.offer, now)) {
 			w = c
 		}
 	}
-	q.countPassed(rank)
-	q.Remove(w)
-	return w, expired
+	return w
 }
 
-// before reports whether a request goes before one of the same kind that arrived earlier.
+// before reports whether a request goes before one that arrived earlier.
 func before(o, earlier *Offer, now time.Time) bool {
-	if !o.Goal.After(now) {
-		return false
+	inTime, earlierInTime := o.Goal.After(now), earlier.Goal.After(now)
+	switch {
+	case inTime != earlierInTime:
+		return inTime
+	case !inTime:
+		return o.Rank < earlier.Rank
+	case o.Goal.Equal(earlier.Goal):
+		return o.Rank < earlier.Rank
 	}
-	return !earlier.Goal.After(now) || o.Goal.Before(earlier.Goal)
+	return o.Goal.Before(earlier.Goal)
 }
 
-// nextRank returns the kind of the next send: the one that was passed over most often, if
-// that was maxPassed times or more, and otherwise the most urgent one.
-func (q *Queue[T]) nextRank() uint32 {
-	next := q.waiting[0].offer.Rank
-	for _, w := range q.waiting[1:] {
-		r := w.offer.Rank
-		starved, other := max(q.passed[next], maxPassed-1), max(q.passed[r], maxPassed-1)
-		if other > starved || other == starved && r < next {
-			next = r
+// starvedRank returns the waiting kind that was passed over most often, if that was maxPassed
+// times or more. Of kinds that were passed over equally often, it is the most urgent one.
+func (q *Queue[T]) starvedRank() (starved uint32, found bool) {
+	most := maxPassed
+	for _, w := range q.waiting {
+		rank := w.offer.Rank
+		n := q.passed[rank]
+		if n > most || n == most && (!found || rank < starved) {
+			starved, most, found = rank, n, true
 		}
 	}
-	return next
+	return starved, found
 }
 
 // countPassed counts a send for the waiting kinds that it passes over.
