Limits of many shards: the demand is known from the second request on

Cause: a Sampler counts requests only while limits are named, and its average began at zero, so that for over a second all requests were let through, many more than there were tokens; each shard then ran out at another request. Change: the average refers to the time since the first request.

--- a/entryd/pkg/withholder/limit_test.go
+++ b/entryd/pkg/withholder/limit_test.go
@@ -252,6 +252,24 @@
 	}
 }
 
+// TestSamplerKnowsNewDemand guards against a limit that lets all requests through, many more
+// than there are tokens, until the demand has been measured for seconds.
+func TestSamplerKnowsNewDemand(t *testing.T) {
+	const demand, rate = 25, 14.4
+	now := time.Unix(1000, 0)
+	var s Sampler
+	admitted := 0
+	for i := range 2 * demand {
+		if s.Admit(now, fmt.Sprint("request-", i), rate) {
+			admitted++
+		}
+		now = now.Add(time.Second / demand)
+	}
+	if float64(admitted) > 2*rate {
+		t.Errorf("%d of the first %d requests let through, want at most the %.0f that there are tokens for", admitted, 2*demand, 2*rate)
+	}
+}
+
 // TestSamplerWithoutOverload guards against requests that are held back although the targets
 // can serve all of them.
 func TestSamplerWithoutOverload(t *testing.T) {
--- a/entryd/pkg/withholder/sampler.go
+++ b/entryd/pkg/withholder/sampler.go
@@ -11,6 +11,10 @@
 const (
 	// demandPeriod is the time over which a Sampler measures the demand.
 	demandPeriod = 2 * time.Second
+	// minDemandTime is the least time over which the demand is measured after it has begun.
+	minDemandTime = 100 * time.Millisecond
+	// idleDemand is the time without a request after which the demand begins anew.
+	idleDemand = 3 * demandPeriod
 	// sampledFraction is the fraction of what targets can serve that a Sampler lets through.
 	// At the whole of it, some of many pools would have no request left to give at any time.
 	sampledFraction = 0.85
@@ -23,9 +27,11 @@
 // answered in full. The zero value is ready for use. It is safe for concurrent use.
 type Sampler struct {
 	mu sync.Mutex
-	// demand is the number of requests a second.
-	demand   float64
+	// requests is the number of requests after the first, which count less with their age.
+	requests float64
 	measured time.Time
+	// began is when the first request came.
+	began time.Time
 }
 
 // Admit counts a request and reports whether it is among those that can be served at a rate
@@ -34,14 +40,21 @@
 	return float64(hasher.Strings("sample", id))/math.MaxUint64*s.count(now) < sampledFraction*rate
 }
 
-// count counts a request and returns the demand.
+// count counts a request and returns the demand in requests a second. Requests are only
+// counted while targets name limits, so that the demand refers to the time since the first.
 func (s *Sampler) count(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if d := now.Sub(s.measured); d > 0 {
-		s.demand *= math.Exp(-d.Seconds() / demandPeriod.Seconds())
+	d := now.Sub(s.measured)
+	if s.began.IsZero() || d >= idleDemand {
+		s.began, s.measured, s.requests = now, now, 0
+		return 0
+	}
+	if d > 0 {
+		s.requests *= math.Exp(-d.Seconds() / demandPeriod.Seconds())
 		s.measured = now
 	}
-	s.demand += 1 / demandPeriod.Seconds()
-	return s.demand
+	s.requests++
+	age := max(now.Sub(s.began), minDemandTime)
+	return s.requests / (demandPeriod.Seconds() * (1 - math.Exp(-age.Seconds()/demandPeriod.Seconds())))
 }
