A pause counts by the word of the owner that sends

It asks for the sender now, the function that stood twice. TestPauseOfSenderCounts: both cases failed before.

--- a/entryd/pkg/scatterer/refuse.go
+++ b/entryd/pkg/scatterer/refuse.go
@@ -54,25 +54,12 @@
 // daemon, or from the owner that sends to them, and the reason. What this daemon may send
 // within the targets' limits does not matter where an owner sends.
 func (s *Scatterer) withheldUntil(p *cataloger.Pool, reported map[string]ownerPause, now time.Time) (time.Time, peer.Reason) {
-	owner := s.firstOwner(p)
-	if w := p.Withheld(now); !w.Until.IsZero() && (!w.Limited || owner == "" || owner == s.ID) {
+	sender := s.sender(p, now)
+	if w := p.Withheld(now); !w.Until.IsZero() && (!w.Limited || sender == s.ID) {
 		return w.Until, withheldReason(w)
 	}
-	if r, ok := reported[p.Name()]; ok && owner == r.owner {
+	if r, ok := reported[p.Name()]; ok && sender == r.owner {
 		return r.until, r.reason
 	}
 	return time.Time{}, peer.Reason_REASON_UNSPECIFIED
 }
-
-// firstOwner returns the id of the first owner of a pool's shard, or an empty string if it
-// has none.
-func (s *Scatterer) firstOwner(p *cataloger.Pool) string {
-	if s.Placement == nil {
-		return ""
-	}
-	ranked := s.Placement.Owners().Ranked(p.Name())
-	if len(ranked) == 0 {
-		return ""
-	}
-	return ranked[0].ID
-}
--- a/entryd/pkg/scatterer/withhold_test.go
+++ b/entryd/pkg/scatterer/withhold_test.go
@@ -201,3 +201,51 @@
 		})
 	}
 }
+
+// TestPauseOfSenderCounts guards against a shard that counts as paused, or as served, by the word
+// of an owner that is passed over because it reaches no target.
+func TestPauseOfSenderCounts(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	j := newTestRoot(clock, nil)
+	daemons := []assigner.Daemon{{ID: "a", Address: "a"}, {ID: "b", Address: "b"}, {ID: "c", Address: "c"}}
+	var shards []assigner.ShardInput
+	for _, p := range j.route.Pools() {
+		shards = append(shards, assigner.ShardInput{Name: p.Name()})
+	}
+	owners := assigner.NewOwners(j.ID, daemons, shards)
+	pool := j.route.Pools()[0]
+	ranked := owners.Ranked(pool.Name())
+	j.Placement = &isolatedOwners{
+		owners:   owners,
+		isolated: ranked[0].ID,
+	}
+	now := clock.Now()
+	until := now.Add(retryAfter)
+	for _, test := range []struct {
+		name, owner string
+		want        time.Time
+	}{
+		{name: "owner that is passed over", owner: ranked[0].ID},
+		{name: "owner that sends", owner: ranked[1].ID, want: until},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			reported := map[string]ownerPause{pool.Name(): {owner: test.owner, until: until, reason: peer.Reason_REASON_PAUSED}}
+			if got, _ := j.withheldUntil(pool, reported, now); !got.Equal(test.want) {
+				t.Errorf("withheld until %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// isolatedOwners is a Placement of which one daemon reaches no target.
+type isolatedOwners struct {
+	relayPlacement
+	owners   *assigner.Owners
+	isolated string
+}
+
+// Owners implements Placement.
+func (p *isolatedOwners) Owners() *assigner.Owners { return p.owners }
+
+// Isolated implements Placement.
+func (p *isolatedOwners) Isolated(id string) bool { return id == p.isolated }
