A plain request tries two relays, as maxRelays says; headers and event ends once

TestRelayChoice, new case: 4 relays before, 2 now. Headers of peers and the end of sendEvent stood twice each and stand once; no change of behaviour there.

--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -163,19 +163,13 @@
 	}
 	j.updateEstimator(ctx, a, answer, err, begin, now)
 	j.recordSpan(a, begin, now)
-	sent := j.sendEvent(event{
+	j.sendEvent(event{
 		attempt: a,
 		answer:  answer,
 		last:    true,
 		err:     err,
 		took:    now.Sub(begin),
 	})
-	if !sent && answer != nil && answer.Rest != nil {
-		_ = answer.Rest.Close()
-	}
-	if j.finished.Load() {
-		j.closeUnread()
-	}
 }
 
 // recordSpan records the trace span of an attempt.
@@ -186,14 +180,18 @@
 	}
 }
 
-// sendEvent sends an event to the job without blocking. It reports false if the event
-// channel is full. The job does not read the channel after it has ended.
-func (j *job) sendEvent(e event) bool {
+// sendEvent sends an event to the job without blocking. The job does not read the channel
+// after it has ended: the streams of answers that it does not read are closed.
+func (j *job) sendEvent(e event) {
 	select {
 	case j.events <- e:
-		return true
 	default:
-		return false
+		if e.answer != nil && e.answer.Rest != nil {
+			_ = e.answer.Rest.Close()
+		}
+	}
+	if j.finished.Load() {
+		j.closeUnread()
 	}
 }
 
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -1,7 +1,6 @@
 package scatterer
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -101,14 +100,11 @@
 		Method:   in.GetMethod(),
 		Path:     in.GetPath(),
 		Host:     in.GetHost(),
-		Header:   make(http.Header, len(in.GetHeaders())),
+		Header:   decodeHeaders(in.GetHeaders()),
 		Body:     in.GetBody(),
 		Received: now,
 		Deadline: now.Add(time.Duration(in.GetLeft()) * time.Microsecond),
 	}
-	for _, h := range in.GetHeaders() {
-		r.Header.Add(h.GetName(), h.GetValue())
-	}
 	j := &job{
 		Scatterer: s,
 		request:   r,
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -76,23 +76,17 @@
 		}
 		last := reply.GetLast() || reply.GetAnswer().GetContinued()
 		answer := call.decodeAnswer(reply, stream)
-		sent := j.sendEvent(event{
+		j.sendEvent(event{
 			attempt: a,
 			reply:   reply,
 			answer:  answer,
 			last:    last,
 			took:    j.Clock.Since(begin),
 		})
-		if !sent && answer != nil && answer.Rest != nil {
-			_ = answer.Rest.Close()
-		}
 		if last {
 			break
 		}
 	}
-	if j.finished.Load() {
-		j.closeUnread()
-	}
 }
 
 // awaitHeader waits for an owner's acknowledgement, which is the header of the stream.
@@ -152,14 +146,7 @@
 	if tracer.Sampled(j.ctx) {
 		in.Trace = tracer.Inject(j.ctx)
 	}
-	for name, values := range j.request.Header {
-		for _, v := range values {
-			in.Headers = append(in.Headers, &peer.Header{
-				Name:  name,
-				Value: v,
-			})
-		}
-	}
+	in.Headers = encodeHeaders(j.request.Header)
 	for _, u := range a.units {
 		in.Shards = append(in.Shards, j.pools[u].Name())
 	}
--- a/entryd/pkg/scatterer/relay.go
+++ b/entryd/pkg/scatterer/relay.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"time"
 
@@ -36,8 +35,11 @@
 	if !j.root || j.Placement == nil || !j.isolated() && !s.failsToReach(unit, tried) {
 		return destination{}, false
 	}
-	isOwner := func(dest destination) bool { return dest.owner != nil }
-	if countFunc(tried, isOwner) >= maxRelays+assigner.OwnersPerShard {
+	ranked := j.Placement.Owners().Ranked(j.pools[unit].Name())
+	isRelay := func(dest destination) bool {
+		return dest.owner != nil && !slices.ContainsFunc(ranked, func(d assigner.Daemon) bool { return d.ID == dest.owner.id })
+	}
+	if countFunc(tried, isRelay) >= maxRelays {
 		return destination{}, false
 	}
 	for _, d := range ranker.Rank(slices.Clone(j.Placement.Relays()), j.request.ID, daemonID) {
@@ -111,13 +113,10 @@
 	}
 	answer := &httpsender.Answer{
 		Status: int(in.GetStatus()),
-		Header: make(http.Header, len(in.GetHeaders())),
+		Header: decodeHeaders(in.GetHeaders()),
 		Body:   in.GetBody(),
 		Length: in.GetLength(),
 	}
-	for _, h := range in.GetHeaders() {
-		answer.Header.Add(h.GetName(), h.GetValue())
-	}
 	if in.GetContinued() {
 		c.detach()
 		c.detached = true
@@ -195,14 +194,7 @@
 		Length:    answer.Length,
 		Continued: answer.Rest != nil,
 		Failed:    c.single == nil,
-	}
-	for name, values := range answer.Header {
-		for _, v := range values {
-			reply.Answer.Headers = append(reply.Answer.Headers, &peer.Header{
-				Name:  name,
-				Value: v,
-			})
-		}
+		Headers:   encodeHeaders(answer.Header),
 	}
 	reply.Last = answer.Rest == nil
 	if err := stream.Send(reply); err != nil || reply.GetLast() {
--- a/entryd/pkg/scatterer/relay_test.go
+++ b/entryd/pkg/scatterer/relay_test.go
@@ -94,6 +94,7 @@
 // to another isolated daemon, and against more detours than there may be.
 func TestRelayChoice(t *testing.T) {
 	daemons := []assigner.Daemon{{ID: "a", Address: "a"}, {ID: "b", Address: "b"}, {ID: "c", Address: "c"}}
+	many := append(slices.Clone(daemons), assigner.Daemon{ID: "d", Address: "d"}, assigner.Daemon{ID: "e", Address: "e"})
 	tests := []struct {
 		name     string
 		relays   []assigner.Daemon
@@ -103,6 +104,7 @@
 		{name: "no other daemon"},
 		{name: "one other daemon", relays: daemons[:1], want: 1},
 		{name: "one of three is isolated", relays: daemons, isolated: []string{"b"}, want: 2},
+		{name: "more than there may be", relays: many, want: maxRelays},
 		{name: "all are isolated", relays: daemons, isolated: []string{"a", "b", "c"}},
 	}
 	for _, test := range tests {
