A daemon without a configuration looks for one every 20 ms

Cause: the adopter takes a step every 250 ms if nothing happens, so that one that may read the store 300 ms after its start did at 500 ms. Change: steps every 20 ms until there is a configuration. The number of calls to the store stays: the same daemons read, earlier. Measured: TestRestartOfAllDaemons fails before (no configuration 349 ms after the start).

--- a/entryd/pkg/adopter/network_test.go
+++ b/entryd/pkg/adopter/network_test.go
@@ -20,8 +20,12 @@
 
 // network connects the daemons of a test with each other and with the store.
 type network struct {
-	t     *testing.T
-	store *storer.Memory
+	// startDelay is the StartDelay of the daemons.
+	startDelay time.Duration
+	// silent is true if there is no gossip.
+	silent bool
+	t      *testing.T
+	store  *storer.Memory
 
 	mu      sync.Mutex
 	daemons map[string]*daemon
@@ -74,6 +78,7 @@
 		Config: Config{
 			ID:         id,
 			DataCentre: datacentre,
+			StartDelay: n.startDelay,
 		},
 		Store:  d,
 		Fleet:  d,
@@ -179,6 +184,9 @@
 // Subscribe reports a change every 100 ms, in place of gossip.
 func (d *daemon) Subscribe() (<-chan struct{}, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
+	if d.net.silent {
+		return nil, cancel
+	}
 	changes := make(chan struct{})
 	go func() {
 		for {
--- a/entryd/pkg/adopter/runner.go
+++ b/entryd/pkg/adopter/runner.go
@@ -19,6 +19,9 @@
 const (
 	// tickInterval is the maximum time between two steps of the machine.
 	tickInterval = 250 * time.Millisecond
+	// firstTickInterval is the same until there is a configuration. Callers are refused
+	// until then.
+	firstTickInterval = 20 * time.Millisecond
 	// storeTimeout bounds one read of the store.
 	storeTimeout = 3 * time.Second
 	// pullTimeout bounds one call to a peer.
@@ -175,11 +178,16 @@
 	defer cancel()
 	changed, unsubscribe := r.Fleet.Subscribe()
 	defer unsubscribe()
-	ticker := r.Clock.NewTicker(tickInterval)
+	ticker := r.Clock.NewTicker(firstTickInterval)
 	defer ticker.Stop()
+	configured := false
 	var event Event = MembersChanged{Live: r.Fleet.Live()}
 	for {
 		r.step(ctx, event)
+		if !configured && r.Current() != nil {
+			configured = true
+			ticker.Reset(tickInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/entryd/pkg/adopter/runner_test.go
+++ b/entryd/pkg/adopter/runner_test.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// TestRestartOfAllDaemons answers the return of all daemons from a loss of power: one that
+// hears of no other has the configuration as soon as it may read it. Until then it refuses
+// its callers.
+func TestRestartOfAllDaemons(t *testing.T) {
+	scenario(t, func(n *network) {
+		n.propose("a")
+		n.startDelay, n.silent = 300*time.Millisecond, true
+		n.start("wlg", 0)
+		advance(n.startDelay - time.Millisecond)
+		n.expectRevision(0, "wlg")
+		advance(50 * time.Millisecond)
+		n.expectRevision(1, "wlg")
+	})
+}
+
 func TestWatchRestart(t *testing.T) {
 	scenario(t, func(n *network) {
 		n.startFleet(3)
