Identity held to by targets of the stand-in; list of institutions for operators

Cause: nothing checked over owners, relays, hedges and second attempts which institution a target gets, nor that a removed key stays removed.

--- a/standin/pkg/httpresponder/arrivals.go
+++ b/standin/pkg/httpresponder/arrivals.go
@@ -9,6 +9,12 @@
 type Arrival struct {
 	// Request is the id of the request.
 	Request string
+	// Path is the path with the query.
+	Path string
+	// Institution is the name of the institution that the sender states.
+	Institution string
+	// KeyPassed is true if the sender has passed the caller's key on.
+	KeyPassed bool
 	// From is the IP address of the sender.
 	From string
 	At   time.Time
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	headerLeaving          = "Server-Leaving"
 	headerRetryAfter       = "Retry-After"
 	headerLimit            = "Server-Limit"
+	headerInstitution      = "Tenant-Id"
+	headerAuthorization    = "Authorization"
 )
 
 // HealthPath is the path at which a target answers whether it is healthy.
@@ -336,10 +339,13 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	a := Arrival{
-		Request: req.Header.Get(headerRequestID),
-		From:    from,
-		At:      now,
-		Leaving: r.leaving,
+		Request:     req.Header.Get(headerRequestID),
+		Path:        req.RequestURI,
+		Institution: strings.Join(req.Header.Values(headerInstitution), ","),
+		KeyPassed:   req.Header.Get(headerAuthorization) != "",
+		From:        from,
+		At:          now,
+		Leaving:     r.leaving,
 	}
 	if limit, err := strconv.ParseFloat(r.limit, 64); err == nil {
 		a.Limit = limit
--- a/standin/pkg/platformsimulator/platform.go
+++ b/standin/pkg/platformsimulator/platform.go
@@ -21,6 +21,7 @@
 	address           string
 	version           int64
 	config            Config
+	keys              keyring
 	registeredAddress func(id, address string) string
 	crashOn           func(r *http.Request) bool
 	crashed           func(id string)
@@ -49,6 +50,7 @@
 	Shards              []string `json:"shards,omitempty"`
 	TopK                int      `json:"top-k,omitempty"`
 	MinCoverage         float64  `json:"min-coverage,omitempty"`
+	AuthExempt          bool     `json:"auth-exempt,omitempty"`
 }
 
 // Split is one service of a route's traffic split, with its weight.
@@ -78,6 +80,7 @@
 	Routes   []Route   `json:"routes"`
 	Services []Service `json:"services"`
 	Limits   Limits    `json:"limits"`
+	Tenants  []Tenant  `json:"tenants,omitempty"`
 }
 
 // RouteHost is the HTTP host of all routes.
@@ -208,6 +211,7 @@
 // UpdateConfig changes the configuration and writes it as the next version.
 func (p *Platform) UpdateConfig(change func(c *Config)) error {
 	change(&p.config)
+	p.keys.record(p.config.Tenants, p.clock.Now())
 	p.version++
 	p.config.Version = p.version
 	return p.writeConfig()
