Package sharer: buckets, positions and fair shares of limits over the fleet

The token bucket was written in withholder and again in admitter, and the division of a limit among the daemons was inside withholder, so that a third use would have been a third copy. sharer.Bucket, Position with a Split, and FairShare hold them; withholder and admitter use them with their own figures.

--- a/entryd/pkg/admitter/admitter.go
+++ b/entryd/pkg/admitter/admitter.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"plantaincleat/entryd/pkg/sharer"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/gen/peer"
 )
@@ -253,7 +254,7 @@
 	if kind, wait := a.refusalReason(now, inst, c, r); kind != 0 {
 		return nil, a.refuse(now, kind, wait)
 	}
-	inst.bucket.take()
+	inst.bucket.take(now)
 	ticket := &Ticket{
 		institution: inst,
 		class:       c,
@@ -354,10 +355,10 @@
 	for _, inst := range a.sorted {
 		rates, concurrencies := a.peerDemands.fresh(now, inst.name)
 		unknown := len(a.livePeers) - len(rates)
-		inst.bucket.setRate(now, fairShare(inst.rate, rates, unknown))
+		inst.bucket.setRate(now, sharer.FairShare(inst.rate, rates, unknown))
 		inst.quota = 0
 		if inst.concurrency > 0 {
-			inst.quota = max(int(fairShare(inst.concurrency, concurrencies, unknown)), 1)
+			inst.quota = max(int(sharer.FairShare(inst.concurrency, concurrencies, unknown)), 1)
 		}
 	}
 }
--- a/entryd/pkg/admitter/institution.go
+++ b/entryd/pkg/admitter/institution.go
@@ -33,7 +33,7 @@
 	// quota is this daemon's part of the fleet-wide concurrency limit. Zero
 	// means that there is no limit.
 	quota        int
-	bucket       tokenBucket
+	bucket       rateBucket
 	offered      rateMeter
 	inFlight     int
 	peakInFlight int
--- a/entryd/pkg/admitter/rate.go
+++ b/entryd/pkg/admitter/rate.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"plantaincleat/entryd/pkg/sharer"
 )
 
 const (
@@ -29,59 +31,39 @@
 	return m.rate * math.Exp(-now.Sub(m.last).Seconds()/meterPeriod.Seconds())
 }
 
-// tokenBucket limits the rate of requests. A rate of zero or less means that
-// there is no limit.
-type tokenBucket struct {
-	rate   float64
-	tokens float64
-	last   time.Time
-}
-
-// capacity returns the maximal number of tokens, which is at least one.
-func (b *tokenBucket) capacity() float64 {
-	return max(b.rate*burstPeriod.Seconds(), 1)
-}
-
-// fill adds the tokens that have accrued since the last call.
-func (b *tokenBucket) fill(now time.Time) {
-	if b.last.IsZero() {
-		b.tokens = b.capacity()
-	} else if d := now.Sub(b.last); d > 0 {
-		b.tokens = min(b.tokens+b.rate*d.Seconds(), b.capacity())
-	}
-	b.last = now
+// rateBucket limits the rate of requests. A rate of zero or less means that there is no
+// limit. It is full when its rate is first set.
+type rateBucket struct {
+	tokens sharer.Bucket
+	filled bool
 }
 
 // setRate changes the rate, in requests per second, from now on.
-func (b *tokenBucket) setRate(now time.Time, rate float64) {
-	if b.last.IsZero() {
-		b.rate = rate
+func (b *rateBucket) setRate(now time.Time, rate float64) {
+	capacity := max(rate*burstPeriod.Seconds(), 1)
+	b.tokens.Set(now, rate, capacity)
+	if !b.filled {
+		b.filled = true
+		b.tokens.Put(capacity)
 	}
-	b.fill(now)
-	b.rate = rate
-	b.tokens = min(b.tokens, b.capacity())
 }
 
 // wait returns the time until a token is available, or zero if one is.
-func (b *tokenBucket) wait(now time.Time) time.Duration {
-	if b.rate <= 0 {
-		return 0
-	}
-	b.fill(now)
-	if b.tokens >= 1 {
+func (b *rateBucket) wait(now time.Time) time.Duration {
+	if b.tokens.Rate() <= 0 {
 		return 0
 	}
-	return time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
+	b.tokens.Fill(now)
+	next, _ := b.tokens.Next(now)
+	return next.Sub(now)
 }
 
 // take removes one token. The caller must have seen wait return zero.
-func (b *tokenBucket) take() {
-	if b.rate > 0 {
-		b.tokens--
+func (b *rateBucket) take(now time.Time) {
+	if b.tokens.Rate() > 0 {
+		b.tokens.Take(now)
 	}
 }
 
 // refund returns a token.
-func (b *tokenBucket) refund() {
-	b.tokens = min(b.tokens+1, b.capacity())
-}
+func (b *rateBucket) refund() { b.tokens.Put(1) }
--- a/entryd/pkg/admitter/stats.go
+++ b/entryd/pkg/admitter/stats.go
@@ -39,7 +39,7 @@
 	}
 	for name, inst := range a.institutions {
 		s.Quotas[name] = Quota{
-			Rate:        inst.bucket.rate,
+			Rate:        inst.bucket.tokens.Rate(),
 			Concurrency: inst.quota,
 		}
 	}
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -11,6 +11,7 @@
 	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
+	"plantaincleat/entryd/pkg/sharer"
 	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/config"
 )
@@ -278,7 +279,7 @@
 // pool.
 func (c *Cataloger) divideTarget(t *Target, p *Pool) {
 	t.client.SetMaxConnections(min(max(c.maxConnections(p), 1), connectionsPerSlot*t.slots))
-	t.state.SetPosition(c.options.Clock.Now(), withholder.Position{
+	t.state.SetPosition(c.options.Clock.Now(), sharer.Position{
 		Target:  t.id,
 		Owned:   c.owners.HasOwners(p.name),
 		Rank:    c.owners.Rank(p.name),
--- a/entryd/pkg/cataloger/members.go
+++ b/entryd/pkg/cataloger/members.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"plantaincleat/entryd/pkg/assigner"
-	"plantaincleat/entryd/pkg/withholder"
+	"plantaincleat/entryd/pkg/sharer"
 )
 
 // memberHold is the time for which a daemon that is not live any more counts among those
@@ -19,7 +19,7 @@
 	// seen holds when each daemon was last live. Those that are live have the zero time.
 	seen map[string]time.Time
 	// current is replaced when the daemons change.
-	current *withholder.Members
+	current *sharer.Members
 }
 
 // setLive sets the daemons that are live now.
@@ -52,7 +52,7 @@
 }
 
 func (h *memberHolder) build(self string) {
-	h.current = &withholder.Members{
+	h.current = &sharer.Members{
 		Self: self,
 		IDs:  slices.Sorted(maps.Keys(h.seen)),
 	}
--- a/entryd/pkg/withholder/limit.go
+++ b/entryd/pkg/withholder/limit.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"time"
 
-	"plantaincleat/tier/pkg/hasher"
+	"plantaincleat/entryd/pkg/sharer"
 )
 
 const (
@@ -23,22 +23,17 @@
 	deniedRetry = time.Second
 )
 
-// A target allows each window of four seconds one and a half times its limit, and five
-// requests. The shares below use the limit itself and a part of the rest, so that the
-// daemons stay within it while they do not agree yet on who sends.
-const (
-	// ownerBurstTime and ownerBurst are the tokens that the first owner may save: what the
-	// limit allows in a time, and a number.
-	ownerBurstTime = 0.5
-	ownerBurst     = 2.0
-	// fleetBurstTime and fleetBurst are the same for all daemons of a pool without owners.
-	fleetBurstTime = 0.75
-	fleetBurst     = 4.0
-)
-
-// ownerRates are the fractions of the limit that the owners of a shard may use, by rank.
-// They send nearly all requests to its targets. The others may send none.
-var ownerRates = []float64{0.9, 0.2}
+// limitSplit divides the limit of a target among the daemons. A target allows each window of
+// four seconds one and a half times its limit, and five requests. The shares use the limit
+// itself and a part of the rest, so that the daemons stay within it while they do not agree
+// yet on who sends. The owners of a shard send nearly all requests to its targets.
+var limitSplit = sharer.Split{
+	OwnerRates:     []float64{0.9, 0.2},
+	OwnerBurstTime: 0.5,
+	OwnerBurst:     2,
+	FleetBurstTime: 0.75,
+	FleetBurst:     4,
+}
 
 // ErrLimitTooLow reports a limit below MinLimit, which was raised.
 var ErrLimitTooLow = errors.New("limit is lower than the lowest that is honoured")
@@ -56,109 +51,32 @@
 	return min(limit, MaxLimit), nil
 }
 
-// Members are the daemons among which the limits of targets are divided. It is immutable.
-type Members struct {
-	// Self is the id of this daemon, and IDs are the ids of all, this one included.
-	Self string
-	IDs  []string
-}
-
-// Position is the place of a daemon among those that send to a target. The zero value is
-// that of a single daemon.
-type Position struct {
-	// Target is the id of the target.
-	Target string
-	// Owned is true if the target's shard has owners. Rank is then the daemon's index among
-	// them, or -1 if it is none of them.
-	Owned bool
-	Rank  int
-	// Members may be nil.
-	Members *Members
-}
-
-// share returns the rate at which the daemon may send to a target with a limit, in requests
-// a second, and the number of requests that it may save. Both are zero if it may not send.
-func (p Position) share(limit float64) (rate, burst float64) {
-	if !p.Owned {
-		return p.equalShare(limit)
-	}
-	if p.Rank < 0 || p.Rank >= len(ownerRates) {
-		return 0, 0
-	}
-	burst = 1
-	if p.Rank == 0 {
-		burst = ownerBurst + ownerBurstTime*limit
-	}
-	return ownerRates[p.Rank] * limit, burst
-}
-
-// equalShare divides a limit evenly among the daemons, or among so many of them that each
-// may save one request.
-func (p Position) equalShare(limit float64) (rate, burst float64) {
-	burst = fleetBurst + fleetBurstTime*limit
-	senders := 1
-	if p.Members != nil {
-		senders = max(len(p.Members.IDs), 1)
-	}
-	if most := int(burst); senders > most {
-		senders = most
-		if p.memberRank() >= senders {
-			return 0, 0
-		}
-	}
-	return limit / float64(senders), burst / float64(senders)
-}
-
-// memberRank returns the daemon's index in an order of the daemons that is different for
-// each target.
-func (p Position) memberRank() int {
-	own := hasher.Strings(p.Target, p.Members.Self)
-	rank := 0
-	for _, id := range p.Members.IDs {
-		if hasher.Strings(p.Target, id) > own {
-			rank++
-		}
-	}
-	return rank
-}
-
 // limiter is a token bucket for the requests to a target that has named a limit. The zero
 // value has no limit.
 type limiter struct {
 	// limit is the limit that the target has named, and named when it last did.
-	limit float64
-	named time.Time
-	// rate is the number of tokens a second and burst the most that can be saved.
-	rate, burst float64
-	tokens      float64
-	filled      time.Time
+	limit  float64
+	named  time.Time
+	bucket sharer.Bucket
 	// logged is when a change of the limit was last logged.
 	logged time.Time
 }
 
 // divide sets the daemon's share of the limit. It adds no tokens.
-func (l *limiter) divide(now time.Time, p Position) {
-	l.fill(now)
-	l.rate, l.burst = p.share(l.limit)
-	l.tokens = min(l.tokens, l.burst)
-}
-
-func (l *limiter) fill(now time.Time) {
-	if d := now.Sub(l.filled); d > 0 {
-		l.tokens = min(l.tokens+l.rate*d.Seconds(), l.burst)
-	}
-	l.filled = now
+func (l *limiter) divide(now time.Time, p sharer.Position) {
+	rate, burst := p.Share(l.limit, &limitSplit)
+	l.bucket.Set(now, rate, burst)
 }
 
 // next returns the time at which there is a token, which has passed if there is one.
 func (l *limiter) next(now time.Time) time.Time {
-	switch {
-	case l.limit == 0 || l.tokens >= 1:
+	if l.limit == 0 {
 		return now
-	case l.rate == 0:
-		return now.Add(deniedRetry)
 	}
-	return now.Add(time.Duration((1 - l.tokens) / l.rate * float64(time.Second)))
+	if next, ok := l.bucket.Next(now); ok {
+		return next
+	}
+	return now.Add(deniedRetry)
 }
 
 // Limit returns the limit that the process has named, or zero, and the share of it that
@@ -169,7 +87,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limiter.limit, s.limiter.rate
+	return s.limiter.limit, s.limiter.bucket.Rate()
 }
 
 // LimitedUntil returns the time at which the daemon may send a request to the target within
@@ -180,7 +98,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limiter.fill(now)
+	s.limiter.bucket.Fill(now)
 	if next := s.limiter.next(now); next.After(now) {
 		return next
 	}
@@ -188,7 +106,7 @@
 }
 
 // SetPosition sets the daemon's place among those that send to the target.
-func (s *State) SetPosition(now time.Time, p Position) {
+func (s *State) SetPosition(now time.Time, p sharer.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.position = p
@@ -209,7 +127,7 @@
 	}
 	if l.limit == 0 {
 		// What was sent before counts for the limit as well, so that nothing is saved yet.
-		l.tokens, l.filled = 0, now
+		l.bucket = sharer.Bucket{}
 	}
 	l.limit = limit
 	l.divide(now, s.position)
@@ -245,10 +163,5 @@
 	if l.limit == 0 {
 		return true
 	}
-	l.fill(now)
-	if l.tokens < 1 {
-		return false
-	}
-	l.tokens--
-	return true
+	return l.bucket.Take(now)
 }
--- a/entryd/pkg/withholder/limit_test.go
+++ b/entryd/pkg/withholder/limit_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"plantaincleat/entryd/pkg/sharer"
 )
 
 const limitHeader = "Limit"
@@ -54,7 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, p := range []Position{{}, {Members: &Members{Self: "a", IDs: []string{"a", "b"}}}, {Owned: true}} {
+	for _, p := range []sharer.Position{{}, {Members: &sharer.Members{Self: "a", IDs: []string{"a", "b"}}}, {Owned: true}} {
 		var s State
 		s.SetPosition(now, p)
 		s.setLimit(now, limit)
@@ -70,7 +72,7 @@
 // of its limit allow.
 type limitedFleet struct {
 	states  []*State
-	members *Members
+	members *sharer.Members
 	limit   float64
 	// arrivals are the times of the requests of all daemons.
 	arrivals []time.Time
@@ -78,7 +80,7 @@
 
 func newLimitedFleet(now time.Time, n int, limit float64) *limitedFleet {
 	f := &limitedFleet{
-		members: &Members{},
+		members: &sharer.Members{},
 		limit:   limit,
 	}
 	for i := range n {
@@ -95,11 +97,11 @@
 // the target's pool has no owners.
 func (f *limitedFleet) place(now time.Time, first int) {
 	for i, s := range f.states {
-		p := Position{
+		p := sharer.Position{
 			Target: "target",
 			Owned:  first >= 0,
 			Rank:   -1,
-			Members: &Members{
+			Members: &sharer.Members{
 				Self: f.members.IDs[i],
 				IDs:  f.members.IDs,
 			},
@@ -213,7 +215,7 @@
 	if limit, share := s.Limit(); limit != 2 || share != 2 {
 		t.Errorf("limit %g and share %g, want 2 of 2", limit, share)
 	}
-	s.SetPosition(now, Position{Owned: true, Rank: -1})
+	s.SetPosition(now, sharer.Position{Owned: true, Rank: -1})
 	if s.Enter(now.Add(time.Hour)) || s.LimitedUntil(now.Add(time.Hour)).IsZero() {
 		t.Error("a daemon that does not own the shard may send to a target with a limit")
 	}
--- a/entryd/pkg/withholder/withholder.go
+++ b/entryd/pkg/withholder/withholder.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"plantaincleat/entryd/pkg/sharer"
 )
 
 const (
@@ -49,7 +51,7 @@
 	// mu.
 	limited  atomic.Bool
 	limiter  limiter
-	position Position
+	position sharer.Position
 }
 
 // Leaving reports whether the process has announced that it is leaving.
