Limits of institutions: a lender for each, and a model of the sum

Package sharer divides what a quota allows beyond the rate into the depth of a lender's bucket, reserves and spares; Fleet says who lends (a daemon that has been live for a window, the first by rendezvous) and the part of the rate that is left where daemons cannot be reached; Lender and Stock are both ends of a loan. Package lender makes the calls. The peer service offers Lend; its reply says whether the lender or a standby has answered. The moving average of rates moved from admitter (its test now adds 1000 events where it wrote the fields).

--- a/entryd/pkg/admitter/admitter.go
+++ b/entryd/pkg/admitter/admitter.go
@@ -135,9 +135,9 @@
 	livePeers    map[string]bool
 	beat         uint64
 	queued       int
-	offered      rateMeter
-	admitted     rateMeter
-	ended        rateMeter
+	offered      sharer.Meter
+	admitted     sharer.Meter
+	ended        sharer.Meter
 	refused      [KindDeadline + 1]int64
 	// lastSaturated is when a request last reached the concurrency limit or was
 	// queued behind others.
@@ -230,7 +230,7 @@
 		out = append(out, &peer.Demand{
 			Daemon:      a.daemon,
 			Institution: inst.name,
-			Rate:        inst.offered.value(now),
+			Rate:        inst.offered.Value(now),
 			Concurrency: inst.demand(now),
 			Beat:        a.beat,
 		})
@@ -248,8 +248,8 @@
 	if inst == nil || inst.removed {
 		return nil, ErrInstitution
 	}
-	inst.offered.add(now)
-	a.offered.add(now)
+	inst.offered.Add(now)
+	a.offered.Add(now)
 	c := inst.class(r.Class)
 	if kind, wait := a.refusalReason(now, inst, c, r); kind != 0 {
 		return nil, a.refuse(now, kind, wait)
@@ -284,7 +284,7 @@
 	}
 	latency := now.Sub(t.admitted)
 	t.institution.inFlight--
-	a.ended.add(now)
+	a.ended.Add(now)
 	if r.Outcome != Failed {
 		t.class.add(now, latency)
 	}
@@ -331,7 +331,7 @@
 	if k == KindOverload || k == KindDeadline {
 		wait = overloadRetry
 	}
-	pressure := max(a.offered.value(now)/max(a.admitted.value(now), 1), 1)
+	pressure := max(a.offered.Value(now)/max(a.admitted.Value(now), 1), 1)
 	retry := min(max(float64(wait)*pressure, float64(minRetry)), float64(maxRetry))
 	return &Refusal{
 		kind:       k,
@@ -345,7 +345,7 @@
 	t.waiting = false
 	t.institution.inFlight++
 	t.institution.peakInFlight = max(t.institution.peakInFlight, t.institution.inFlight)
-	a.admitted.add(now)
+	a.admitted.Add(now)
 	a.limiter.begin()
 }
 
--- a/entryd/pkg/admitter/admitter_test.go
+++ b/entryd/pkg/admitter/admitter_test.go
@@ -136,8 +136,9 @@
 		ticket, _ := offer("kahikatea", time.Second)
 		running = append(running, ticket)
 	}
-	a.ended.rate = 1000
-	a.ended.last = now
+	for range 1000 {
+		a.ended.Add(now)
+	}
 	late, _ := offer("kahikatea", 900*time.Millisecond)
 	early, _ := offer("kahikatea", 800*time.Millisecond)
 	other, _ := offer("corrib", time.Second)
--- a/entryd/pkg/admitter/dispatch.go
+++ b/entryd/pkg/admitter/dispatch.go
@@ -30,7 +30,7 @@
 			waiting++
 		}
 	}
-	rate := max(a.ended.value(now), 1)
+	rate := max(a.ended.Value(now), 1)
 	ahead := float64((len(inst.queue) + 1) * waiting)
 	return time.Duration(ahead / rate * float64(time.Second))
 }
--- a/entryd/pkg/admitter/institution.go
+++ b/entryd/pkg/admitter/institution.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plantaincleat/entryd/pkg/estimator"
+	"plantaincleat/entryd/pkg/sharer"
 	"plantaincleat/tier/gen/config"
 )
 
@@ -34,7 +35,7 @@
 	// means that there is no limit.
 	quota        int
 	bucket       rateBucket
-	offered      rateMeter
+	offered      sharer.Meter
 	inFlight     int
 	peakInFlight int
 	queue        queue
@@ -73,7 +74,7 @@
 func (s *institutionState) demand(now time.Time) uint32 {
 	needed := 0.0
 	for _, c := range s.classes {
-		needed = max(needed, s.offered.value(now)*c.median.Seconds())
+		needed = max(needed, s.offered.Value(now)*c.median.Seconds())
 	}
 	peak := max(s.peakInFlight, s.inFlight+len(s.queue))
 	s.peakInFlight = s.inFlight
--- a/entryd/pkg/admitter/rate.go
+++ b/entryd/pkg/admitter/rate.go
@@ -1,35 +1,13 @@
 package admitter
 
 import (
-	"math"
 	"time"
 
 	"plantaincleat/entryd/pkg/sharer"
 )
 
-const (
-	// meterPeriod is the time constant of the moving average of a rate.
-	meterPeriod = time.Second
-	// burstPeriod multiplied by the rate is the capacity of a token bucket.
-	burstPeriod = 250 * time.Millisecond
-)
-
-// rateMeter is an exponentially weighted moving average of a rate of events.
-type rateMeter struct {
-	rate float64
-	last time.Time
-}
-
-// add counts one event.
-func (m *rateMeter) add(now time.Time) {
-	m.rate = m.value(now) + 1/meterPeriod.Seconds()
-	m.last = now
-}
-
-// value returns the average rate in events per second.
-func (m *rateMeter) value(now time.Time) float64 {
-	return m.rate * math.Exp(-now.Sub(m.last).Seconds()/meterPeriod.Seconds())
-}
+// burstPeriod multiplied by the rate is the capacity of a token bucket.
+const burstPeriod = 250 * time.Millisecond
 
 // rateBucket limits the rate of requests. A rate of zero or less means that there is no
 // limit. It is full when its rate is first set.
--- /dev/null
+++ b/entryd/pkg/lender/lender.go
@@ -0,0 +1,430 @@
+// Package lender keeps requests of institutions within their limits: it asks the daemon that
+// holds the tokens of an institution for those that this daemon's requests need, and lends
+// tokens to other daemons. Package sharer decides; this package makes the calls.
+package lender
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"plantaincleat/entryd/pkg/sharer"
+	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/peer"
+)
+
+const (
+	// answerTimeout is the time after which the next daemon is asked. It is longer than a
+	// round trip between regions.
+	answerTimeout = 40 * time.Millisecond
+	// callTimeout is the time after which a call is given up. The tokens of a late answer are
+	// kept for requests to come.
+	callTimeout = time.Second
+	// maxWanted bounds the tokens of one call.
+	maxWanted = 1024
+	// logInterval is the least time between two log lines on the refusals of an institution.
+	logInterval = time.Second
+)
+
+// errTimeout reports that a daemon has not answered within answerTimeout.
+var errTimeout = errors.New("lend: no answer in time")
+
+// Options set up a Runner. All fields but Least are required.
+type Options struct {
+	ID         string
+	DataCentre string
+	Quota      sharer.Quota
+	// Least is the number of daemons that the fleet has at least.
+	Least int
+	Clock clockwork.Clock
+	// Dial returns the connection to a peer's address.
+	Dial func(address string) (grpc.ClientConnInterface, error)
+}
+
+// Runner borrows and lends. It is safe for concurrent use.
+type Runner struct {
+	Options
+
+	mu        sync.Mutex
+	fleet     *sharer.Fleet
+	lender    *sharer.Lender
+	stock     *sharer.Stock
+	addresses map[string]string
+	limits    map[string]sharer.Limit
+	revision  uint64
+	// waiting holds the requests that wait for tokens, by institution. An institution with an
+	// entry has a goroutine that borrows for it.
+	waiting map[string][]*waiter
+	usage   map[string]*usage
+}
+
+// waiter is a request that waits for a token.
+type waiter struct {
+	done chan answer
+	// gone is true if the request waits no longer.
+	gone bool
+}
+
+// answer is the end of a wait for a token.
+type answer struct {
+	verdict sharer.Verdict
+	wait    time.Duration
+	from    string
+}
+
+// Admission is what has become of a request.
+type Admission struct {
+	Verdict sharer.Verdict
+	// RetryAfter is the time after which a request that was not admitted may be sent again.
+	RetryAfter time.Duration
+}
+
+// New returns a Runner without institutions.
+func New(o Options) *Runner {
+	r := &Runner{
+		Options: o,
+		fleet:   sharer.NewFleet(o.Clock.Now(), o.ID, o.DataCentre, o.Least, o.Quota),
+		stock:   sharer.NewStock(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		waiting: make(map[string][]*waiter),
+		usage:   make(map[string]*usage),
+	}
+	r.lender = sharer.NewLender(o.Quota, r.fleet.View())
+	return r
+}
+
+// Configure takes the limits of a configuration. It does nothing if its revision is that of
+// the last one.
+func (r *Runner) Configure(revision uint64, institutions []*config.Institution) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision == r.revision && r.limits != nil {
+		return
+	}
+	limits := make(map[string]sharer.Limit, len(institutions))
+	for _, i := range institutions {
+		limits[i.GetName()] = sharer.Limit{
+			Rate:  i.GetRate(),
+			Burst: i.GetBurst(),
+		}
+	}
+	r.revision, r.limits = revision, limits
+	r.stock.Configure(limits)
+	r.lender.Configure(r.Clock.Now(), limits)
+	for name := range r.usage {
+		if _, ok := limits[name]; !ok {
+			delete(r.usage, name)
+		}
+	}
+}
+
+// Observe takes the daemons that have not left the fleet, and the addresses of their peer
+// listeners by id. It is to be called about twice a second.
+func (r *Runner) Observe(daemons []sharer.Daemon, addresses map[string]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addresses = addresses
+	now := r.Clock.Now()
+	if r.fleet.Observe(now, daemons) {
+		r.lender.SetView(now, r.fleet.View())
+	}
+}
+
+// Admit decides whether a request of an institution is within the institution's limit, and
+// counts it. It waits for the lender if this daemon holds no token.
+func (r *Runner) Admit(ctx context.Context, institution, request string) Admission {
+	r.mu.Lock()
+	now := r.Clock.Now()
+	verdict := r.stock.Take(now, institution)
+	if verdict != sharer.Pending {
+		defer r.mu.Unlock()
+		if verdict == sharer.Admitted && r.stock.NeedsSpares(now, institution) {
+			r.borrow(institution, nil)
+		}
+		return r.conclude(institution, request, answer{
+			verdict: verdict,
+			from:    r.ID,
+		})
+	}
+	w := &waiter{
+		done: make(chan answer, 1),
+	}
+	r.borrow(institution, w)
+	r.mu.Unlock()
+	select {
+	case a := <-w.done:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.conclude(institution, request, a)
+	case <-ctx.Done():
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.gone = true
+	select {
+	case a := <-w.done:
+		if a.verdict == sharer.Admitted {
+			r.stock.Return(r.Clock.Now(), institution)
+		}
+	default:
+	}
+	return r.conclude(institution, request, answer{
+		verdict: sharer.Unanswered,
+	})
+}
+
+// Return gives back the token of a request of which nothing was sent.
+func (r *Runner) Return(institution string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stock.Return(r.Clock.Now(), institution)
+}
+
+// conclude counts and logs the end of a request's admission. r.mu is held.
+func (r *Runner) conclude(institution, request string, a answer) Admission {
+	out := Admission{
+		Verdict: a.verdict,
+	}
+	limit := r.limits[institution]
+	if limit.Rate <= 0 {
+		return out
+	}
+	u, now := r.usageFor(institution), r.Clock.Now()
+	switch a.verdict {
+	case sharer.Admitted:
+		u.admitted++
+		return out
+	case sharer.Refused:
+		u.over++
+	default:
+		u.unanswered++
+	}
+	out.RetryAfter = r.stock.Retry(now, institution, a.wait)
+	if now.Sub(u.logged) < logInterval {
+		return out
+	}
+	u.logged = now
+	slog.Info("request of an institution refused", "id", request, "institution", institution, "reason", a.verdict.String(),
+		"lender", a.from, "held", r.stock.Held(now, institution), "demand", r.stock.Demand(now, institution),
+		"rate", limit.Rate, "burst", limit.Burst, "revision", r.revision, "age", now.Sub(u.heard).String(),
+		"fraction", r.fleet.View().Fraction(), "retry", out.RetryAfter.String())
+	return out
+}
+
+// borrow adds a request to those that wait for tokens, or borrows spare tokens if w is nil,
+// and starts a goroutine unless one is borrowing for the institution already. r.mu is held.
+func (r *Runner) borrow(institution string, w *waiter) {
+	list, running := r.waiting[institution]
+	if w != nil {
+		list = append(list, w)
+	}
+	r.waiting[institution] = list
+	if !running {
+		go r.run(institution)
+	}
+}
+
+// run borrows tokens for the requests that wait until there are none.
+func (r *Runner) run(institution string) {
+	for {
+		r.mu.Lock()
+		list := r.waiting[institution]
+		batch := list[:min(len(list), maxWanted)]
+		r.waiting[institution] = list[len(batch):]
+		ask := r.stock.Ask(r.Clock.Now(), institution, len(batch))
+		order := r.stock.Arrange(r.Clock.Now(), r.fleet.View().Order(institution))
+		r.mu.Unlock()
+		var grant sharer.Grant
+		var from string
+		var err error
+		if ask.Wanted+ask.Spare > 0 {
+			grant, from, err = r.askAll(order, ask)
+		}
+		r.mu.Lock()
+		r.deliver(institution, batch, grant, from, err)
+		if len(r.waiting[institution]) == 0 {
+			delete(r.waiting, institution)
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+	}
+}
+
+// deliver passes tokens to the requests that wait. r.mu is held.
+func (r *Runner) deliver(institution string, batch []*waiter, g sharer.Grant, from string, err error) {
+	left := g.Granted
+	now := r.Clock.Now()
+	if err == nil {
+		r.usageFor(institution).heard = now
+	}
+	for _, w := range batch {
+		a := answer{
+			verdict: sharer.Unanswered,
+			from:    from,
+		}
+		switch {
+		case w.gone:
+			continue
+		case left > 0:
+			left--
+			a.verdict = sharer.Admitted
+		case err == nil:
+			a.verdict = sharer.Refused
+			a.wait = g.Wait
+		}
+		w.done <- a
+	}
+	r.stock.Add(now, institution, g, left)
+}
+
+// askAll asks the daemons in order until one grants tokens or the lender says that there are
+// none. It returns the id of the daemon that has answered.
+func (r *Runner) askAll(order []string, ask sharer.Ask) (sharer.Grant, string, error) {
+	var last sharer.Grant
+	err, from := errTimeout, ""
+	for _, id := range order {
+		g, failure := r.askOne(id, ask)
+		if failure != nil {
+			continue
+		}
+		ask.Unused = 0
+		last, from, err = g, id, nil
+		if g.Granted > 0 || g.Role == sharer.LenderRole || ask.Wanted == 0 {
+			break
+		}
+	}
+	return last, from, err
+}
+
+// askOne asks one daemon and waits for its answer no longer than answerTimeout.
+func (r *Runner) askOne(id string, ask sharer.Ask) (sharer.Grant, error) {
+	if id == r.ID {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.lender.Lend(r.Clock.Now(), ask)
+	}
+	type result struct {
+		grant sharer.Grant
+		err   error
+	}
+	done := make(chan result)
+	late := make(chan struct{})
+	go func() {
+		g, err := r.call(id, ask)
+		select {
+		case done <- result{
+			grant: g,
+			err:   err,
+		}:
+		case <-late:
+			r.recordLate(id, ask.Institution, g, err)
+		}
+	}()
+	timer := r.Clock.NewTimer(answerTimeout)
+	defer timer.Stop()
+	select {
+	case res := <-done:
+		r.recordAnswer(id, res.err)
+		return res.grant, res.err
+	case <-timer.Chan():
+		close(late)
+		r.recordAnswer(id, errTimeout)
+		return sharer.Grant{}, errTimeout
+	}
+}
+
+// recordAnswer records whether a daemon has answered. One that says that it is no lender has.
+func (r *Runner) recordAnswer(id string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil || status.Code(err) == codes.FailedPrecondition || status.Code(err) == codes.NotFound {
+		r.stock.Answered(id)
+		return
+	}
+	r.stock.Failed(r.Clock.Now(), id)
+}
+
+// recordLate keeps the tokens of an answer that came too late.
+func (r *Runner) recordLate(id, institution string, g sharer.Grant, err error) {
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stock.Answered(id)
+	if r.limits[institution].Rate > 0 {
+		r.stock.Add(r.Clock.Now(), institution, g, g.Granted)
+	}
+}
+
+// call makes one call to a peer.
+func (r *Runner) call(id string, ask sharer.Ask) (sharer.Grant, error) {
+	r.mu.Lock()
+	address, revision := r.addresses[id], r.revision
+	r.mu.Unlock()
+	conn, err := r.Dial(address)
+	if err != nil {
+		return sharer.Grant{}, err
+	}
+	ctx, cancel := clockwork.WithTimeout(context.Background(), r.Clock, callTimeout)
+	defer cancel()
+	reply, err := peer.NewPeerClient(conn).Lend(ctx, &peer.LendRequest{
+		Institution: ask.Institution,
+		Borrower:    r.ID,
+		Wanted:      uint32(ask.Wanted),
+		Spare:       uint32(ask.Spare),
+		Unused:      uint32(ask.Unused),
+		Revision:    revision,
+	})
+	if err != nil {
+		return sharer.Grant{}, err
+	}
+	return decodeGrant(reply, ask), nil
+}
+
+// decodeGrant returns the grant of a reply, which counts for no more than was asked for.
+func decodeGrant(reply *peer.LendReply, ask sharer.Ask) sharer.Grant {
+	g := sharer.Grant{
+		Granted: min(int(reply.GetGranted()), ask.Wanted),
+		Spare:   min(int(reply.GetSpare()), ask.Spare),
+		Wait:    time.Duration(reply.GetWait()) * time.Millisecond,
+		Role:    sharer.Standby,
+	}
+	if reply.GetLender() {
+		g.Role = sharer.LenderRole
+	}
+	return g
+}
+
+// Lend implements peerserver.Lender.
+func (r *Runner) Lend(_ context.Context, in *peer.LendRequest) (*peer.LendReply, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	g, err := r.lender.Lend(r.Clock.Now(), sharer.Ask{
+		Institution: in.GetInstitution(),
+		Wanted:      int(min(in.GetWanted(), maxWanted)),
+		Spare:       int(min(in.GetSpare(), maxWanted)),
+		Unused:      int(min(in.GetUnused(), maxWanted)),
+	})
+	switch {
+	case errors.Is(err, sharer.ErrUnknownInstitution):
+		return nil, status.Error(codes.NotFound, err.Error())
+	case err != nil:
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return &peer.LendReply{
+		Granted: uint32(g.Granted),
+		Spare:   uint32(g.Spare),
+		Life:    uint32(sharer.SpareLife.Milliseconds()),
+		Wait:    uint32((g.Wait + time.Millisecond - 1).Milliseconds()),
+		Lender:  g.Role == sharer.LenderRole,
+	}, nil
+}
--- a/entryd/pkg/peerserver/peerserver.go
+++ b/entryd/pkg/peerserver/peerserver.go
@@ -44,6 +44,11 @@
 	Scatter(stream peer.Peer_ScatterServer) error
 }
 
+// Lender lends tokens of institutions.
+type Lender interface {
+	Lend(ctx context.Context, in *peer.LendRequest) (*peer.LendReply, error)
+}
+
 // Options hold the implementations of a Server's calls. A call whose implementation
 // is nil returns codes.Unimplemented.
 type Options struct {
@@ -54,6 +59,8 @@
 	Mutator  Mutator
 	// Scatterer is set in daemons that serve plain requests.
 	Scatterer Scatterer
+	// Lender is set in daemons that keep limits of institutions for plain requests.
+	Lender Lender
 }
 
 // Server implements peer.PeerServer by forwarding to its Options.
@@ -143,3 +150,11 @@
 	}
 	return s.Mutator.Mutate(ctx, in)
 }
+
+// Lend implements peer.PeerServer.
+func (s *Server) Lend(ctx context.Context, in *peer.LendRequest) (*peer.LendReply, error) {
+	if s.Lender == nil {
+		return nil, unimplemented("lend")
+	}
+	return s.Lender.Lend(ctx, in)
+}
--- /dev/null
+++ b/entryd/pkg/sharer/model_test.go
@@ -0,0 +1,354 @@
+package sharer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	modelStep   = 50 * time.Millisecond
+	modelLength = 40 * time.Second
+	// observeInterval is the time between two observations of the fleet by a daemon.
+	observeInterval = 500 * time.Millisecond
+	// applyDelay is the longest time until a configuration is in force at a daemon.
+	applyDelay = 3 * time.Second
+	modelName  = "kahikatea"
+)
+
+// modelEpoch is the state of a fleet up to the next epoch.
+type modelEpoch struct {
+	at time.Duration
+	// parts holds the part of the network of each daemon, or down.
+	parts []int
+	// incarnations holds the start of each daemon's process.
+	incarnations []uint64
+	limit        Limit
+}
+
+const down = -1
+
+// model is a fleet of daemons, its network and the requests of one institution.
+type model struct {
+	quota  Quota
+	epochs []modelEpoch
+	random *rand.Rand
+	// seen and applied hold how much later than it begins a daemon sees an epoch, and knows
+	// its limit.
+	seen, applied [][]time.Duration
+	daemons       []modelDaemon
+	admitted      []time.Duration
+	refused       int
+}
+
+type modelDaemon struct {
+	id, dataCentre string
+	incarnation    uint64
+	fleet          *Fleet
+	lender         *Lender
+	stock          *Stock
+	limit          Limit
+}
+
+func newModel(n int, q Quota, seed uint64, epochs []modelEpoch) *model {
+	m := &model{
+		quota:  q,
+		epochs: epochs,
+		random: rand.New(rand.NewPCG(seed, 1)),
+	}
+	for i := range n {
+		m.daemons = append(m.daemons, modelDaemon{
+			id:         fmt.Sprint("daemon-", i),
+			dataCentre: fmt.Sprint("dc-", i%3),
+		})
+	}
+	for range epochs {
+		var seen, applied []time.Duration
+		for range n {
+			seen = append(seen, time.Duration(200+m.random.IntN(2300))*time.Millisecond)
+			applied = append(applied, time.Duration(m.random.Int64N(int64(applyDelay))))
+		}
+		m.seen, m.applied = append(m.seen, seen), append(m.applied, applied)
+	}
+	return m
+}
+
+func (m *model) clock(at time.Duration) time.Time { return time.Unix(1000, 0).Add(at) }
+
+// current returns the epoch at a time, delayed for a daemon, or nil.
+func (m *model) current(at time.Duration, delays [][]time.Duration, i int) *modelEpoch {
+	for e := len(m.epochs) - 1; e >= 0; e-- {
+		var delay time.Duration
+		if delays != nil && e > 0 {
+			delay = delays[e][i]
+		}
+		if m.epochs[e].at+delay <= at {
+			return &m.epochs[e]
+		}
+	}
+	return &m.epochs[0]
+}
+
+// update lets a daemon start, observe the fleet and apply the configuration.
+func (m *model) update(at time.Duration, i int) {
+	d, now, real := &m.daemons[i], m.clock(at), m.current(at, nil, 0)
+	if real.parts[i] == down {
+		d.fleet = nil
+		return
+	}
+	if d.fleet == nil || d.incarnation != real.incarnations[i] {
+		d.incarnation = real.incarnations[i]
+		d.fleet = NewFleet(now, d.id, d.dataCentre, len(m.daemons)/2, m.quota)
+		d.lender = NewLender(m.quota, d.fleet.View())
+		d.stock = NewStock(m.random)
+		d.limit = Limit{}
+	}
+	if limit := m.current(at, m.applied, i).limit; limit != d.limit {
+		d.limit = limit
+		limits := map[string]Limit{modelName: limit}
+		d.lender.Configure(now, limits)
+		d.stock.Configure(limits)
+	}
+	if (at+time.Duration(i)*modelStep)%observeInterval != 0 {
+		return
+	}
+	seen := m.current(at, m.seen, i)
+	var list []Daemon
+	for j, o := range m.daemons {
+		// A daemon that has not joined yet has no incarnation.
+		if seen.incarnations[j] > 0 && j != i {
+			list = append(list, Daemon{
+				ID:          o.id,
+				DataCentre:  o.dataCentre,
+				Incarnation: seen.incarnations[j],
+				Live:        seen.parts[j] == seen.parts[i],
+			})
+		}
+	}
+	if d.fleet.Observe(now, list) {
+		d.lender.SetView(now, d.fleet.View())
+	}
+}
+
+// request sends a request to daemon i and reports whether it was admitted.
+func (m *model) request(at time.Duration, i int) bool {
+	d, now := &m.daemons[i], m.clock(at)
+	if d.fleet == nil {
+		return false
+	}
+	verdict := d.stock.Take(now, modelName)
+	if verdict == Pending {
+		verdict = m.borrow(at, i)
+	}
+	if verdict == Admitted {
+		m.admitted = append(m.admitted, at)
+		return true
+	}
+	m.refused++
+	return false
+}
+
+func (m *model) borrow(at time.Duration, i int) Verdict {
+	d, now, real := &m.daemons[i], m.clock(at), m.current(at, nil, 0)
+	ask := d.stock.Ask(now, modelName, 1)
+	for _, id := range d.stock.Arrange(now, d.fleet.View().Order(modelName)) {
+		j := slices.IndexFunc(m.daemons, func(o modelDaemon) bool { return o.id == id })
+		if real.parts[j] != real.parts[i] || m.daemons[j].fleet == nil {
+			d.stock.Failed(now, id)
+			continue
+		}
+		d.stock.Answered(id)
+		g, err := m.daemons[j].lender.Lend(now, ask)
+		if err != nil {
+			continue
+		}
+		ask.Unused = 0
+		d.stock.Add(now, modelName, g, 0)
+		if g.Granted > 0 {
+			return Admitted
+		}
+		if g.Role == LenderRole {
+			return Refused
+		}
+	}
+	return Unanswered
+}
+
+// play lets requests arrive at a rate, each at the daemon that to returns, from a time on.
+func (m *model) play(from time.Duration, rate func(at time.Duration) float64, to func(at time.Duration) int) {
+	for at := time.Duration(0); at < modelLength; at += modelStep {
+		for i := range m.daemons {
+			m.update(at, i)
+		}
+		if at < from {
+			continue
+		}
+		expected := rate(at) * modelStep.Seconds()
+		for n := int(expected + m.random.Float64()); n > 0; n-- {
+			m.request(at, to(at))
+		}
+	}
+}
+
+// excess returns by how many requests the worst window exceeds what the quota allows. A
+// limit binds one window after it is in force everywhere.
+func (m *model) excess() (worst float64, end time.Duration) {
+	first := 0
+	for i, at := range m.admitted {
+		for m.admitted[first] <= at-m.quota.Window {
+			first++
+		}
+		allowed := 0.0
+		for e, epoch := range m.epochs {
+			until := modelLength
+			if e+1 < len(m.epochs) {
+				until = m.epochs[e+1].at + applyDelay + m.quota.Window
+			}
+			if epoch.at <= at && at-m.quota.Window <= until {
+				allowed = max(allowed, m.quota.Most(epoch.limit, m.quota.Window))
+			}
+		}
+		if over := float64(i-first+1) - allowed; over > worst {
+			worst, end = over, at
+		}
+	}
+	return worst, end
+}
+
+func drawEpochs(t *rapid.T, n int, first modelEpoch) []modelEpoch {
+	epochs := []modelEpoch{first}
+	for range rapid.IntRange(1, 5).Draw(t, "changes") {
+		last := epochs[len(epochs)-1]
+		next := modelEpoch{
+			at:           last.at + time.Duration(rapid.IntRange(500, 9000).Draw(t, "after"))*time.Millisecond,
+			parts:        slices.Clone(last.parts),
+			incarnations: slices.Clone(last.incarnations),
+			limit:        last.limit,
+		}
+		kind := rapid.SampledFrom([]string{"cut data centre", "cut in parts", "cut single", "heal", "restart", "kill", "return", "lower"}).Draw(t, "kind")
+		share := rapid.Float64Range(0.02, 0.6).Draw(t, "share")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "chosen"), 2))
+		for i := range n {
+			up, chosen := next.parts[i] != down, random.Float64() < share
+			switch {
+			case kind == "cut data centre" && up && i%3 == 0:
+				next.parts[i] = 1
+			case kind == "cut in parts" && up:
+				next.parts[i] = random.IntN(3)
+			case kind == "cut single" && up && chosen:
+				next.parts[i] = 10 + i
+			case kind == "heal" && up:
+				next.parts[i] = 0
+			case kind == "restart" && up && chosen, kind == "return" && !up:
+				next.parts[i] = max(next.parts[i], 0)
+				next.incarnations[i] += 1000000
+			case kind == "kill" && chosen:
+				next.parts[i] = down
+			}
+		}
+		if kind == "lower" {
+			next.limit.Rate *= share
+		}
+		epochs = append(epochs, next)
+	}
+	return epochs
+}
+
+func firstEpoch(n, joined int, l Limit) modelEpoch {
+	e := modelEpoch{
+		limit: l,
+	}
+	for i := range n {
+		if i < joined {
+			e.parts, e.incarnations = append(e.parts, 0), append(e.incarnations, 1)
+		} else {
+			e.parts, e.incarnations = append(e.parts, down), append(e.incarnations, 0)
+		}
+	}
+	return e
+}
+
+// TestSumHolds guards against daemons that together admit more requests of an institution
+// than its limit allows in a window, whatever happens to them and however requests arrive:
+// cuts in parts, restarts, joins, kills, lowered limits, an institution that sends many
+// times its limit, and callers that move between daemons.
+func TestSumHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 6, 12, 30, 89}).Draw(t, "daemons")
+		limit := Limit{
+			Rate:  rapid.SampledFrom([]float64{0.2, 0.9, 3, 9, 40}).Draw(t, "rate"),
+			Burst: rapid.SampledFrom([]float64{0, 2, 20}).Draw(t, "burst"),
+		}
+		quota := Quota{
+			Window:  5 * time.Second,
+			Overage: 0.1,
+			Slack:   20,
+		}
+		joined := rapid.IntRange((n+1)/2, n).Draw(t, "joined")
+		m := newModel(n, quota, rapid.Uint64().Draw(t, "seed"), drawEpochs(t, n, firstEpoch(n, joined, limit)))
+		load := rapid.SampledFrom([]float64{0.6, 1.5, 7.5, 40}).Draw(t, "load")
+		spread := rapid.SampledFrom([]string{"one", "all", "moving"}).Draw(t, "spread")
+		m.play(0, func(time.Duration) float64 { return load * limit.Rate }, func(at time.Duration) int {
+			switch spread {
+			case "one":
+				return n / 2
+			case "moving":
+				return int(at/(700*time.Millisecond)) * 7 % n
+			}
+			return m.random.IntN(n)
+		})
+		if over, end := m.excess(); over > 0 {
+			t.Fatalf("%.1f requests too many in the window that ends at %s", over, end)
+		}
+	})
+}
+
+// TestNothingBelowTheLimitIsRefused answers loads within a limit in a fleet without troubles:
+// all of it must be served, wherever it arrives.
+func TestNothingBelowTheLimitIsRefused(t *testing.T) {
+	tests := []struct {
+		name    string
+		daemons int
+		limit   Limit
+		to      func(at time.Duration, random *rand.Rand, n int) int
+	}{
+		{name: "a request each five seconds at one daemon", daemons: 89, limit: Limit{Rate: 0.2, Burst: 1}, to: atOne},
+		{name: "callers move within a second", daemons: 89, limit: Limit{Rate: 9, Burst: 5}, to: moving},
+		{name: "a large institution at all daemons", daemons: 89, limit: Limit{Rate: 40, Burst: 8}, to: anywhere},
+		{name: "a large institution at one daemon", daemons: 12, limit: Limit{Rate: 40, Burst: 8}, to: atOne},
+		{name: "a large fleet", daemons: 450, limit: Limit{Rate: 9, Burst: 2}, to: anywhere},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n := test.daemons
+			m := newModel(n, Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, 1, []modelEpoch{firstEpoch(n, n, test.limit)})
+			var within Bucket
+			within.Set(m.clock(0), test.limit.Rate, test.limit.Burst)
+			for at := time.Duration(0); at < modelLength; at += modelStep {
+				for i := range n {
+					m.update(at, i)
+				}
+				// Requests come as fast as the limit allows, in bursts and evenly by turns.
+				if at < 15*time.Second || at%(8*time.Second) < 3*time.Second {
+					continue
+				}
+				for within.Take(m.clock(at)) {
+					m.request(at, test.to(at, m.random, n))
+				}
+			}
+			if m.refused > 0 || len(m.admitted) == 0 {
+				t.Errorf("%d of %d requests within the limit refused", m.refused, m.refused+len(m.admitted))
+			}
+		})
+	}
+}
+
+func atOne(time.Duration, *rand.Rand, int) int { return 1 }
+
+func moving(at time.Duration, _ *rand.Rand, n int) int { return int(at/(400*time.Millisecond)) * 7 % n }
+
+func anywhere(_ time.Duration, random *rand.Rand, n int) int { return random.IntN(n) }
