--- a/entryd/pkg/sharer/fleet.go
+++ b/entryd/pkg/sharer/fleet.go
@@ -17,6 +17,10 @@
 	restartStep = 500
 	// defaultWindow is the window of a Quota without one.
 	defaultWindow = 5 * time.Second
+	// settleTime is the time within which all daemons have heard of one that has joined. It is
+	// added to the window before a daemon takes itself for one that lends, and before the
+	// part of the rate grows.
+	settleTime = 1500 * time.Millisecond
 )
 
 // Daemon describes a daemon of the fleet.
@@ -66,7 +70,8 @@
 }
 
 // NewFleet returns the fleet of a daemon that has just started and knows no others. least is
-// the number of daemons that the fleet has at least.
+// the number of daemons that the fleet has at least. If that is more than one, a daemon that
+// knows no others lends nothing.
 func NewFleet(now time.Time, self, dataCentre string, least int, q Quota) *Fleet {
 	f := &Fleet{
 		self:       self,
@@ -124,7 +129,7 @@
 		}
 		if d.ID != f.self && now.Sub(f.started) < f.window {
 			// How long the daemon has been live is not known to one that has just started.
-			k.since = f.started.Add(-f.window)
+			k.since = f.started.Add(-f.window - settleTime)
 		}
 		f.known[d.ID] = k
 	case d.Live && !k.Live, d.ID != f.self && d.Incarnation >= k.Incarnation+restartStep:
@@ -141,27 +146,26 @@
 		dataCentre: f.dataCentre,
 		selfHash:   f.known[f.self].hash,
 		since:      now,
-		young:      now.Sub(f.started) < f.window,
+		young:      now.Sub(f.started) < f.window+settleTime,
 	}
-	lending := 0
+	reached := 0
 	for _, k := range f.known {
-		isSelf := k.ID == f.self
-		if isSelf || k.Live && now.Sub(k.since) >= f.window {
-			lending++
-			if !isSelf || !v.young {
-				v.candidates = append(v.candidates, candidate{
-					id:         k.ID,
-					dataCentre: k.DataCentre,
-					hash:       k.hash,
-				})
-			}
+		live := now.Sub(k.since)
+		if k.ID == f.self || k.Live && live >= f.window+settleTime {
+			reached++
+		}
+		if k.ID == f.self && !v.young || k.ID != f.self && k.Live && live >= f.window {
+			v.candidates = append(v.candidates, candidate{
+				id:         k.ID,
+				dataCentre: k.DataCentre,
+				hash:       k.hash,
+			})
 		}
-	}
-	if len(v.candidates) == 0 {
-		v.candidates = append(v.candidates, v.own())
 	}
 	slices.SortFunc(v.candidates, func(a, b candidate) int { return strings.Compare(a.id, b.id) })
-	v.fraction = float64(lending) / float64(max(len(f.known), f.least))
+	if len(f.known) > 1 || f.least <= 1 {
+		v.fraction = float64(reached) / float64(max(len(f.known), f.least))
+	}
 	return v
 }
 
@@ -184,27 +188,26 @@
 	return v.fraction == o.fraction && v.young == o.young && slices.Equal(v.candidates, o.candidates)
 }
 
-func (v *View) own() candidate {
-	return candidate{
-		id:         v.self,
-		dataCentre: v.dataCentre,
-		hash:       v.selfHash,
-	}
-}
-
 // Fraction returns the part of the known daemons that can be reached, and with it the part
 // of a limit that they may use. The parts of a fleet that is cut add up to one at most.
 func (v *View) Fraction() float64 { return v.fraction }
 
 // Order returns the daemons to ask for tokens of an institution: the lender, then its
-// standbys of the own data centre.
+// standbys of the own data centre. A daemon that has just started asks itself last: it may
+// be the one that the others ask.
 func (v *View) Order(institution string) []string {
-	return v.order(hasher.Strings(institution), v.candidates)
+	out := v.order(hasher.Strings(institution), v.candidates)
+	if v.young {
+		out = append(out, v.self)
+	}
+	return out
 }
 
 func (v *View) order(key uint64, candidates []candidate) []string {
-	lender := top(key, candidates, func(candidate) bool { return true })
-	out := []string{lender}
+	if len(candidates) == 0 {
+		return nil
+	}
+	out := []string{top(key, candidates, func(candidate) bool { return true })}
 	for range standbysPerDataCentre {
 		id := top(key, candidates, func(c candidate) bool {
 			return c.dataCentre == v.dataCentre && !slices.Contains(out, c.id)
@@ -241,8 +244,12 @@
 // Role returns what this daemon is for an institution when another asks it.
 func (v *View) Role(institution string) Role {
 	candidates := v.candidates
-	if v.young && !slices.Contains(candidates, v.own()) {
-		candidates = append(slices.Clone(candidates), v.own())
+	if v.young {
+		candidates = append(slices.Clone(candidates), candidate{
+			id:         v.self,
+			dataCentre: v.dataCentre,
+			hash:       v.selfHash,
+		})
 	}
 	switch slices.Index(v.order(hasher.Strings(institution), candidates), v.self) {
 	case 0:
--- a/entryd/pkg/sharer/lender.go
+++ b/entryd/pkg/sharer/lender.go
@@ -11,9 +11,9 @@
 	// keptFraction is the part of the depth that the lender keeps, but no less than the burst:
 	// it grants tokens ahead of requests only from the rest.
 	keptFraction = 0.5
-	// youngFraction is the part of the rate that a daemon lends which has just started. The
-	// others lend to each other as long as all have.
-	youngFraction = 0.5
+	// startTime is the time for which a new lender lends at the start rate. After it, all
+	// daemons have heard of the loss of the one before.
+	startTime = 2500 * time.Millisecond
 	// emptyWait is the time after which a daemon without a rate of its own is asked again.
 	emptyWait = time.Second
 )
@@ -56,6 +56,9 @@
 type account struct {
 	role   Role
 	bucket Bucket
+	// since is when the daemon became the lender, and starting is true for startTime after.
+	since    time.Time
+	starting bool
 	// spares allows tokens to be granted ahead.
 	spares Bucket
 }
@@ -85,7 +88,11 @@
 func (l *Lender) SetView(now time.Time, v *View) {
 	l.view = v
 	for name, a := range l.accounts {
-		a.role = v.Role(name)
+		role := v.Role(name)
+		if role == LenderRole && a.role != LenderRole {
+			a.since = now
+		}
+		a.role = role
 		l.settle(now, name, a)
 	}
 }
@@ -110,11 +117,12 @@
 		a.spares = Bucket{}
 		return
 	}
-	rate := limit.Rate * fraction
-	if l.view.young {
-		rate *= youngFraction
+	rate := limit.Rate
+	a.starting = l.view.young || now.Sub(a.since) < startTime
+	if a.starting {
+		rate = part.startRate
 	}
-	a.bucket.Set(now, rate, part.depth*fraction)
+	a.bucket.Set(now, rate*fraction, part.depth*fraction)
 	// Half of the spares may be saved and half are restored in the life of one, so that there
 	// are never more.
 	spares := part.spares * fraction / 2
@@ -128,7 +136,8 @@
 		return a
 	}
 	a := &account{
-		role: l.view.Role(name),
+		role:  l.view.Role(name),
+		since: l.view.since,
 	}
 	l.accounts[name] = a
 	l.settle(now, name, a)
@@ -156,6 +165,9 @@
 	if a.role == Borrower {
 		return Grant{}, ErrNotLender
 	}
+	if a.starting {
+		l.settle(now, ask.Institution, a)
+	}
 	a.bucket.Fill(now)
 	a.bucket.Put(float64(ask.Unused))
 	g := Grant{
--- a/entryd/pkg/sharer/quota.go
+++ b/entryd/pkg/sharer/quota.go
@@ -20,8 +20,8 @@
 }
 
 // allowance is how the requests that a quota allows beyond the rate are divided. In any
-// window, the fleet issues at most the depth, the spares, maxReserves reserves and the rates
-// times the window.
+// window, the fleet issues at most the depth, the spares, maxReserves reserves, the handover
+// and the rates times the window.
 type allowance struct {
 	// depth is the number of tokens that the lender may save.
 	depth float64
@@ -31,6 +31,8 @@
 	reserve, reserveRate float64
 	// spares is the number of tokens that are granted ahead and not used yet.
 	spares float64
+	// startRate is the rate of a daemon that has just become the lender, in tokens a second.
+	startRate float64
 }
 
 const (
@@ -39,8 +41,12 @@
 	maxReserves = 8
 	// depthFraction is the least part of what is allowed beyond the rate that the lender may
 	// save, and maxDepthFraction the greatest. In between, it is the institution's burst.
-	depthFraction    = 0.4
-	maxDepthFraction = 0.8
+	depthFraction    = 0.3
+	maxDepthFraction = 0.6
+	// handoverFraction is the part that is left for the time in which two daemons lend, since
+	// some do not know of the new lender yet. It is about handoverTime.
+	handoverFraction = 0.3
+	handoverTime     = 1.0
 	// reserveRateFraction is the part of the rate at which all reserves together are restored.
 	// It is taken from the overage.
 	reserveRateFraction = 0.08
@@ -50,12 +56,14 @@
 	reserveRate := min(reserveRateFraction, q.Overage) * l.Rate / maxReserves
 	beyond := l.Burst*(1+q.Overage) + (q.Overage*l.Rate-maxReserves*reserveRate)*q.Window.Seconds() + q.Slack
 	depth := max(depthFraction*beyond, min(l.Burst+1, maxDepthFraction*beyond), 1)
-	part := max(beyond-depth, 0) / (maxReserves + 1)
+	handover := handoverFraction * beyond
+	part := max(beyond-depth-handover, 0) / (maxReserves + 1)
 	return allowance{
 		depth:       depth,
 		reserve:     part,
 		reserveRate: reserveRate,
 		spares:      part,
+		startRate:   min(l.Rate, handover/handoverTime),
 	}
 }
 
