--- a/entryd/pkg/sharer/model_test.go
+++ b/entryd/pkg/sharer/model_test.go
@@ -316,6 +316,55 @@
 	})
 }
 
+// TestSumHoldsInTroubles answers the load of an institution with a high rate that sends many
+// times its limit, in the troubles in which two daemons may lend at the same time: those
+// whose daemons do not hear of each other, or hear of each other at different times.
+func TestSumHoldsInTroubles(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(e *modelEpoch, i int)
+		// again is true if the first state returns.
+		again bool
+	}{
+		{name: "one daemon restarts", change: func(e *modelEpoch, i int) {
+			if i == 0 {
+				e.incarnations[i] += 1000000
+			}
+		}},
+		{name: "half of the daemons restart", change: func(e *modelEpoch, i int) {
+			if i%2 == 0 {
+				e.incarnations[i] += 1000000
+			}
+		}},
+		{name: "two parts", again: true, change: func(e *modelEpoch, i int) { e.parts[i], e.lost = i%2, true }},
+		{name: "three parts", again: true, change: func(e *modelEpoch, i int) { e.parts[i], e.lost = i%3, true }},
+		{name: "each alone", again: true, change: func(e *modelEpoch, i int) { e.parts[i], e.lost = i, true }},
+		{name: "a low limit", again: true, change: func(e *modelEpoch, _ int) { e.limit = Limit{Rate: 2} }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(60) {
+				n := []int{2, 3, 6, 12}[seed%4]
+				limit := Limit{Rate: []float64{9, 40, 100}[seed%3]}
+				first := firstEpoch(n, n, limit)
+				epochs := []modelEpoch{first, firstEpoch(n, n, limit), firstEpoch(n, n, limit)}
+				epochs[1].at, epochs[2].at = 12*time.Second, 22*time.Second
+				for i := range n {
+					test.change(&epochs[1], i)
+				}
+				if !test.again {
+					epochs = epochs[:2]
+				}
+				m := newModel(n, Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, seed, epochs)
+				m.play(0, func(time.Duration) float64 { return 7.5 * limit.Rate }, func(time.Duration) int { return m.random.IntN(n) })
+				if over, end := m.excess(); over > 0 {
+					t.Errorf("seed %d: %.1f requests too many in the window that ends at %s", seed, over, end)
+				}
+			}
+		})
+	}
+}
+
 // TestNothingBelowTheLimitIsRefused answers loads within a limit in a fleet without troubles:
 // all of it must be served, wherever it arrives.
 func TestNothingBelowTheLimitIsRefused(t *testing.T) {
