--- a/entryd/pkg/admitter/institution.go
+++ b/entryd/pkg/admitter/institution.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"plantaincleat/entryd/pkg/estimator"
+	"plantaincleat/entryd/pkg/sharer"
 	"plantaincleat/tier/gen/config"
 )
 
@@ -33,8 +34,8 @@
 	// quota is this daemon's part of the fleet-wide concurrency limit. Zero
 	// means that there is no limit.
 	quota        int
-	bucket       tokenBucket
-	offered      rateMeter
+	bucket       rateBucket
+	offered      sharer.Meter
 	inFlight     int
 	peakInFlight int
 	queue        queue
@@ -73,7 +74,7 @@
 func (s *institutionState) demand(now time.Time) uint32 {
 	needed := 0.0
 	for _, c := range s.classes {
-		needed = max(needed, s.offered.value(now)*c.median.Seconds())
+		needed = max(needed, s.offered.Value(now)*c.median.Seconds())
 	}
 	peak := max(s.peakInFlight, s.inFlight+len(s.queue))
 	s.peakInFlight = s.inFlight
