Orders to evacuate a data centre reach all daemons and are obeyed

Change: the orders are part of the configuration (Policy.evacuations, since older builds pass on fields that they do not know, but not whole parts). The state of each target carries a flag, which the choice of targets and the last check before a request is sent obey. Requests for which nothing is left are refused at once with REASON_EVACUATED. A store that returns from a copy without an order does not lift it.

--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -82,7 +82,7 @@
 
 // Unavailable reports whether the target must get no new requests now. This is the case
 // if its use has ended for good, or if requests are withheld from it because of its own
-// announcement.
+// announcement or because its data centre is evacuated.
 func (r *Replica) Unavailable(now time.Time) bool {
 	return r.ended(now) || r.state.Withheld(now)
 }
@@ -128,23 +128,31 @@
 func (p *Pool) Replicas() []*Replica { return p.replicas }
 
 // Withholding tells why and until when all targets of a pool that could serve get no
-// requests. The zero value means that one of them may get some.
+// requests. The zero value means that one of them may get some, or that there is none.
 type Withholding struct {
 	// Until is when the first of them may get requests again.
 	Until time.Time
 	// Limited is true if one of them has used up its limit. The others have asked for a
 	// pause that is not over.
 	Limited bool
+	// Evacuated is true if those that are left are all in evacuated data centres. Until is
+	// then when callers may ask again, since nobody knows the end.
+	Evacuated bool
 }
 
-// Withheld returns whether all targets of the pool that could serve are paused or have
-// used up their limits.
+// Withheld returns whether all targets of the pool that could serve are paused, have used up
+// their limits or are evacuated. Evacuated ones do not count where there are others.
 func (p *Pool) Withheld(now time.Time) Withholding {
 	var out Withholding
+	evacuated := false
 	for _, r := range p.replicas {
 		if r.ended(now) || r.state.Leaving() {
 			continue
 		}
+		if r.state.Evacuated() {
+			evacuated = true
+			continue
+		}
 		pause, limit := r.state.PausedUntil(now), r.state.LimitedUntil(now)
 		until := pause
 		if limit.After(until) {
@@ -158,6 +166,9 @@
 			out.Until = until
 		}
 	}
+	if evacuated && out.Until.IsZero() {
+		out.Evacuated, out.Until = true, now.Add(evacuatedRetry)
+	}
 	return out
 }
 
@@ -243,6 +254,8 @@
 	names    map[string]*Route
 	pools    map[string]*Pool
 	limits   *config.Limits
+	// evacuations are sorted by data centre.
+	evacuations []Evacuation
 }
 
 // Revision returns the revision of the configuration, or 0 if there is none.
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -62,7 +62,10 @@
 	accepted *config.Accepted
 	daemons  int
 	members  memberHolder
-	owners   *assigner.Owners
+	// evacuatedSince holds when this daemon has heard of each evacuation in force, by data
+	// centre.
+	evacuatedSince map[string]time.Time
+	owners         *assigner.Owners
 }
 
 // New returns a Cataloger with an empty catalog.
@@ -121,7 +124,9 @@
 	}
 	c.recordVanished(accepted)
 	c.accepted = accepted
+	before := c.Catalog()
 	c.build()
+	c.logEvacuations(before)
 }
 
 // recordVanished records the targets that are missing from a new configuration and
@@ -178,6 +183,7 @@
 		out.hosts[r.GetHost()] = append(out.hosts[r.GetHost()], one)
 	}
 	out.sortRoutes()
+	c.evacuate(out, cfg.GetPolicy().GetEvacuations())
 	c.current.Store(out)
 	c.dropUnused(out)
 }
--- a/entryd/pkg/mirrorer/mirrorer.go
+++ b/entryd/pkg/mirrorer/mirrorer.go
@@ -9,7 +9,8 @@
 //
 // A store that returns from an earlier copy of its content may hold an older version of
 // the operators' configuration than the one in force. The mirror then keeps the one in
-// force, with the targets that the store has, until the operators write theirs again.
+// force, with the targets that the store has, until the operators write theirs again. Orders
+// to evacuate a data centre that such a copy lacks stay in force as well, see keepOrders.
 package mirrorer
 
 import (
@@ -73,6 +74,9 @@
 	// keptFrom is the operators' version in the store that was last found to be older than
 	// the one in force.
 	keptFrom uint64
+	// keptOrder is the revision of the order to evacuate that was last found to be missing
+	// from the store.
+	keptOrder int64
 }
 
 // New returns an empty Mirror. The first call of Head reads the store.
@@ -279,7 +283,9 @@
 	if t.Config == nil {
 		return nil
 	}
+	orders := m.keepOrders(t)
 	t = m.keepNewest(t)
+	setOrders(t.Config, orders)
 	digest, err := configencoder.Digest(t.Config)
 	if err != nil {
 		return err
--- a/entryd/pkg/partitiondetector/partitiondetector.go
+++ b/entryd/pkg/partitiondetector/partitiondetector.go
@@ -111,7 +111,7 @@
 	reached := d.probeDataCentres(ctx, peers, targets)
 	lost, remote := 0, 0
 	for datacentre := range targets {
-		if datacentre == d.DataCentre {
+		if datacentre == d.DataCentre || len(peers[datacentre]) == 0 && d.evacuated(datacentre) {
 			continue
 		}
 		remote++
@@ -234,6 +234,12 @@
 	return err == nil
 }
 
+// evacuated reports whether a data centre is evacuated. Its targets get no probes then, so that
+// their silence is no sign of a partition.
+func (d *Detector) evacuated(datacentre string) bool {
+	return slices.ContainsFunc(d.Catalogs.Catalog().Evacuations(), func(e cataloger.Evacuation) bool { return e.DataCentre == datacentre })
+}
+
 // targets returns the targets that may get requests by data centre, sorted by address. A data
 // centre that has only others has an empty list.
 func (d *Detector) targets() map[string][]target {
--- a/entryd/pkg/partitiondetector/partitiondetector_test.go
+++ b/entryd/pkg/partitiondetector/partitiondetector_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -44,6 +45,76 @@
 	return c
 }
 
+// TestEvacuationIsNoPartition guards against a partition that is seen because targets of
+// evacuated data centres, which get no probes, are silent.
+func TestEvacuationIsNoPartition(t *testing.T) {
+	tests := []struct {
+		name      string
+		evacuated []string
+		// daemons are the data centres with daemons, and dead those whose daemons are silent.
+		daemons, dead string
+		want          bool
+	}{
+		{name: "no daemons in evacuated data centres", evacuated: []string{"b", "c"}},
+		{name: "daemons answer", evacuated: []string{"b", "c"}, daemons: "bc"},
+		{name: "another one is cut off", evacuated: []string{"b"}, daemons: "bc", dead: "c"},
+		{name: "daemons of all are cut off", evacuated: []string{"b", "c"}, daemons: "bc", dead: "bc", want: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			dial := func(_ context.Context, _, address string) (net.Conn, error) {
+				datacentre := address[len(address)-1:]
+				if strings.HasPrefix(address, "target") && slices.Contains(test.evacuated, datacentre) {
+					t.Errorf("probe of %s", address)
+				}
+				if strings.Contains(test.dead, datacentre) {
+					return nil, errors.New("no answer")
+				}
+				return answering(address), nil
+			}
+			catalogs := catalogOf(dial, "a", "b", "c")
+			cfg := &config.Config{
+				Pools:  []*config.Pool{{Name: "p", Probe: "/health"}},
+				Policy: &config.Policy{},
+			}
+			for _, r := range catalogs.Catalog().Pool("p").Replicas() {
+				cfg.Targets = append(cfg.Targets, &config.Target{
+					Id:         r.ID(),
+					Address:    r.Address(),
+					Datacentre: r.DataCentre(),
+					Pool:       "p",
+				})
+			}
+			for _, dc := range test.evacuated {
+				cfg.Policy.Evacuations = append(cfg.Policy.Evacuations, &config.Evacuation{Datacentre: dc})
+			}
+			catalogs.Adopt(&config.Accepted{
+				Head:   &config.Head{Revision: 2},
+				Config: cfg,
+			})
+			detector := New(Options{
+				DataCentre: "a",
+				Catalogs:   catalogs,
+				Peers: func() map[string][]string {
+					out := map[string][]string{}
+					for _, dc := range test.daemons {
+						out[string(dc)] = []string{"daemon-" + string(dc)}
+					}
+					return out
+				},
+				Clock: clockwork.NewRealClock(),
+				Dial:  dial,
+			})
+			for range missedRoundLimit {
+				detector.probeRound(t.Context())
+			}
+			if got := detector.Partitioned(); got != test.want {
+				t.Errorf("Partitioned = %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // answering returns a connection to a server that answers a request, and that begins to speak
 // if it is a daemon.
 func answering(address string) net.Conn {
--- a/entryd/pkg/router/reason.go
+++ b/entryd/pkg/router/reason.go
@@ -26,6 +26,7 @@
 	peer.Reason_REASON_QUARANTINED: true,
 	peer.Reason_REASON_PAUSED:      true,
 	peer.Reason_REASON_LIMITED:     true,
+	peer.Reason_REASON_EVACUATED:   true,
 }
 
 // transientReasons holds the reasons that may no longer apply to a later attempt on
@@ -49,7 +50,8 @@
 	peer.Reason_REASON_CRASHED:        9,
 	peer.Reason_REASON_PAUSED:         10,
 	peer.Reason_REASON_LIMITED:        11,
-	peer.Reason_REASON_QUARANTINED:    12,
+	peer.Reason_REASON_EVACUATED:      12,
+	peer.Reason_REASON_QUARANTINED:    13,
 }
 
 // moreInformative returns the reason with the higher rank.
--- a/entryd/pkg/scatterer/refuse.go
+++ b/entryd/pkg/scatterer/refuse.go
@@ -8,8 +8,9 @@
 	"plantaincleat/tier/gen/peer"
 )
 
-// refuseWithheld returns a refusal if the targets of so many shards of the route are paused
-// or have used up their limits that its floor cannot be reached, and nil otherwise. The
+// refuseWithheld returns a refusal if the targets of so many shards of the route are paused,
+// have used up their limits or are evacuated that its floor cannot be reached, and nil
+// otherwise. The
 // caller may come back when enough of them get requests again.
 func (s *Scatterer) refuseWithheld(route *cataloger.Route) *Result {
 	pools, floor := route.Pools(), route.GetFloor()
--- a/entryd/pkg/scatterer/withhold.go
+++ b/entryd/pkg/scatterer/withhold.go
@@ -121,7 +121,8 @@
 }
 
 // reason returns the reason why a unit is not covered. If there was no target to send it
-// to, the reason says whether that is because of the targets' own announcements.
+// to, the reason says whether that is because of the targets' own announcements or of an
+// evacuation.
 func (j *job) reason(unit int, now time.Time) peer.Reason {
 	reason := j.query.Reason(unit)
 	if reason != peer.Reason_REASON_UNREACHABLE {
@@ -143,16 +144,19 @@
 
 // withheldReason returns the reason why no target of a pool gets a request.
 func withheldReason(w cataloger.Withholding) peer.Reason {
-	if w.Limited {
+	switch {
+	case w.Evacuated:
+		return peer.Reason_REASON_EVACUATED
+	case w.Limited:
 		return peer.Reason_REASON_LIMITED
 	}
 	return peer.Reason_REASON_PAUSED
 }
 
 // isWithheld reports whether a reason says that no target of a pool gets a request because
-// of what the targets have announced.
+// of what the targets have announced or because they are evacuated.
 func isWithheld(r peer.Reason) bool {
-	return r == peer.Reason_REASON_PAUSED || r == peer.Reason_REASON_LIMITED
+	return r == peer.Reason_REASON_PAUSED || r == peer.Reason_REASON_LIMITED || r == peer.Reason_REASON_EVACUATED
 }
 
 // lack returns the entry of a reply for a unit without an answer.
--- a/entryd/pkg/withholder/withholder.go
+++ b/entryd/pkg/withholder/withholder.go
@@ -1,7 +1,8 @@
 // Package withholder decides when requests are withheld from a target because of what
 // the target has announced in its answers: that its process is leaving, that it wants no
 // requests from this daemon for some time, or that it takes only so many requests a second
-// from all daemons together, of which each keeps to its share.
+// from all daemons together, of which each keeps to its share. The operators may also order
+// that the target gets nothing, see State.SetEvacuated.
 //
 // What a target announces itself goes before what the store or other daemons say of it.
 // An announcement counts for one process of a target, so that the process that follows
@@ -34,6 +35,8 @@
 // nothing. It is safe for concurrent use; Withheld takes no lock.
 type State struct {
 	leaving atomic.Bool
+	// evacuated is true while the operators want nothing to be sent to the target.
+	evacuated atomic.Bool
 	// pausedUntil is the end of the last pause in Unix nanoseconds, or zero.
 	pausedUntil atomic.Int64
 	// full is true while as many requests are in flight as ramp allows.
@@ -66,7 +69,7 @@
 
 // Withheld reports whether the target should not be chosen for a request now.
 func (s *State) Withheld(now time.Time) bool {
-	return s.leaving.Load() || s.full.Load() || !s.PausedUntil(now).IsZero()
+	return s.leaving.Load() || s.evacuated.Load() || s.full.Load() || !s.PausedUntil(now).IsZero()
 }
 
 // Enter reports whether a request may be sent now. Each call that returns true must be
@@ -75,7 +78,7 @@
 func (s *State) Enter(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leaving.Load() || !s.PausedUntil(now).IsZero() || s.ramp > 0 && s.inFlight >= s.ramp || !s.takeToken(now) {
+	if s.leaving.Load() || s.evacuated.Load() || !s.PausedUntil(now).IsZero() || s.ramp > 0 && s.inFlight >= s.ramp || !s.takeToken(now) {
 		return false
 	}
 	s.inFlight++
--- a/tier/pkg/checker/config.go
+++ b/tier/pkg/checker/config.go
@@ -48,6 +48,9 @@
 	if cfg.GetLimits() != nil {
 		r.add("limits", reason)
 	}
+	if len(cfg.GetPolicy().GetEvacuations()) > 0 {
+		r.add("policy.evacuations", reason)
+	}
 }
 
 // checkTargets checks the targets. It returns the field of each target id.
