--- a/standin/pkg/platformsimulator/platform.go
+++ b/standin/pkg/platformsimulator/platform.go
@@ -32,6 +32,8 @@
 	closed  bool
 	// entries holds the entries of the registered targets by store key.
 	entries map[string][]byte
+	// evacuated holds the data centres with an order to evacuate them.
+	evacuated map[string]bool
 }
 
 // Route is a route of the operators' configuration.
--- a/standin/pkg/platformsimulator/target.go
+++ b/standin/pkg/platformsimulator/target.go
@@ -181,11 +181,11 @@
 	return p.store.Delete(entryKey(t))
 }
 
-// WriteAgain writes the present configuration and the entries of all registered targets
+// WriteAgain writes the present configuration, the orders in force and the entries of all registered targets
 // again, as the operator and the targets do after the store has returned from a copy. The
 // entries of other targets end, since nobody renews their leases.
 func (p *Platform) WriteAgain() error {
-	if err := p.writeConfig(); err != nil {
+	if err := errors.Join(p.writeConfig(), p.writeOrders()); err != nil {
 		return err
 	}
 	p.mu.Lock()
