--- a/plantainctl/pkg/ctlcommander/ctlcommander.go
+++ b/plantainctl/pkg/ctlcommander/ctlcommander.go
@@ -150,7 +150,7 @@
 	formats := cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp)
 	// RegisterFlagCompletionFunc fails only for a flag that does not exist.
 	_ = root.RegisterFlagCompletionFunc("output", formats)
-	root.AddCommand(t.configCommand(), t.targetCommand(), t.quarantineCommand(), t.statusCommand(), t.explainCommand())
+	root.AddCommand(t.configCommand(), t.targetCommand(), t.quarantineCommand(), t.evacuationCommand(), t.statusCommand(), t.explainCommand())
 	return root
 }
 
