Soak: the kind evacuate, and a check of an evacuation without disruptions

Change: daemons are asked which evacuations they obey; from then on no request of theirs may arrive there until the order is taken back.

--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -61,6 +61,7 @@
 	{name: "store copy", run: (*Soak).returnStoreFromCopy},
 	{name: "limits", run: (*Soak).nameLimits},
 	{name: "isolation", run: (*Soak).isolateDaemons},
+	{name: "evacuate", run: (*Soak).evacuate},
 }
 
 func (s *Soak) randomDaemon(r *rand.Rand) *daemon {
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -81,6 +81,7 @@
 	// leavingTargets counts the targets that announce that they are leaving. It is guarded
 	// by mu.
 	leavingTargets int
+	evacuations    evacuations
 }
 
 // Run does one run. It returns the checks that failed and the events of the
@@ -102,6 +103,7 @@
 	s.startCallers()
 	s.disrupt()
 	if s.checkRecovery() {
+		s.checkEvacuation()
 		s.checkDrainAndStop()
 	}
 	close(s.ended)
@@ -110,6 +112,7 @@
 	s.checkCrashSenders()
 	s.checkAnnouncements()
 	s.checkLimits()
+	s.checkEvacuations()
 	s.events = append(s.events, s.ledger.summary())
 	return s.ledger.findings, s.events, nil
 }
