Targets tell their load: the word enters the estimate of a target with its age

Cause: targets may state in each answer what runs and waits there and how long work takes there now; nothing read it. Answers to probes tell it as well. Bad headers are counted and logged once a target.

--- a/entryd/pkg/estimator/estimator.go
+++ b/entryd/pkg/estimator/estimator.go
@@ -82,6 +82,12 @@
 	Queue uint32
 	// Service is the execution time without waiting, or zero if it is unknown.
 	Service time.Duration
+	// Running is the number of requests that the target executes, the one with the report
+	// included if it comes with an answer. Zero if it is unknown.
+	Running uint32
+	// Pace is how long work takes there now, as a factor of the usual time. Zero if it is
+	// unknown.
+	Pace float64
 }
 
 // Ticket represents one request in flight.
@@ -118,6 +124,10 @@
 	// since the group's origin.
 	othersAhead atomic.Uint64
 	reportedAt  atomic.Int64
+	// heardAt is the time of the last report, with an answer to a request or without, in
+	// nanoseconds since the group's origin.
+	heardAt atomic.Int64
+	pace    pace
 
 	// failureRatio is the moving average of requests that were refused or failed, as
 	// float64 bits. outcomeAt is the time of the last outcome, in nanoseconds since the
@@ -262,7 +272,10 @@
 
 // ExpectedLatency returns the time that the target needs to answer one more request:
 //
-//	service × (1 + (own requests in flight + queued requests of other daemons) / slots)
+//	service × pace × (1 + (own requests in flight + requests of other daemons) / slots)
+//
+// The pace and the requests of other daemons are what the target has reported. They count
+// the less the older the report is.
 //
 // A suspected target gets a penalty and the time for which it has been silent on top.
 // If no request is in flight and the last report is older than staleAfter, the
@@ -274,6 +287,7 @@
 	if e.inFlight.Load() <= 0 && at-time.Duration(e.reportedAt.Load()) >= staleAfter {
 		service = min(service, float64(e.prior))
 	}
+	service *= e.pace.factor(at)
 	latency := time.Duration(service * (1 + e.ahead(at)/e.slots))
 	if e.Suspected() {
 		latency += suspectPenalty + e.silentFor()
@@ -362,7 +376,7 @@
 // a weight that falls to zero at the age reportLife.
 func (e *Estimator) ahead(at time.Duration) float64 {
 	own := float64(max(e.inFlight.Load(), 0))
-	age := at - time.Duration(e.reportedAt.Load())
+	age := at - time.Duration(e.heardAt.Load())
 	if age >= reportLife {
 		return own
 	}
@@ -370,14 +384,12 @@
 	return own + weight*math.Float64frombits(e.othersAhead.Load())
 }
 
-// recordQueue derives the requests of other daemons from the reported queue length.
+// recordQueue derives the requests of other daemons from the report with an answer. The
+// answered request is not in flight any more, but may still count as running.
 func (e *Estimator) recordQueue(at time.Duration, r Report) {
-	others := 0.0
-	if r.Queue > 0 {
-		others = max(0, float64(r.Queue)+e.slots-float64(e.inFlight.Load()))
-	}
-	e.othersAhead.Store(math.Float64bits(others))
 	e.reportedAt.Store(int64(at))
+	r.Running = max(r.Running, 1) - 1
+	e.recordLoad(at, r)
 }
 
 // recordLatency records the latency of an answer and its service time. The service
@@ -439,5 +451,6 @@
 	e.p50.Store(int64(e.prior))
 	e.p95.Store(int64(2 * e.prior))
 	e.othersAhead.Store(0)
+	e.pace.reset()
 	e.failureRatio.Store(0)
 }
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -205,13 +205,15 @@
 	case err == nil && answer.Status >= 500:
 		est.Fail(now)
 	case err == nil:
-		est.Answer(now, a.ticket, estimator.Report{Incarnation: 1})
+		report, _ := j.report(target, answer, j.request.ID)
+		est.Answer(now, a.ticket, report)
 		j.route.Latencies().Add(now.Sub(latencyOrigin), now.Sub(begin), est.Service())
 	case errors.Is(err, httpsender.ErrWrongTarget):
 		target.MarkReplaced()
 		est.Fail(now)
 	case errors.Is(err, httpsender.ErrNotExecuted):
-		est.Shed(now, estimator.Report{Incarnation: 1})
+		report, _ := j.report(target, answer, j.request.ID)
+		est.Shed(now, report)
 	case errors.Is(err, httpsender.ErrBusy), errors.Is(err, httpsender.ErrNotAdmitted), errors.Is(err, context.Canceled), ctx.Err() != nil:
 		est.Drop()
 	default:
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -34,6 +34,8 @@
 	Signature string
 	// Announcements names the headers in which targets announce something of themselves.
 	Announcements withholder.Headers
+	// LoadHeader is the header in which targets tell their load, or empty.
+	LoadHeader string
 	// InstanceHeader is the header with the id of the target that sends an answer.
 	InstanceHeader string
 	// RemotePenalty is added to the expected latency of a target in a remote data centre.
--- a/entryd/pkg/scatterer/withhold.go
+++ b/entryd/pkg/scatterer/withhold.go
@@ -39,19 +39,25 @@
 	return a.Pause > 0
 }
 
-// RecordProbe records what the answer of a target to a probe announces. Without an announcement
-// it says nothing, since targets need not announce limits in such answers.
+// RecordProbe records what the answer of a target to a probe announces, and its load. Without
+// an announcement it says nothing, since targets need not announce limits in such answers.
 func (s *Scatterer) RecordProbe(target *cataloger.Target, answer *httpsender.Answer) {
 	now := s.Clock.Now()
+	source := "probe of " + target.ID()
+	id := answer.Header.Get(s.InstanceHeader)
+	own := id == "" || id == target.ID()
+	if own {
+		s.recordProbedLoad(now, target, answer, source)
+	}
 	a, err := withholder.ParseAnnouncement(now, answer.Status, answer.Header, s.Announcements)
 	if a == (withholder.Announcement{}) && err == nil {
 		return
 	}
 	p := target.Process()
-	if id := answer.Header.Get(s.InstanceHeader); id != "" && id != target.ID() {
+	if !own {
 		p = s.Catalogs.Catalog().Process(id)
 	}
-	s.Catalogs.Withholder().Record(now, p, a, err, "probe of "+target.ID())
+	s.Catalogs.Withholder().Record(now, p, a, err, source)
 }
 
 // leavingTargets returns the targets of the request's pools that have announced that
--- a/entryd/pkg/withholder/table.go
+++ b/entryd/pkg/withholder/table.go
@@ -129,7 +129,7 @@
 	state := t.find(now, p).state
 	t.mu.Unlock()
 	if err != nil {
-		t.recordInvalid(p, state, err, request)
+		t.RecordInvalid(p, state, err, request)
 	}
 	if a.Leaving {
 		t.recordLeaving(p, state, "answer", request)
@@ -153,8 +153,9 @@
 	}
 }
 
-// recordInvalid counts an invalid announcement and logs the first one of each process.
-func (t *Table) recordInvalid(p Process, state *State, err error, request string) {
+// RecordInvalid counts an invalid announcement, which need not be one of this package, and
+// logs the first one of each process.
+func (t *Table) RecordInvalid(p Process, state *State, err error, request string) {
 	t.invalid.Add(1)
 	if state.invalid.Swap(true) {
 		return
