Targets that warm up: a cold target gets no more than its rate from all daemons

Cause: nothing read the rates and warm-ups of the platform's pools, or what the entries and answers of targets say of them. Change: a target is cold by its start during traffic, by its entry and by its own answers. While it is and its pool states a rate, each daemon keeps to a share of it, with the buckets and positions of limits (sharer) and the same ways to pass over a target, sample requests and refuse. The place of a daemon for cold targets is stricter than for limits: it counts daemons that do not answer, waits before it uses a better place, and has none where it sees fewer than half of the fleet, or after a start without most seeds.

--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -32,6 +32,10 @@
 
 	estimator *estimator.Estimator
 	client    *httpsender.Client
+	// startedUntil is the end of the warm-up that began when the process started, and
+	// storedUntil is until when the configuration's word counts that the target is cold. They
+	// are zero if there is none. Only the Cataloger uses them.
+	startedUntil, storedUntil time.Time
 	// state is what the process has announced in its answers.
 	state *withholder.State
 	// replaced is true once another process has answered at the address.
@@ -107,9 +111,13 @@
 	connections int
 	// probePath is the path at which targets answer whether they are healthy, or empty.
 	probePath string
-	replicas  []*Replica
-	budget    *Budget
-	sampler   *withholder.Sampler
+	// warmup is the time for which a target is cold after its start. pace is the number of
+	// requests a second that a cold target takes from all daemons, or zero if none is stated.
+	warmup   time.Duration
+	pace     float64
+	replicas []*Replica
+	budget   *Budget
+	sampler  *withholder.Sampler
 	// routed is true if a route refers to the pool.
 	routed bool
 }
@@ -132,13 +140,13 @@
 type Withholding struct {
 	// Until is when the first of them may get requests again.
 	Until time.Time
-	// Limited is true if one of them has used up its limit. The others have asked for a
-	// pause that is not over.
+	// Limited is true if one of them has used up its limit, or its rate while it is cold. The
+	// others have asked for a pause that is not over.
 	Limited bool
 }
 
 // Withheld returns whether all targets of the pool that could serve are paused or have
-// used up their limits.
+// used up their limits or rates.
 func (p *Pool) Withheld(now time.Time) Withholding {
 	var out Withholding
 	for _, r := range p.replicas {
@@ -162,7 +170,7 @@
 }
 
 // Sample reports whether a request that goes to many pools should be sent to this one. If all
-// targets that could serve it have named limits, only so many requests are as these allow. It
+// targets that could serve it have named limits or are cold, only so many requests are as these allow. It
 // must be called once for each request.
 func (p *Pool) Sample(now time.Time, id string) bool {
 	rate, limited := p.limitedRate(now)
@@ -176,8 +184,8 @@
 		if r.Unavailable(now) || r.Vanished() {
 			continue
 		}
-		limit, share := r.state.Limit()
-		if limit == 0 {
+		share, hasShare := r.state.Rate(now)
+		if !hasShare {
 			return 0, false
 		}
 		rate, limited = rate+share, true
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -37,6 +37,8 @@
 	Headers *httpsender.Headers
 	// ExtraLimit bounds the extra requests of the fleet to each pool.
 	ExtraLimit ExtraLimit
+	// Tolerance is what the rates of cold targets tolerate.
+	Tolerance withholder.Tolerance
 }
 
 // processKey identifies a process of a target.
@@ -64,6 +66,8 @@
 	daemons  int
 	members  memberHolder
 	owners   *assigner.Owners
+	known    []string
+	seater   seater
 }
 
 // New returns a Cataloger with an empty catalog.
@@ -96,6 +100,7 @@
 	defer c.mu.Unlock()
 	c.daemons, c.owners = max(len(live), 1), owners
 	c.members.setLive(c.options.Clock.Now(), self, live)
+	c.seat(self, c.daemons)
 	for name, b := range c.budgets {
 		b.setPosition(c.options.ExtraLimit, c.fleetPosition(name))
 	}
@@ -188,6 +193,8 @@
 		name:        p.GetName(),
 		connections: int(p.GetConnections()),
 		probePath:   p.GetProbe(),
+		warmup:      p.GetWarmup().AsDuration(),
+		pace:        max(p.GetPace(), 0),
 		budget:      c.budget(p.GetName()),
 		sampler:     c.sampler(p.GetName()),
 	}
@@ -268,18 +275,23 @@
 			}),
 			client: httpsender.NewClient(t.GetAddress(), c.options.Headers, c.options.Dial, c.options.Clock),
 		}
-		known.state = c.withholder.Use(c.options.Clock.Now(), known.Process())
+		now := c.options.Clock.Now()
+		known.state = c.withholder.Use(now, known.Process())
+		known.startedUntil = c.startedUntil(now, t, p.warmup)
 		c.targets[k] = known
 	}
+	known.setStored(c.options.Clock.Now(), t.GetCold(), p.warmup)
 	c.divideTarget(known, p)
 	return known
 }
 
-// divideTarget sets this daemon's part of the connections and of the limit of a target of a
-// pool.
+// divideTarget sets this daemon's part of the connections, of the limit and of the rate of a
+// target of a pool.
 func (c *Cataloger) divideTarget(t *Target, p *Pool) {
 	t.client.SetMaxConnections(min(max(c.maxConnections(p), 1), connectionsPerSlot*t.slots))
-	t.state.SetPosition(c.options.Clock.Now(), sharer.Position{
+	now := c.options.Clock.Now()
+	t.state.SetWarming(now, c.warming(now, t, p))
+	t.state.SetPosition(now, sharer.Position{
 		Target:  t.id,
 		Owned:   c.owners.HasOwners(p.name),
 		Rank:    c.owners.Rank(p.name),
@@ -356,6 +368,7 @@
 		if out.pools[name] == nil {
 			delete(c.budgets, name)
 			delete(c.samplers, name)
+			delete(c.seater.seats, name)
 		}
 	}
 }
@@ -366,7 +379,7 @@
 func (c *Cataloger) Sweep() {
 	now := c.options.Clock.Now()
 	c.mu.Lock()
-	if c.members.forget(now) {
+	if c.members.forget(now) || c.hasCold(now) {
 		c.divideTargets()
 	}
 	c.mu.Unlock()
--- a/entryd/pkg/withholder/announcement.go
+++ b/entryd/pkg/withholder/announcement.go
@@ -27,6 +27,9 @@
 	// Limit is the number of requests a second that the target takes from all daemons
 	// together. It is zero if the answer names none.
 	Limit float64
+	// Cold is the time for which the target stays cold, at most MaxPause. It is zero if the
+	// answer does not say that it is cold.
+	Cold time.Duration
 }
 
 // Headers names the headers in which targets announce what has no header of HTTP. An empty
@@ -36,6 +39,9 @@
 	Leaving string
 	// Limit is the header in which a process names its limit, a decimal number.
 	Limit string
+	// Cold is the header in which a process names the time for which it stays cold, a number
+	// of milliseconds.
+	Cold string
 }
 
 // ErrPauseTooLong reports a pause longer than MaxPause, which was shortened.
@@ -48,14 +54,27 @@
 	a := Announcement{
 		Leaving: names.Leaving != "" && header.Get(names.Leaving) == announces,
 	}
-	var limitErr, pauseErr error
+	var limitErr, coldErr, pauseErr error
 	if text := header.Get(names.Limit); names.Limit != "" && text != "" {
 		a.Limit, limitErr = parseLimit(text)
 	}
+	if text := header.Get(names.Cold); names.Cold != "" && text != "" {
+		a.Cold, coldErr = parseCold(names.Cold, text)
+	}
 	if text := header.Get(headerRetryAfter); status == http.StatusServiceUnavailable && text != "" {
 		a.Pause, pauseErr = parsePause(now, text)
 	}
-	return a, errors.Join(limitErr, pauseErr)
+	return a, errors.Join(limitErr, coldErr, pauseErr)
+}
+
+// parseCold returns the time for which a process stays cold by its header, at most MaxPause.
+func parseCold(name, text string) (time.Duration, error) {
+	ms, err := strconv.ParseFloat(text, 64)
+	// The comparison is false for what is not a number.
+	if err != nil || !(ms >= 0) {
+		return 0, fmt.Errorf("header %s: %q is not a number of milliseconds", name, text)
+	}
+	return time.Duration(min(ms, float64(MaxPause.Milliseconds())) * float64(time.Millisecond)), nil
 }
 
 // parsePause returns the pause that a Retry-After header asks for, at most MaxPause.
--- a/entryd/pkg/withholder/limit.go
+++ b/entryd/pkg/withholder/limit.go
@@ -73,7 +73,14 @@
 	if l.limit == 0 {
 		return now
 	}
-	if next, ok := l.bucket.Next(now); ok {
+	return nextToken(now, &l.bucket)
+}
+
+// nextToken returns the time at which a bucket has a token, or at which to look again if it
+// gets none.
+func nextToken(now time.Time, b *sharer.Bucket) time.Time {
+	b.Fill(now)
+	if next, ok := b.Next(now); ok {
 		return next
 	}
 	return now.Add(deniedRetry)
@@ -91,20 +98,43 @@
 }
 
 // LimitedUntil returns the time at which the daemon may send a request to the target within
-// its share of the target's limit. It returns the zero time if it may now.
+// its shares of the target's limit and of the rate of a cold target. It returns the zero time
+// if it may now.
 func (s *State) LimitedUntil(now time.Time) time.Time {
-	if !s.limited.Load() {
+	if !s.limited.Load() && !s.paced.Load() {
 		return time.Time{}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limiter.bucket.Fill(now)
-	if next := s.limiter.next(now); next.After(now) {
+	next := s.limiter.next(now)
+	if s.warm(now) {
+		if n := nextToken(now, &s.warmer.bucket); n.After(next) {
+			next = n
+		}
+	}
+	if next.After(now) {
 		return next
 	}
 	return time.Time{}
 }
 
+// Rate returns the rate in requests a second at which the daemon may send to the target, if
+// the target has named a limit or is cold.
+func (s *State) Rate(now time.Time) (rate float64, limited bool) {
+	if !s.limited.Load() && !s.paced.Load() {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limiter.limit > 0 {
+		rate, limited = s.limiter.bucket.Rate(), true
+	}
+	if s.warm(now) && (!limited || s.warmer.bucket.Rate() < rate) {
+		rate, limited = s.warmer.bucket.Rate(), true
+	}
+	return rate, limited
+}
+
 // SetPosition sets the daemon's place among those that send to the target.
 func (s *State) SetPosition(now time.Time, p sharer.Position) {
 	s.mu.Lock()
@@ -156,12 +186,18 @@
 	return true
 }
 
-// takeToken reports whether a request may be sent within the target's limit, and counts it.
-// s.mu is held.
+// takeToken reports whether a request may be sent within the target's limit and the rate of a
+// cold target, and counts it. s.mu is held.
 func (s *State) takeToken(now time.Time) bool {
-	l := &s.limiter
-	if l.limit == 0 {
-		return true
+	limited, paced := s.limiter.limit > 0, s.warm(now)
+	if limited {
+		s.limiter.bucket.Fill(now)
+		if s.limiter.bucket.Tokens() < 1 {
+			return false
+		}
+	}
+	if paced && !s.warmer.bucket.Take(now) {
+		return false
 	}
-	return l.bucket.Take(now)
+	return !limited || s.limiter.bucket.Take(now)
 }
--- a/entryd/pkg/withholder/table.go
+++ b/entryd/pkg/withholder/table.go
@@ -138,6 +138,9 @@
 		t.pauses.Add(1)
 		slog.Info("target asked for a pause", "target", p.ID, "until", until, "id", request)
 	}
+	if a.Cold > 0 {
+		state.announceCold(now, a.Cold)
+	}
 	if a.Limit > 0 && state.setLimit(now, a.Limit) {
 		t.limits.Add(1)
 		_, share := state.Limit()
@@ -227,15 +230,25 @@
 
 // Refresh must be called regularly with the processes that have announced that they are
 // leaving and that the configuration does not mark as draining. It publishes this and renews
-// the notices, so that daemons that start later know it too. It forgets processes that have
-// long left the configuration.
+// the notices, so that daemons that start later know it too. It logs which targets have turned
+// cold or warm, and forgets processes that have long left the configuration.
 func (t *Table) Refresh(now time.Time, leaving []Process) {
 	for _, n := range t.dueNotices(now, leaving) {
 		t.publish(n)
 	}
+	t.logWarming(now)
 	t.forget(now)
 }
 
+// logWarming logs which targets have turned cold or warm.
+func (t *Table) logWarming(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for p, e := range t.entries {
+		e.state.logWarming(now, p)
+	}
+}
+
 // dueNotices returns the notices to publish.
 func (t *Table) dueNotices(now time.Time, leaving []Process) []*peer.Leaving {
 	t.mu.Lock()
@@ -300,9 +313,38 @@
 	// Limit is the limit that it names, or zero, and Share this daemon's part of it, in
 	// requests a second.
 	Limit, Share float64
+	// Cold is the end of its warm-up, or zero, and Source who says so. Pace is the rate that it
+	// takes until then from all daemons, or zero if none is stated, and PaceShare this daemon's
+	// part of it, in requests a second.
+	Cold            time.Time
+	Source          string
+	Pace, PaceShare float64
+}
+
+// CountRestricted returns the number of processes that get no requests, or only so many.
+func (t *Table) CountRestricted(now time.Time) int {
+	n := 0
+	for _, w := range t.List(now) {
+		if w.Leaving || !w.Until.IsZero() || w.Limit > 0 || w.Pace > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// CountCold returns the number of processes that are cold.
+func (t *Table) CountCold(now time.Time) int {
+	n := 0
+	for _, w := range t.List(now) {
+		if !w.Cold.IsZero() {
+			n++
+		}
+	}
+	return n
 }
 
-// List returns the processes that get no requests or have named a limit, sorted by id.
+// List returns the processes that get no requests, have named a limit or are cold, sorted by
+// id.
 func (t *Table) List(now time.Time) []Withheld {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -314,7 +356,9 @@
 			Until:   e.state.PausedUntil(now),
 		}
 		w.Limit, w.Share = e.state.Limit()
-		if w.Leaving || !w.Until.IsZero() || w.Limit > 0 {
+		w.Cold, w.Source = e.state.ColdUntil(now)
+		w.Pace, w.PaceShare = e.state.Pace(now)
+		if w.Leaving || !w.Until.IsZero() || w.Limit > 0 || !w.Cold.IsZero() {
 			out = append(out, w)
 		}
 	}
--- a/entryd/pkg/withholder/withholder.go
+++ b/entryd/pkg/withholder/withholder.go
@@ -52,6 +52,10 @@
 	limited  atomic.Bool
 	limiter  limiter
 	position sharer.Position
+	// paced is true while the target may be cold and its pool states a rate. warmer is
+	// guarded by mu.
+	paced  atomic.Bool
+	warmer warmer
 }
 
 // Leaving reports whether the process has announced that it is leaving.
