--- a/entryd/pkg/scatterer/withhold.go
+++ b/entryd/pkg/scatterer/withhold.go
@@ -39,19 +39,25 @@
 	return a.Pause > 0
 }
 
-// RecordProbe records what the answer of a target to a probe announces. Without an announcement
-// it says nothing, since targets need not announce limits in such answers.
+// RecordProbe records what the answer of a target to a probe announces, and its load. Without
+// an announcement it says nothing, since targets need not announce limits in such answers.
 func (s *Scatterer) RecordProbe(target *cataloger.Target, answer *httpsender.Answer) {
 	now := s.Clock.Now()
+	source := "probe of " + target.ID()
+	id := answer.Header.Get(s.InstanceHeader)
+	own := id == "" || id == target.ID()
+	if own {
+		s.recordProbedLoad(now, target, answer, source)
+	}
 	a, err := withholder.ParseAnnouncement(now, answer.Status, answer.Header, s.Announcements)
 	if a == (withholder.Announcement{}) && err == nil {
 		return
 	}
 	p := target.Process()
-	if id := answer.Header.Get(s.InstanceHeader); id != "" && id != target.ID() {
+	if !own {
 		p = s.Catalogs.Catalog().Process(id)
 	}
-	s.Catalogs.Withholder().Record(now, p, a, err, "probe of "+target.ID())
+	s.Catalogs.Withholder().Record(now, p, a, err, source)
 }
 
 // leavingTargets returns the targets of the request's pools that have announced that
@@ -121,7 +127,8 @@
 }
 
 // reason returns the reason why a unit is not covered. If there was no target to send it
-// to, the reason says whether that is because of the targets' own announcements.
+// to, the reason says whether that is because of the targets' own announcements or of an
+// evacuation.
 func (j *job) reason(unit int, now time.Time) peer.Reason {
 	reason := j.query.Reason(unit)
 	if reason != peer.Reason_REASON_UNREACHABLE {
@@ -143,16 +150,19 @@
 
 // withheldReason returns the reason why no target of a pool gets a request.
 func withheldReason(w cataloger.Withholding) peer.Reason {
-	if w.Limited {
+	switch {
+	case w.Evacuated:
+		return peer.Reason_REASON_EVACUATED
+	case w.Limited:
 		return peer.Reason_REASON_LIMITED
 	}
 	return peer.Reason_REASON_PAUSED
 }
 
 // isWithheld reports whether a reason says that no target of a pool gets a request because
-// of what the targets have announced.
+// of what the targets have announced or because they are evacuated.
 func isWithheld(r peer.Reason) bool {
-	return r == peer.Reason_REASON_PAUSED || r == peer.Reason_REASON_LIMITED
+	return r == peer.Reason_REASON_PAUSED || r == peer.Reason_REASON_LIMITED || r == peer.Reason_REASON_EVACUATED
 }
 
 // lack returns the entry of a reply for a unit without an answer.
