A request larger than a queue's bound waits if nothing else does

Cause: the bound in bytes turned a large body away from an empty queue, so that it was never served while all connections were in use. Test: TestQueueTakesLargeRequest, red before.

--- a/entryd/pkg/valuer/queue.go
+++ b/entryd/pkg/valuer/queue.go
@@ -40,7 +40,7 @@
 // value is empty and has no bounds. It is not safe for concurrent use.
 type Queue[T any] struct {
 	// MaxLen and MaxBytes bound the number and the size of the requests. Zero means no
-	// bound.
+	// bound. A request that waits alone may be larger than MaxBytes.
 	MaxLen, MaxBytes int
 
 	waiting []*Waiter[T]
@@ -96,7 +96,7 @@
 func (q *Queue[T]) victims(o Offer) (victims []*Waiter[T], ok bool) {
 	n, bytes := len(q.waiting)+1, q.bytes+o.Bytes
 	fits := func() bool {
-		return (q.MaxLen <= 0 || n <= q.MaxLen) && (q.MaxBytes <= 0 || bytes <= q.MaxBytes)
+		return (q.MaxLen <= 0 || n <= q.MaxLen) && (q.MaxBytes <= 0 || bytes <= q.MaxBytes || n == 1)
 	}
 	if fits() {
 		return nil, true
