--- a/prover/pkg/deployer/builder.go
+++ b/prover/pkg/deployer/builder.go
@@ -65,6 +65,28 @@
 	return program, runCommand(ctx, root, "go", "build", "-o", program, "./platform/cmd/frontd")
 }
 
+// BuildEarlierFrontd builds the platform's daemon of a commit of the repository's history into
+// a directory and returns the path of the program.
+func BuildEarlierFrontd(ctx context.Context, directory, commit string) (string, error) {
+	root, err := workspaceRoot(ctx)
+	if err != nil {
+		return "", err
+	}
+	sources := filepath.Join(directory, "sources")
+	if err := os.MkdirAll(sources, directoryMode); err != nil {
+		return "", eris.Wrap(err, "create directory for the sources")
+	}
+	archive := filepath.Join(directory, "sources.tar")
+	if err := runCommand(ctx, root, "git", "archive", "--output", archive, commit); err != nil {
+		return "", err
+	}
+	if err := runCommand(ctx, sources, "tar", "xf", archive); err != nil {
+		return "", err
+	}
+	program := filepath.Join(directory, "frontd")
+	return program, runCommand(ctx, sources, "go", "build", "-o", program, "./platform/cmd/frontd")
+}
+
 // Mutate builds an entryd that contains the faults into a directory and returns
 // the programs with its path. The source files are not changed: the build uses
 // an overlay.
--- a/prover/pkg/soaker/crash_test.go
+++ b/prover/pkg/soaker/crash_test.go
@@ -181,7 +181,7 @@
 		ended: make(chan struct{}),
 	}
 	var err error
-	if s.fleet, err = newFleet(program, s.options.Directory, daemons, replicas); err != nil {
+	if s.fleet, err = newFleet(program, "", s.options.Directory, daemons, replicas); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.fleet.close)
--- a/prover/pkg/soaker/cut_test.go
+++ b/prover/pkg/soaker/cut_test.go
@@ -19,7 +19,7 @@
 		detectionTime = 1500 * time.Millisecond
 		partitionTime = 4 * time.Second
 	)
-	f, err := newFleet(buildDaemon(t), t.TempDir(), daemons, len(dataCentres))
+	f, err := newFleet(buildDaemon(t), "", t.TempDir(), daemons, len(dataCentres))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/prover/pkg/soaker/fleet.go
+++ b/prover/pkg/soaker/fleet.go
@@ -56,7 +56,9 @@
 // fleet holds the daemons, the simulated platform behind them, and the relay
 // whose links connect them.
 type fleet struct {
-	program      string
+	program string
+	// earlier is the program of the first process of each daemon, if it is set.
+	earlier      string
 	directory    string
 	platform     *platformsimulator.Platform
 	relay        *relayer.Relayer
@@ -97,9 +99,10 @@
 
 // newFleet starts a simulated platform with the given number of replicas of
 // each shard, the links and n daemons.
-func newFleet(program, directory string, n, replicas int) (*fleet, error) {
+func newFleet(program, earlier, directory string, n, replicas int) (*fleet, error) {
 	f := &fleet{
 		program:   program,
+		earlier:   earlier,
 		directory: directory,
 		relay:     relayer.New(nil),
 		rules:     make(map[int][]relayer.Rule),
@@ -227,8 +230,12 @@
 
 // startDaemon starts a process of the daemon.
 func (f *fleet) startDaemon(d *daemon) error {
+	program := f.program
+	if f.earlier != "" && d.incarnation.Load() == 0 {
+		program = f.earlier
+	}
 	log := filepath.Join(f.directory, fmt.Sprintf("front-%d.log", d.number))
-	p, err := deployer.Start(fmt.Sprintf("front-%d", d.number), log, f.program, "--settings", f.settingsFile(d))
+	p, err := deployer.Start(fmt.Sprintf("front-%d", d.number), log, program, "--settings", f.settingsFile(d))
 	if err != nil {
 		return err
 	}
--- a/prover/pkg/soaker/isolation_test.go
+++ b/prover/pkg/soaker/isolation_test.go
@@ -166,7 +166,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			f, err := newFleet(program, t.TempDir(), daemons, replicas)
+			f, err := newFleet(program, "", t.TempDir(), daemons, replicas)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -41,6 +41,9 @@
 type Options struct {
 	// Program is the path of the platform's daemon.
 	Program string
+	// Earlier is the path of an earlier build, which all daemons run until they are replaced
+	// one after the other. Empty means that all run Program from the start.
+	Earlier string
 	// Directory receives the settings files and logs of the daemons.
 	Directory string
 	Daemons   int
@@ -91,7 +94,7 @@
 		options: o,
 		ended:   make(chan struct{}),
 	}
-	if s.fleet, err = newFleet(o.Program, o.Directory, o.Daemons, replicas); err != nil {
+	if s.fleet, err = newFleet(o.Program, o.Earlier, o.Directory, o.Daemons, replicas); err != nil {
 		return nil, nil, err
 	}
 	defer s.fleet.close()
@@ -147,6 +150,9 @@
 	kinds := cmp.Or(s.options.Kinds, len(disruptions))
 	begin := time.Now()
 	var wg sync.WaitGroup
+	if s.options.Earlier != "" {
+		wg.Go(s.replaceEarlier)
+	}
 	for time.Since(begin) < s.options.Duration {
 		time.Sleep(time.Duration(r.ExpFloat64() * float64(s.options.MeanGap)))
 		kind := disruptions[r.IntN(kinds)]
--- a/prover/pkg/soaker/soak_test.go
+++ b/prover/pkg/soaker/soak_test.go
@@ -47,25 +47,28 @@
 // runSeed does one run with a seed and reports its findings as errors.
 func runSeed(t *testing.T, program string, seed uint64, kinds int, length time.Duration) {
 	t.Helper()
-	directory := t.TempDir()
-	findings, events, err := Run(Options{
-		Program:   program,
-		Directory: directory,
-		Daemons:   *daemonCount,
-		Seed:      seed,
-		Kinds:     kinds,
-		Duration:  length,
-		MeanGap:   meanDisruptionGap,
+	runOptions(t, Options{
+		Program:  program,
+		Seed:     seed,
+		Kinds:    kinds,
+		Duration: length,
 	})
+}
+
+// runOptions does one run and reports its findings as errors.
+func runOptions(t *testing.T, o Options) {
+	t.Helper()
+	o.Directory, o.Daemons, o.MeanGap = t.TempDir(), *daemonCount, meanDisruptionGap
+	findings, events, err := Run(o)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, f := range findings {
-		t.Errorf("seed %d: %s", seed, f)
+		t.Errorf("seed %d: %s", o.Seed, f)
 	}
-	t.Logf("seed %d:\n%s", seed, strings.Join(events, "\n"))
+	t.Logf("seed %d:\n%s", o.Seed, strings.Join(events, "\n"))
 	if len(findings) > 0 {
-		saveLogs(t, directory, seed)
+		saveLogs(t, o.Directory, o.Seed)
 	}
 }
 
