--- a/tier/pkg/checker/checker_test.go
+++ b/tier/pkg/checker/checker_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"plantaincleat/tier/gen/config"
@@ -72,6 +73,19 @@
 	}
 }
 
+// TestConfigRefusesPlainLimits guards against a burst or a rank that has no effect.
+func TestConfigRefusesPlainLimits(t *testing.T) {
+	for _, in := range []*config.Institution{{Burst: 1}, {Rank: proto.Uint32(0)}} {
+		in.Name, in.Rate, in.Concurrency = "library", 1, 1
+		problems := Config(&config.Config{
+			Institutions: []*config.Institution{in},
+		})
+		if len(problems) != 1 || problems[0].Field != "institutions[0]" {
+			t.Errorf("problems %v of %v, want one", problems, in)
+		}
+	}
+}
+
 // TestKeyRanges compares the result of the check on random ranges with a search
 // for each key of a small key space.
 func TestKeyRanges(t *testing.T) {
--- a/tier/pkg/checker/config.go
+++ b/tier/pkg/checker/config.go
@@ -178,6 +178,9 @@
 		if institution.GetConcurrency() == 0 {
 			r.add(field+".concurrency", "is not positive")
 		}
+		if institution.GetBurst() != 0 || institution.Rank != nil {
+			r.add(field, "can not have a burst or a rank here; they apply to plain requests only")
+		}
 		r.checkClasses(field, institution.GetClasses())
 	}
 }
