--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -61,6 +61,7 @@
 	{name: "store copy", run: (*Soak).returnStoreFromCopy},
 	{name: "limits", run: (*Soak).nameLimits},
 	{name: "isolation", run: (*Soak).isolateDaemons},
+	{name: "key rotation", run: (*Soak).rotateKey},
 }
 
 func (s *Soak) randomDaemon(r *rand.Rand) *daemon {
@@ -296,7 +297,7 @@
 	time.Sleep(duration)
 	s.updateConfig(func(d *platformsimulator.Config) {
 		for i, r := range d.Routes {
-			if r.Prefix == routeAll {
+			if len(r.Shards) > 0 {
 				d.Routes[i].Shards = names
 			}
 		}
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -81,6 +81,7 @@
 	// leavingTargets counts the targets that announce that they are leaving. It is guarded
 	// by mu.
 	leavingTargets int
+	keys           keys
 }
 
 // Run does one run. It returns the checks that failed and the events of the
@@ -98,10 +99,12 @@
 	if !s.waitUntilReady(time.Now()) {
 		s.ledger.addFinding("not every daemon became ready after the start")
 	}
-	s.acceptChange()
+	s.addInstitutions()
 	s.startCallers()
+	s.startKeyedCaller()
 	s.disrupt()
 	if s.checkRecovery() {
+		s.checkKeysSettled()
 		s.checkDrainAndStop()
 	}
 	close(s.ended)
@@ -110,6 +113,7 @@
 	s.checkCrashSenders()
 	s.checkAnnouncements()
 	s.checkLimits()
+	s.checkIdentities()
 	s.events = append(s.events, s.ledger.summary())
 	return s.ledger.findings, s.events, nil
 }
@@ -178,6 +182,7 @@
 			TargetLatencyMillis: 300,
 			MaxAttempts:         maxExecutions,
 			Service:             "single",
+			AuthExempt:          true,
 		})
 	})
 	if err != nil {
