--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -12,6 +12,7 @@
 	"plantaincleat/entryd/pkg/authenticator"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
+	"plantaincleat/entryd/pkg/sharer"
 	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/config"
 )
@@ -37,6 +38,8 @@
 	Headers *httpsender.Headers
 	// ExtraLimit bounds the extra requests of the fleet to each pool.
 	ExtraLimit ExtraLimit
+	// Tolerance is what the rates of cold targets tolerate.
+	Tolerance withholder.Tolerance
 }
 
 // processKey identifies a process of a target.
@@ -63,7 +66,12 @@
 	accepted *config.Accepted
 	daemons  int
 	members  memberHolder
-	owners   *assigner.Owners
+	// evacuatedSince holds when this daemon has heard of each evacuation in force, by data
+	// centre.
+	evacuatedSince map[string]time.Time
+	owners         *assigner.Owners
+	known          []string
+	seater         seater
 }
 
 // New returns a Cataloger with an empty catalog.
@@ -96,6 +104,7 @@
 	defer c.mu.Unlock()
 	c.daemons, c.owners = max(len(live), 1), owners
 	c.members.setLive(c.options.Clock.Now(), self, live)
+	c.seat(self, c.daemons)
 	for name, b := range c.budgets {
 		b.setPosition(c.options.ExtraLimit, c.fleetPosition(name))
 	}
@@ -122,7 +131,9 @@
 	}
 	c.recordVanished(accepted)
 	c.accepted = accepted
+	before := c.Catalog()
 	c.build()
+	c.logEvacuations(before)
 }
 
 // recordVanished records the targets that are missing from a new configuration and
@@ -180,6 +191,7 @@
 		out.hosts[r.GetHost()] = append(out.hosts[r.GetHost()], one)
 	}
 	out.sortRoutes()
+	c.evacuate(out, cfg.GetPolicy().GetEvacuations())
 	c.current.Store(out)
 	c.dropUnused(out)
 }
@@ -189,6 +201,8 @@
 		name:        p.GetName(),
 		connections: int(p.GetConnections()),
 		probePath:   p.GetProbe(),
+		warmup:      p.GetWarmup().AsDuration(),
+		pace:        max(p.GetPace(), 0),
 		budget:      c.budget(p.GetName()),
 		sampler:     c.sampler(p.GetName()),
 	}
@@ -269,18 +283,23 @@
 			}),
 			client: httpsender.NewClient(t.GetAddress(), c.options.Headers, c.options.Dial, c.options.Clock),
 		}
-		known.state = c.withholder.Use(c.options.Clock.Now(), known.Process())
+		now := c.options.Clock.Now()
+		known.state = c.withholder.Use(now, known.Process())
+		known.startedUntil = c.startedUntil(now, t, p.warmup)
 		c.targets[k] = known
 	}
+	known.setStored(c.options.Clock.Now(), t.GetCold(), p.warmup)
 	c.divideTarget(known, p)
 	return known
 }
 
-// divideTarget sets this daemon's part of the connections and of the limit of a target of a
-// pool.
+// divideTarget sets this daemon's part of the connections, of the limit and of the rate of a
+// target of a pool.
 func (c *Cataloger) divideTarget(t *Target, p *Pool) {
 	t.client.SetMaxConnections(min(max(c.maxConnections(p), 1), connectionsPerSlot*t.slots))
-	t.state.SetPosition(c.options.Clock.Now(), withholder.Position{
+	now := c.options.Clock.Now()
+	t.state.SetWarming(now, c.warming(now, t, p))
+	t.state.SetPosition(now, sharer.Position{
 		Target:  t.id,
 		Owned:   c.owners.HasOwners(p.name),
 		Rank:    c.owners.Rank(p.name),
@@ -357,6 +376,7 @@
 		if out.pools[name] == nil {
 			delete(c.budgets, name)
 			delete(c.samplers, name)
+			delete(c.seater.seats, name)
 		}
 	}
 }
@@ -367,7 +387,7 @@
 func (c *Cataloger) Sweep() {
 	now := c.options.Clock.Now()
 	c.mu.Lock()
-	if c.members.forget(now) {
+	if c.members.forget(now) || c.hasCold(now) {
 		c.divideTargets()
 	}
 	c.mu.Unlock()
--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -61,6 +61,7 @@
 	{name: "store copy", run: (*Soak).returnStoreFromCopy},
 	{name: "limits", run: (*Soak).nameLimits},
 	{name: "isolation", run: (*Soak).isolateDaemons},
+	{name: "evacuate", run: (*Soak).evacuate},
 	{name: "key rotation", run: (*Soak).rotateKey},
 }
 
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -81,6 +81,7 @@
 	// leavingTargets counts the targets that announce that they are leaving. It is guarded
 	// by mu.
 	leavingTargets int
+	evacuations    evacuations
 	keys           keys
 }
 
@@ -104,6 +105,7 @@
 	s.startKeyedCaller()
 	s.disrupt()
 	if s.checkRecovery() {
+		s.checkEvacuation()
 		s.checkKeysSettled()
 		s.checkDrainAndStop()
 	}
@@ -113,6 +115,7 @@
 	s.checkCrashSenders()
 	s.checkAnnouncements()
 	s.checkLimits()
+	s.checkEvacuations()
 	s.checkIdentities()
 	s.events = append(s.events, s.ledger.summary())
 	return s.ledger.findings, s.events, nil
