--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -85,6 +85,7 @@
 	// by mu.
 	leavingTargets int
 	evacuations    evacuations
+	keys           keys
 }
 
 // Run does one run. It returns the checks that failed and the events of the
@@ -102,11 +103,13 @@
 	if !s.waitUntilReady(time.Now()) {
 		s.ledger.addFinding("not every daemon became ready after the start")
 	}
-	s.acceptChange()
+	s.addInstitutions()
 	s.startCallers()
+	s.startKeyedCaller()
 	s.disrupt()
 	if s.checkRecovery() {
 		s.checkEvacuation()
+		s.checkKeysSettled()
 		s.checkDrainAndStop()
 	}
 	close(s.ended)
@@ -116,6 +119,7 @@
 	s.checkAnnouncements()
 	s.checkLimits()
 	s.checkEvacuations()
+	s.checkIdentities()
 	s.events = append(s.events, s.ledger.summary())
 	return s.ledger.findings, s.events, nil
 }
@@ -187,6 +191,7 @@
 			TargetLatencyMillis: 300,
 			MaxAttempts:         maxExecutions,
 			Service:             "single",
+			AuthExempt:          true,
 		})
 	})
 	if err != nil {
