--- a/entryd/pkg/lender/lender.go
+++ b/entryd/pkg/lender/lender.go
@@ -276,7 +276,10 @@
 		case left > 0:
 			left--
 			a.verdict = sharer.Admitted
-		case err == nil:
+		case r.stock.Use(now, institution):
+			// The tokens of a late answer have come while others were asked.
+			a.verdict = sharer.Admitted
+		case err == nil && g.Role == sharer.LenderRole:
 			a.verdict = sharer.Refused
 			a.wait = g.Wait
 		}
--- a/entryd/pkg/sharer/fleet.go
+++ b/entryd/pkg/sharer/fleet.go
@@ -10,13 +10,11 @@
 
 const (
 	// standbysPerDataCentre is the number of daemons of a data centre that stand in for a
-	// lender that does not answer.
-	standbysPerDataCentre = 2
+	// lender that does not answer. Two would have reserves of less than a token.
+	standbysPerDataCentre = 1
 	// restartStep is the least difference of the incarnations of two processes of a daemon, in
 	// milliseconds. A process raises its incarnation by small steps.
 	restartStep = 500
-	// defaultWindow is the window of a Quota without one.
-	defaultWindow = 5 * time.Second
 	// settleTime is the time within which all daemons have heard of one that has joined. It is
 	// added to the window before a daemon takes itself for one that lends, and before the
 	// part of the rate grows.
@@ -77,13 +75,10 @@
 		self:       self,
 		dataCentre: dataCentre,
 		least:      least,
-		window:     q.Window,
+		window:     q.window(),
 		started:    now,
 		known:      make(map[string]*knownDaemon),
 	}
-	if f.window <= 0 {
-		f.window = defaultWindow
-	}
 	f.Observe(now, nil)
 	return f
 }
--- a/entryd/pkg/sharer/lender.go
+++ b/entryd/pkg/sharer/lender.go
@@ -117,7 +117,7 @@
 		a.spares = Bucket{}
 		return
 	}
-	rate := limit.Rate
+	rate := part.rate
 	a.starting = l.view.young || now.Sub(a.since) < startTime
 	if a.starting {
 		rate = part.startRate
--- a/entryd/pkg/sharer/stock.go
+++ b/entryd/pkg/sharer/stock.go
@@ -95,10 +95,8 @@
 	}
 	a := s.account(institution)
 	a.demand.Add(now)
-	a.expire(now)
 	switch {
-	case a.spares > 0:
-		a.spares--
+	case s.Use(now, institution):
 		return Admitted
 	case now.Before(a.empty):
 		return Refused
@@ -106,6 +104,17 @@
 	return Pending
 }
 
+// Use spends a token in hand and reports whether there was one.
+func (s *Stock) Use(now time.Time, institution string) bool {
+	a := s.account(institution)
+	a.expire(now)
+	if a.spares == 0 {
+		return false
+	}
+	a.spares--
+	return true
+}
+
 // Ask returns what to ask a lender for, for a number of requests that wait.
 func (s *Stock) Ask(now time.Time, institution string, wanted int) Ask {
 	a := s.account(institution)
@@ -123,6 +132,9 @@
 
 // NeedsSpares reports whether tokens should be borrowed in the background.
 func (s *Stock) NeedsSpares(now time.Time, institution string) bool {
+	if s.limits[institution].Rate <= 0 {
+		return false
+	}
 	a := s.account(institution)
 	return a.spares == 0 && !now.Before(a.empty) && int(spareNeed*a.demand.Value(now)*SpareLife.Seconds()) > 0
 }
