--- a/entryd/pkg/lender/lender_test.go
+++ b/entryd/pkg/lender/lender_test.go
@@ -199,14 +199,22 @@
 	_, _, other := f.roles(t)
 	f.mu.Lock()
 	var wg sync.WaitGroup
-	for range 100 {
-		wg.Go(func() { admit(other) })
+	await := func(n int) {
+		for ; ; time.Sleep(time.Millisecond) {
+			other.mu.Lock()
+			list, running := other.waiting[institution]
+			other.mu.Unlock()
+			if running && len(list) == n {
+				return
+			}
+		}
 	}
-	for waiting := 0; waiting < 99; {
-		other.mu.Lock()
-		waiting = len(other.waiting[institution])
-		other.mu.Unlock()
+	wg.Go(func() { admit(other) })
+	await(0)
+	for range 99 {
+		wg.Go(func() { admit(other) })
 	}
+	await(99)
 	f.mu.Unlock()
 	wg.Wait()
 	if f.calls > 3 {
