--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -62,6 +62,7 @@
 	{name: "limits", run: (*Soak).nameLimits},
 	{name: "isolation", run: (*Soak).isolateDaemons},
 	{name: "key rotation", run: (*Soak).rotateKey},
+	{name: "evacuate", run: (*Soak).evacuate},
 }
 
 func (s *Soak) randomDaemon(r *rand.Rand) *daemon {
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -82,6 +82,7 @@
 	// by mu.
 	leavingTargets int
 	keys           keys
+	evacuations    evacuations
 }
 
 // Run does one run. It returns the checks that failed and the events of the
@@ -105,6 +106,7 @@
 	s.disrupt()
 	if s.checkRecovery() {
 		s.checkKeysSettled()
+		s.checkEvacuation()
 		s.checkDrainAndStop()
 	}
 	close(s.ended)
@@ -114,6 +116,7 @@
 	s.checkAnnouncements()
 	s.checkLimits()
 	s.checkIdentities()
+	s.checkEvacuations()
 	s.events = append(s.events, s.ledger.summary())
 	return s.ledger.findings, s.events, nil
 }
