--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/authenticator"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/entryd/pkg/latencytracker"
@@ -254,6 +255,7 @@
 	names    map[string]*Route
 	pools    map[string]*Pool
 	limits   *config.Limits
+	keys     *authenticator.Table
 	// evacuations are sorted by data centre.
 	evacuations []Evacuation
 }
@@ -265,6 +267,9 @@
 // accept a nil receiver.
 func (c *Catalog) Limits() *config.Limits { return c.limits }
 
+// Keys returns the table of the institutions and their keys.
+func (c *Catalog) Keys() *authenticator.Table { return c.keys }
+
 // Process returns the process of the target with an id that started last. If there is
 // none, its incarnation is unknown.
 func (c *Catalog) Process(id string) withholder.Process {
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -9,8 +9,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/authenticator"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
+	"plantaincleat/entryd/pkg/sharer"
 	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/gen/config"
 )
@@ -172,6 +174,7 @@
 		names:    make(map[string]*Route),
 		pools:    make(map[string]*Pool, len(cfg.GetPools())),
 		limits:   cfg.GetLimits(),
+		keys:     authenticator.NewTable(cfg.GetInstitutions()),
 	}
 	for _, p := range cfg.GetPools() {
 		out.pools[p.GetName()] = c.pool(p)
@@ -284,7 +287,7 @@
 // pool.
 func (c *Cataloger) divideTarget(t *Target, p *Pool) {
 	t.client.SetMaxConnections(min(max(c.maxConnections(p), 1), connectionsPerSlot*t.slots))
-	t.state.SetPosition(c.options.Clock.Now(), withholder.Position{
+	t.state.SetPosition(c.options.Clock.Now(), sharer.Position{
 		Target:  t.id,
 		Owned:   c.owners.HasOwners(p.name),
 		Rank:    c.owners.Rank(p.name),
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -1,7 +1,6 @@
 package scatterer
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -101,14 +100,12 @@
 		Method:   in.GetMethod(),
 		Path:     in.GetPath(),
 		Host:     in.GetHost(),
-		Header:   make(http.Header, len(in.GetHeaders())),
+		Header:   decodeHeaders(in.GetHeaders()),
 		Body:     in.GetBody(),
 		Received: now,
 		Deadline: now.Add(time.Duration(in.GetLeft()) * time.Microsecond),
 	}
-	for _, h := range in.GetHeaders() {
-		r.Header.Add(h.GetName(), h.GetValue())
-	}
+	s.describeOrigin(r, in, catalog, route)
 	j := &job{
 		Scatterer: s,
 		request:   r,
@@ -132,6 +129,17 @@
 	}
 }
 
+// describeOrigin sets the institution and the priority of a request of another daemon.
+func (s *Scatterer) describeOrigin(r *Request, in *peer.ScatterRequest, catalog *cataloger.Catalog, route *cataloger.Route) {
+	if catalog.Keys().Required() {
+		r.Institution = r.Header.Get(s.InstitutionHeader)
+	}
+	r.Rank = route.GetRank()
+	if in.Rank != nil {
+		r.Rank = in.GetRank()
+	}
+}
+
 // run serves the request until all units are answered or given up, or until the other
 // daemon ends the stream.
 func (c *collector) run(stream peer.Peer_ScatterServer) error {
--- a/entryd/pkg/withholder/withholder.go
+++ b/entryd/pkg/withholder/withholder.go
@@ -13,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"plantaincleat/entryd/pkg/sharer"
 )
 
 const (
@@ -52,7 +54,7 @@
 	// mu.
 	limited  atomic.Bool
 	limiter  limiter
-	position Position
+	position sharer.Position
 }
 
 // Leaving reports whether the process has announced that it is leaving.
