Soak: orders that a copy puts in force again are removed, requests in transit are no fault

Change: the check was wrong in one point: a request that was sent before the order may still be in the relay, for which it allowed no time. It allows 500 ms now, where the users allow 5 s from the order, and names the request and the time. The stand-in's operator removes orders that a copy has put in force again when he writes again.

--- a/prover/pkg/soaker/evacuations.go
+++ b/prover/pkg/soaker/evacuations.go
@@ -18,6 +18,9 @@
 	evacuateLimit = 5 * time.Second
 	// evacuatedTime is how much longer than other disruptions an evacuation lasts.
 	evacuatedTime = 6 * time.Second
+	// transitLimit is the time that a request which was sent before its daemon heard of an
+	// order may take through the relay.
+	transitLimit = 500 * time.Millisecond
 )
 
 // evacuationRecord is one evacuation and which daemons were seen to obey it.
@@ -146,7 +149,7 @@
 }
 
 // checkEvacuations checks that no request of a daemon that has obeyed an evacuation reaches the
-// data centre before that is taken back. A restart or a freeze of the daemon since then excuses
+// data centre later than transitLimit after that and before it is taken back. A restart or a freeze of the daemon since then excuses
 // it, and so does a disruption of its links within stableWindow before the arrival, which may
 // have held the request up.
 func (s *Soak) checkEvacuations() {
@@ -158,9 +161,9 @@
 				continue
 			}
 			for _, d := range s.fleet.daemons {
-				n := s.lateArrivals(rec, d, t.ListArrivalsFrom(d.ip))
-				if late += n; n > 0 {
-					s.ledger.addFinding("daemon %d: %d requests reached %s while it obeyed the evacuation of %s", d.number, n, t.ID(), rec.dataCentre)
+				for _, a := range s.lateArrivals(rec, d, t.ListArrivalsFrom(d.ip)) {
+					late++
+					s.ledger.addFinding("daemon %d: request %s reached %s %v after the daemon obeyed the evacuation of %s", d.number, a.Request, t.ID(), a.At.Sub(rec.heard[d.number]), rec.dataCentre)
 				}
 			}
 		}
@@ -168,17 +171,17 @@
 	s.events = append(s.events, fmt.Sprintf("evacuations: %d, %d times obeyed by daemons, %d late arrivals", len(s.evacuations.records), heard, late))
 }
 
-// lateArrivals returns how many arrivals an evacuation that a daemon obeyed forbids.
-func (s *Soak) lateArrivals(rec *evacuationRecord, d *daemon, arrivals []httpresponder.Arrival) int {
+// lateArrivals returns the arrivals that an evacuation which a daemon obeyed forbids.
+func (s *Soak) lateArrivals(rec *evacuationRecord, d *daemon, arrivals []httpresponder.Arrival) []httpresponder.Arrival {
 	heard, ok := rec.heard[d.number]
 	if !ok {
-		return 0
+		return nil
 	}
-	n := 0
+	var out []httpresponder.Arrival
 	for _, a := range arrivals {
-		if a.At.After(heard) && a.At.Before(rec.takenBack) && s.ledger.sameProcess(d.number, heard, a.At) && !s.ledger.cut(d.number, a.At.Add(-stableWindow), a.At) {
-			n++
+		if a.At.After(heard.Add(transitLimit)) && a.At.Before(rec.takenBack) && s.ledger.sameProcess(d.number, heard, a.At) && !s.ledger.cut(d.number, a.At.Add(-stableWindow), a.At) {
+			out = append(out, a)
 		}
 	}
-	return n
+	return out
 }
--- a/standin/pkg/platformsimulator/evacuation.go
+++ b/standin/pkg/platformsimulator/evacuation.go
@@ -1,6 +1,10 @@
 package platformsimulator
 
-import "maps"
+import (
+	"context"
+	"maps"
+	"strings"
+)
 
 // evacuationPrefix and the name of a data centre are the store key of the order to evacuate
 // it.
@@ -25,7 +29,7 @@
 	return p.store.Delete(evacuationPrefix + dataCentre)
 }
 
-// writeOrders writes the orders in force again.
+// writeOrders writes the orders in force again, and removes those that were taken back.
 func (p *Platform) writeOrders() error {
 	p.mu.Lock()
 	orders := maps.Clone(p.evacuated)
@@ -35,5 +39,16 @@
 			return err
 		}
 	}
+	page, err := p.store.Memory().Read(context.Background(), evacuationPrefix)
+	if err != nil {
+		return err
+	}
+	for _, item := range page.Items {
+		if dataCentre := strings.TrimPrefix(item.Key, evacuationPrefix); !orders[dataCentre] {
+			if err := p.TakeBack(dataCentre); err != nil {
+				return err
+			}
+		}
+	}
 	return nil
 }
