--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -19,8 +19,8 @@
 	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/cataloger"
 	"plantaincleat/entryd/pkg/crashtracker"
-	"plantaincleat/entryd/pkg/forecaster"
 	"plantaincleat/entryd/pkg/httpsender"
+	"plantaincleat/entryd/pkg/valuer"
 	"plantaincleat/entryd/pkg/withholder"
 	"plantaincleat/tier/pkg/tracer"
 )
@@ -34,6 +34,8 @@
 	Signature string
 	// Announcements names the headers in which targets announce something of themselves.
 	Announcements withholder.Headers
+	// LoadHeader is the header in which targets tell their load, or empty.
+	LoadHeader string
 	// InstanceHeader is the header with the id of the target that sends an answer.
 	InstanceHeader string
 	// InstitutionHeader is the header in which targets get the name of the institution of
@@ -130,7 +132,9 @@
 	running       atomic.Int64
 	endedAttempts atomic.Int64
 	owners        owners
-	forecast      forecaster.Forecaster
+	forecast      valuer.Forecast
+	returns       valuer.Returns[crashtracker.Subject]
+	tally         valuer.Tally
 	pauses        shardPauses
 	unreached     unreachedShards
 	linkChecks    singleflight.Group
@@ -174,6 +178,7 @@
 	subject := r.Subject()
 	res := s.serve(ctx, r, route, subject)
 	res.Subject = subject
+	s.recordRefusal(res)
 	return res
 }
 
@@ -191,7 +196,7 @@
 	if res := s.refuseWithheld(route); res != nil {
 		return res
 	}
-	if res := s.refuseOverloaded(r, route); res != nil {
+	if res := s.refuseOverloaded(r, s.Catalogs.Catalog(), route, subject); res != nil {
 		return res
 	}
 	ctx, span := tracer.StartSpan(tracer.Extract(ctx, r.Header.Get("Traceparent")), "request",
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -41,6 +41,9 @@
 type Options struct {
 	// Program is the path of the platform's daemon.
 	Program string
+	// Earlier is the path of an earlier build, which all daemons run until they are replaced
+	// one after the other. Empty means that all run Program from the start.
+	Earlier string
 	// Directory receives the settings files and logs of the daemons.
 	Directory string
 	Daemons   int
@@ -82,6 +85,7 @@
 	// by mu.
 	leavingTargets int
 	evacuations    evacuations
+	keys           keys
 }
 
 // Run does one run. It returns the checks that failed and the events of the
@@ -91,7 +95,7 @@
 		options: o,
 		ended:   make(chan struct{}),
 	}
-	if s.fleet, err = newFleet(o.Program, o.Directory, o.Daemons, replicas); err != nil {
+	if s.fleet, err = newFleet(o.Program, o.Earlier, o.Directory, o.Daemons, replicas); err != nil {
 		return nil, nil, err
 	}
 	defer s.fleet.close()
@@ -99,11 +103,13 @@
 	if !s.waitUntilReady(time.Now()) {
 		s.ledger.addFinding("not every daemon became ready after the start")
 	}
-	s.acceptChange()
+	s.addInstitutions()
 	s.startCallers()
+	s.startKeyedCaller()
 	s.disrupt()
 	if s.checkRecovery() {
 		s.checkEvacuation()
+		s.checkKeysSettled()
 		s.checkDrainAndStop()
 	}
 	close(s.ended)
@@ -113,6 +119,7 @@
 	s.checkAnnouncements()
 	s.checkLimits()
 	s.checkEvacuations()
+	s.checkIdentities()
 	s.events = append(s.events, s.ledger.summary())
 	return s.ledger.findings, s.events, nil
 }
@@ -147,6 +154,9 @@
 	kinds := cmp.Or(s.options.Kinds, len(disruptions))
 	begin := time.Now()
 	var wg sync.WaitGroup
+	if s.options.Earlier != "" {
+		wg.Go(s.replaceEarlier)
+	}
 	for time.Since(begin) < s.options.Duration {
 		time.Sleep(time.Duration(r.ExpFloat64() * float64(s.options.MeanGap)))
 		kind := disruptions[r.IntN(kinds)]
@@ -181,6 +191,7 @@
 			TargetLatencyMillis: 300,
 			MaxAttempts:         maxExecutions,
 			Service:             "single",
+			AuthExempt:          true,
 		})
 	})
 	if err != nil {
