--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -174,7 +174,16 @@
 // must be called once for each request.
 func (p *Pool) Sample(now time.Time, id string) bool {
 	rate, limited := p.limitedRate(now)
-	return !limited || p.sampler == nil || p.sampler.Admit(now, id, rate)
+	switch {
+	case p.sampler == nil:
+		return true
+	case limited:
+		return p.sampler.Admit(now, id, rate)
+	case p.pace > 0:
+		// All targets may turn cold together. The demand has to be known then.
+		p.sampler.Count(now)
+	}
+	return true
 }
 
 // limitedRate returns the rate in requests a second at which this daemon may send to the
--- a/entryd/pkg/cataloger/warmup_test.go
+++ b/entryd/pkg/cataloger/warmup_test.go
@@ -132,14 +132,12 @@
 	}
 	seeds, met := 0, 0
 	for _, s := range f.daemons[:min(len(f.daemons), 3)] {
-		if s != d {
-			seeds++
-			if slices.ContainsFunc(live, func(l assigner.Daemon) bool { return l.ID == s.ID }) {
-				met++
-			}
+		seeds++
+		if slices.ContainsFunc(live, func(l assigner.Daemon) bool { return l.ID == s.ID }) {
+			met++
 		}
 	}
-	d.catalogs.SetKnown(slices.Collect(maps.Keys(d.known)), seeds == 0 || 2*met > seeds)
+	d.catalogs.SetKnown(slices.Collect(maps.Keys(d.known)), 2*met > seeds)
 	d.catalogs.SetFleet(d.ID, live, assigner.NewOwners(d.ID, live, d.catalogs.Catalog().Shards()))
 }
 
--- a/entryd/pkg/withholder/sampler.go
+++ b/entryd/pkg/withholder/sampler.go
@@ -31,11 +31,11 @@
 // Admit counts a request and reports whether it is among those that can be served at a rate
 // of requests a second.
 func (s *Sampler) Admit(now time.Time, id string, rate float64) bool {
-	return float64(hasher.Strings("sample", id))/math.MaxUint64*s.count(now) < sampledFraction*rate
+	return float64(hasher.Strings("sample", id))/math.MaxUint64*s.Count(now) < sampledFraction*rate
 }
 
-// count counts a request and returns the demand.
-func (s *Sampler) count(now time.Time) float64 {
+// Count counts a request and returns the demand in requests a second.
+func (s *Sampler) Count(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if d := now.Sub(s.measured); d > 0 {
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -63,12 +63,16 @@
 	endless      Stream
 	crashesOn    func(r *http.Request) bool
 	onCrash      func()
+	warmup       warmup
+	load         func(running, waiting, slots int) string
 
 	listener net.Listener
 	server   *http.Server
 	ended    atomic.Bool
 	// streaming is the number of connections on which the target sends bytes without end.
 	streaming atomic.Int64
+	// waiting is the number of requests that wait for a slot.
+	waiting atomic.Int64
 }
 
 // New starts a target on a loopback address. It executes at most slots requests at
@@ -267,6 +271,7 @@
 func (r *Responder) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if req.URL.Path == HealthPath {
 		w.Header().Set(headerInstanceID, r.id)
+		r.tellState(w.Header(), true)
 		return
 	}
 	id := req.Header.Get(headerRequestID)
@@ -283,6 +288,11 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if handling.overrun {
+		r.Crash()
+		panic(http.ErrAbortHandler)
+	}
+	r.tellState(w.Header(), false)
 	if arrival.Pause > 0 {
 		w.Header().Set(headerRetryAfter, strconv.FormatFloat(arrival.Pause.Seconds(), 'f', -1, 64))
 	}
@@ -298,7 +308,9 @@
 	if handling.pause != nil {
 		<-handling.pause
 	}
+	r.waiting.Add(1)
 	r.slots <- struct{}{}
+	r.waiting.Add(-1)
 	defer func() { <-r.slots }()
 	if r.ended.Load() {
 		panic(http.ErrAbortHandler)
@@ -323,6 +335,8 @@
 	executionTime time.Duration
 	// pause is the channel that the request waits for, or nil.
 	pause chan struct{}
+	// overrun is true if the target is cold and crashes since it gets too many requests.
+	overrun bool
 }
 
 // recordArrival records a request, unless it is meant for another target, and returns how
@@ -357,6 +371,7 @@
 		limit:         r.limit,
 		executionTime: r.executionTime,
 		pause:         r.pause,
+		overrun:       r.warmup.overrun(now),
 	}
 }
 
--- a/standin/pkg/platformsimulator/platform.go
+++ b/standin/pkg/platformsimulator/platform.go
@@ -62,6 +62,10 @@
 	Name           string `json:"name"`
 	MaxConnections int    `json:"max-connections"`
 	HealthPath     string `json:"health-path"`
+	// WarmupSeconds is the time for which targets are cold after their start, and
+	// WarmupPerSecond the number of requests a second that each takes meanwhile, or 0.
+	WarmupSeconds   float64 `json:"warmup-s"`
+	WarmupPerSecond float64 `json:"warmup-per-s"`
 }
 
 // Limits bound what callers may send.
--- a/standin/pkg/platformsimulator/target.go
+++ b/standin/pkg/platformsimulator/target.go
@@ -155,6 +155,8 @@
 		Version:    "v1",
 		Slots:      slotsPerTarget,
 		State:      state,
+
+		WarmupLeftMillis: int(t.WarmupLeft().Milliseconds()),
 	})
 	if err != nil {
 		return err
