--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/authenticator"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/entryd/pkg/latencytracker"
@@ -86,7 +87,7 @@
 
 // Unavailable reports whether the target must get no new requests now. This is the case
 // if its use has ended for good, or if requests are withheld from it because of its own
-// announcement.
+// announcement or because its data centre is evacuated.
 func (r *Replica) Unavailable(now time.Time) bool {
 	return r.ended(now) || r.state.Withheld(now)
 }
@@ -136,23 +137,31 @@
 func (p *Pool) Replicas() []*Replica { return p.replicas }
 
 // Withholding tells why and until when all targets of a pool that could serve get no
-// requests. The zero value means that one of them may get some.
+// requests. The zero value means that one of them may get some, or that there is none.
 type Withholding struct {
 	// Until is when the first of them may get requests again.
 	Until time.Time
 	// Limited is true if one of them has used up its limit, or its rate while it is cold. The
 	// others have asked for a pause that is not over.
 	Limited bool
+	// Evacuated is true if those that are left are all in evacuated data centres. Until is
+	// then when callers may ask again, since nobody knows the end.
+	Evacuated bool
 }
 
-// Withheld returns whether all targets of the pool that could serve are paused or have
-// used up their limits or rates.
+// Withheld returns whether all targets of the pool that could serve are paused, have used up
+// their limits or rates, or are evacuated. Evacuated ones do not count where there are others.
 func (p *Pool) Withheld(now time.Time) Withholding {
 	var out Withholding
+	evacuated := false
 	for _, r := range p.replicas {
 		if r.ended(now) || r.state.Leaving() {
 			continue
 		}
+		if r.state.Evacuated() {
+			evacuated = true
+			continue
+		}
 		pause, limit := r.state.PausedUntil(now), r.state.LimitedUntil(now)
 		until := pause
 		if limit.After(until) {
@@ -166,6 +175,9 @@
 			out.Until = until
 		}
 	}
+	if evacuated && out.Until.IsZero() {
+		out.Evacuated, out.Until = true, now.Add(evacuatedRetry)
+	}
 	return out
 }
 
@@ -260,6 +272,9 @@
 	names    map[string]*Route
 	pools    map[string]*Pool
 	limits   *config.Limits
+	keys     *authenticator.Table
+	// evacuations are sorted by data centre.
+	evacuations []Evacuation
 }
 
 // Revision returns the revision of the configuration, or 0 if there is none.
@@ -269,6 +284,9 @@
 // accept a nil receiver.
 func (c *Catalog) Limits() *config.Limits { return c.limits }
 
+// Keys returns the table of the institutions and their keys.
+func (c *Catalog) Keys() *authenticator.Table { return c.keys }
+
 // Process returns the process of the target with an id that started last. If there is
 // none, its incarnation is unknown.
 func (c *Catalog) Process(id string) withholder.Process {
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/authenticator"
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/entryd/pkg/sharer"
@@ -65,9 +66,12 @@
 	accepted *config.Accepted
 	daemons  int
 	members  memberHolder
-	owners   *assigner.Owners
-	known    []string
-	seater   seater
+	// evacuatedSince holds when this daemon has heard of each evacuation in force, by data
+	// centre.
+	evacuatedSince map[string]time.Time
+	owners         *assigner.Owners
+	known          []string
+	seater         seater
 }
 
 // New returns a Cataloger with an empty catalog.
@@ -127,7 +131,9 @@
 	}
 	c.recordVanished(accepted)
 	c.accepted = accepted
+	before := c.Catalog()
 	c.build()
+	c.logEvacuations(before)
 }
 
 // recordVanished records the targets that are missing from a new configuration and
@@ -173,6 +179,7 @@
 		names:    make(map[string]*Route),
 		pools:    make(map[string]*Pool, len(cfg.GetPools())),
 		limits:   cfg.GetLimits(),
+		keys:     authenticator.NewTable(cfg.GetInstitutions()),
 	}
 	for _, p := range cfg.GetPools() {
 		out.pools[p.GetName()] = c.pool(p)
@@ -184,6 +191,7 @@
 		out.hosts[r.GetHost()] = append(out.hosts[r.GetHost()], one)
 	}
 	out.sortRoutes()
+	c.evacuate(out, cfg.GetPolicy().GetEvacuations())
 	c.current.Store(out)
 	c.dropUnused(out)
 }
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -1,7 +1,6 @@
 package scatterer
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -82,6 +81,8 @@
 type collector struct {
 	*job
 	in *peer.ScatterRequest
+	// urgent is the rank of the most urgent route over shards.
+	urgent uint32
 	// sent holds for each unit whether a reply has contained it.
 	sent []bool
 	// pastGoal is true once the first reply after the goal was sent.
@@ -101,14 +102,12 @@
 		Method:   in.GetMethod(),
 		Path:     in.GetPath(),
 		Host:     in.GetHost(),
-		Header:   make(http.Header, len(in.GetHeaders())),
+		Header:   decodeHeaders(in.GetHeaders()),
 		Body:     in.GetBody(),
 		Received: now,
 		Deadline: now.Add(time.Duration(in.GetLeft()) * time.Microsecond),
 	}
-	for _, h := range in.GetHeaders() {
-		r.Header.Add(h.GetName(), h.GetValue())
-	}
+	s.describeOrigin(r, in, catalog, route)
 	j := &job{
 		Scatterer: s,
 		request:   r,
@@ -127,11 +126,23 @@
 	return &collector{
 		job:      j,
 		in:       in,
+		urgent:   mostUrgent(catalog),
 		sent:     make([]bool, len(j.pools)),
 		accepted: make(chan struct{}),
 	}
 }
 
+// describeOrigin sets the institution and the priority of a request of another daemon.
+func (s *Scatterer) describeOrigin(r *Request, in *peer.ScatterRequest, catalog *cataloger.Catalog, route *cataloger.Route) {
+	if catalog.Keys().Required() {
+		r.Institution = r.Header.Get(s.InstitutionHeader)
+	}
+	r.Rank = route.GetRank()
+	if in.Rank != nil {
+		r.Rank = in.GetRank()
+	}
+}
+
 // run serves the request until all units are answered or given up, or until the other
 // daemon ends the stream.
 func (c *collector) run(stream peer.Peer_ScatterServer) error {
@@ -261,11 +272,8 @@
 			out.Unreached = append(out.Unreached, uint32(u))
 		}
 		// What may be due to this daemon's links is not reported as a load of targets.
-		if d := c.bestLatency(pool, now); d >= minReportedLatency && !doubtful {
-			out.Loads = append(out.Loads, &peer.ScatterLoad{
-				Shard:  uint32(u),
-				Finish: uint32(d.Milliseconds()),
-			})
+		if load := c.loadOf(pool, c.urgent, now); load.Latency >= minReportedLatency && !doubtful {
+			out.Loads = append(out.Loads, encodeLoad(u, load))
 		}
 	}
 	out.Leaving = c.leavingTargets(now)
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"plantaincleat/entryd/pkg/estimator"
 	"plantaincleat/entryd/pkg/httpsender"
@@ -76,23 +77,17 @@
 		}
 		last := reply.GetLast() || reply.GetAnswer().GetContinued()
 		answer := call.decodeAnswer(reply, stream)
-		sent := j.sendEvent(event{
+		j.sendEvent(event{
 			attempt: a,
 			reply:   reply,
 			answer:  answer,
 			last:    last,
 			took:    j.Clock.Since(begin),
 		})
-		if !sent && answer != nil && answer.Rest != nil {
-			_ = answer.Rest.Close()
-		}
 		if last {
 			break
 		}
 	}
-	if j.finished.Load() {
-		j.closeUnread()
-	}
 }
 
 // awaitHeader waits for an owner's acknowledgement, which is the header of the stream.
@@ -145,6 +140,7 @@
 		Sent:     now.UnixMilli(),
 		Content:  j.plan.Subject().Content(),
 		Caller:   j.plan.Subject().Caller(),
+		Rank:     proto.Uint32(j.request.Rank),
 		// The units that wait for the first one are sent once it is answered, which
 		// ends the suspicion.
 		Suspected: j.plan.Suspected && (j.query.OnlyFirstSent() || !j.route.Scattered()),
@@ -152,14 +148,7 @@
 	if tracer.Sampled(j.ctx) {
 		in.Trace = tracer.Inject(j.ctx)
 	}
-	for name, values := range j.request.Header {
-		for _, v := range values {
-			in.Headers = append(in.Headers, &peer.Header{
-				Name:  name,
-				Value: v,
-			})
-		}
-	}
+	in.Headers = encodeHeaders(j.request.Header)
 	for _, u := range a.units {
 		in.Shards = append(in.Shards, j.pools[u].Name())
 	}
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	headerLeaving          = "Server-Leaving"
 	headerRetryAfter       = "Retry-After"
 	headerLimit            = "Server-Limit"
+	headerInstitution      = "Tenant-Id"
+	headerAuthorization    = "Authorization"
 )
 
 // HealthPath is the path at which a target answers whether it is healthy.
@@ -193,29 +196,6 @@
 	r.limit = text
 }
 
-// AskForPauses makes the target refuse requests with status 503 and ask each sender for a
-// pause of the given length. Zero ends it.
-func (r *Responder) AskForPauses(length time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.pauseLength = length
-	r.pauses = make(map[string]time.Time)
-}
-
-// pauseFor returns the pause to ask a sender for, or zero. A sender that comes back in its
-// pause is told the rest of it. r.mu is held.
-func (r *Responder) pauseFor(from string, now time.Time) time.Duration {
-	if r.pauseLength <= 0 {
-		return 0
-	}
-	end, asked := r.pauses[from]
-	if !asked || !now.Before(end) {
-		end = now.Add(r.pauseLength)
-		r.pauses[from] = end
-	}
-	return end.Sub(now)
-}
-
 // Executions returns how often the execution of a request was begun.
 func (r *Responder) Executions(request string) int {
 	r.mu.Lock()
@@ -350,10 +330,13 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	a := Arrival{
-		Request: req.Header.Get(headerRequestID),
-		From:    from,
-		At:      now,
-		Leaving: r.leaving,
+		Request:     req.Header.Get(headerRequestID),
+		Path:        req.RequestURI,
+		Institution: strings.Join(req.Header.Values(headerInstitution), ","),
+		KeyPassed:   req.Header.Get(headerAuthorization) != "",
+		From:        from,
+		At:          now,
+		Leaving:     r.leaving,
 	}
 	if limit, err := strconv.ParseFloat(r.limit, 64); err == nil {
 		a.Limit = limit
