--- a/entryd/pkg/estimator/load_test.go
+++ b/entryd/pkg/estimator/load_test.go
@@ -83,3 +83,13 @@
 		t.Errorf("expected latency %v with six requests ahead at two slots, want four times %v", d, idle)
 	}
 }
+
+// BenchmarkAnswerWithLoad measures what an answer with a report costs the estimator.
+func BenchmarkAnswerWithLoad(b *testing.B) {
+	var g Group
+	e := g.New(Settings{Slots: 2})
+	now := start
+	for b.Loop() {
+		now = answer(e, now, 10*time.Millisecond, Report{Incarnation: 1, Running: 2, Queue: 1, Pace: 1.2})
+	}
+}
--- a/entryd/pkg/loadreader/loadreader_test.go
+++ b/entryd/pkg/loadreader/loadreader_test.go
@@ -52,3 +52,13 @@
 		})
 	}
 }
+
+// BenchmarkRead measures what the header of an answer costs.
+func BenchmarkRead(b *testing.B) {
+	values := []string{"2,1,2,150"}
+	for b.Loop() {
+		if _, told, _ := Read(values); !told {
+			b.Fatal("the load was not read")
+		}
+	}
+}
--- a/entryd/pkg/withholder/warmup_test.go
+++ b/entryd/pkg/withholder/warmup_test.go
@@ -155,3 +155,16 @@
 		}
 	}
 }
+
+// BenchmarkColdTarget measures what the rate of a cold target costs a request.
+func BenchmarkColdTarget(b *testing.B) {
+	now := time.Unix(1000, 0)
+	var s State
+	s.SetWarming(now, Warming{Pace: 5, StartedUntil: now.Add(time.Hour)})
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		if s.LimitedUntil(now).IsZero() && s.Enter(now) {
+			s.Exit(now, true)
+		}
+	}
+}
