--- a/entryd/pkg/withholder/sampler.go
+++ b/entryd/pkg/withholder/sampler.go
@@ -37,12 +37,12 @@
 // Admit counts a request and reports whether it is among those that can be served at a rate
 // of requests a second.
 func (s *Sampler) Admit(now time.Time, id string, rate float64) bool {
-	return float64(hasher.Strings("sample", id))/math.MaxUint64*s.count(now) < sampledFraction*rate
+	return float64(hasher.Strings("sample", id))/math.MaxUint64*s.Count(now) < sampledFraction*rate
 }
 
-// count counts a request and returns the demand in requests a second. Requests are only
-// counted while targets name limits, so that the demand refers to the time since the first.
-func (s *Sampler) count(now time.Time) float64 {
+// Count counts a request and returns the demand in requests a second. It refers to the time
+// since the first request, or since requests have come again.
+func (s *Sampler) Count(now time.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := now.Sub(s.measured)
