--- a/prover/pkg/soaker/institutions.go
+++ b/prover/pkg/soaker/institutions.go
@@ -148,6 +148,14 @@
 	s.updateConfig(func(d *platformsimulator.Config) { d.Tenants = s.keys.tenants() })
 }
 
+// rotateKeys rotates keys one after the other until a time.
+func (s *Soak) rotateKeys(until time.Time) {
+	r := rand.New(rand.NewPCG(s.options.Seed, s.options.Seed+2))
+	for time.Now().Before(until) {
+		s.rotateKey(r, minDisruption+time.Duration(r.Int64N(int64(minDisruption))))
+	}
+}
+
 // startKeyedCaller starts a caller that sends requests with keys until the end of the run.
 func (s *Soak) startKeyedCaller() {
 	random := rand.New(rand.NewPCG(s.options.Seed, s.options.Seed+1))
--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -54,6 +54,8 @@
 	Duration time.Duration
 	// MeanGap is the mean time between the starts of two disruptions.
 	MeanGap time.Duration
+	// RotateKeys is true if keys are rotated one after the other besides the disruptions.
+	RotateKeys bool
 }
 
 // Soak is one run: a fleet under load and disruptions.
@@ -151,6 +153,9 @@
 	kinds := cmp.Or(s.options.Kinds, len(disruptions))
 	begin := time.Now()
 	var wg sync.WaitGroup
+	if s.options.RotateKeys {
+		wg.Go(func() { s.rotateKeys(begin.Add(s.options.Duration)) })
+	}
 	for time.Since(begin) < s.options.Duration {
 		time.Sleep(time.Duration(r.ExpFloat64() * float64(s.options.MeanGap)))
 		kind := disruptions[r.IntN(kinds)]
