--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -61,8 +61,8 @@
 	{name: "store copy", run: (*Soak).returnStoreFromCopy},
 	{name: "limits", run: (*Soak).nameLimits},
 	{name: "isolation", run: (*Soak).isolateDaemons},
-	{name: "key rotation", run: (*Soak).rotateKey},
 	{name: "evacuate", run: (*Soak).evacuate},
+	{name: "key rotation", run: (*Soak).rotateKey},
 }
 
 func (s *Soak) randomDaemon(r *rand.Rand) *daemon {
