Limits of institutions: no token is used twice, and answers add up

A standby that granted a part of what was wanted ended the search, and the rest got 503 though the lender was well (12 wanted, 2 granted): the next daemon is asked for the rest now. What is unused is told once, since a lender that answers late has taken it. Tests of lender, sharer and callerserver pass.

--- a/entryd/pkg/lender/lender.go
+++ b/entryd/pkg/lender/lender.go
@@ -168,25 +168,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.gone = true
-	select {
-	case a := <-w.done:
-		if a.verdict == sharer.Admitted {
-			r.stock.Return(r.Clock.Now(), institution)
-		}
-	default:
-	}
 	return r.conclude(institution, request, answer{
 		verdict: sharer.Unanswered,
 	})
 }
 
-// Return gives back the token of a request of which nothing was sent.
-func (r *Runner) Return(institution string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.stock.Return(r.Clock.Now(), institution)
-}
-
 // conclude counts and logs the end of a request's admission. r.mu is held.
 func (r *Runner) conclude(institution, request string, a answer) Admission {
 	out := Admission{
@@ -288,23 +274,29 @@
 	r.stock.Add(now, institution, g, left)
 }
 
-// askAll asks the daemons in order until one grants tokens or the lender says that there are
-// none. It returns the id of the daemon that has answered.
+// askAll asks the daemons in order until all requests that wait have tokens or the lender says
+// that there are no more. It returns the sum of the grants and the id of the daemon that has
+// answered last.
 func (r *Runner) askAll(order []string, ask sharer.Ask) (sharer.Grant, string, error) {
-	var last sharer.Grant
+	var sum sharer.Grant
 	err, from := errTimeout, ""
 	for _, id := range order {
 		g, failure := r.askOne(id, ask)
+		// A daemon that answers late has taken back what is unused: it is told only once.
+		ask.Unused = 0
 		if failure != nil {
 			continue
 		}
-		ask.Unused = 0
-		last, from, err = g, id, nil
-		if g.Granted > 0 || g.Role == sharer.LenderRole || ask.Wanted == 0 {
+		from, err = id, nil
+		ask.Wanted -= min(g.Granted, ask.Wanted)
+		sum.Granted += g.Granted
+		sum.Spare += g.Spare
+		sum.Role, sum.Wait = g.Role, g.Wait
+		if g.Role == sharer.LenderRole || ask.Wanted == 0 {
 			break
 		}
 	}
-	return last, from, err
+	return sum, from, err
 }
 
 // askOne asks one daemon and waits for its answer no longer than answerTimeout.
--- a/entryd/pkg/sharer/stock.go
+++ b/entryd/pkg/sharer/stock.go
@@ -154,13 +154,6 @@
 	}
 }
 
-// Return gives a token back that a request has not used.
-func (s *Stock) Return(now time.Time, institution string) {
-	if s.limits[institution].Rate > 0 {
-		s.Add(now, institution, Grant{}, 1)
-	}
-}
-
 // Retry records a refusal and returns the time after which the request may be sent again,
 // given the time until a token is due. Refused requests are spread over the time in which
 // there are tokens for as many.
