Room: no kind is turned away below its places, and late requests yield theirs

Found by a review, with a run of the queue: with 32 places and an urgent request each 8 ms, the less urgent kind got 2 of 200 sends, since it was turned away on arrival; a late urgent request took the place of one in time; one large request could take all places; deadlines before the goal counted late answers as in time; a second refusal of a subject was forgotten with its first; a negative latency wrapped in reports.

--- a/entryd/pkg/scatterer/overload.go
+++ b/entryd/pkg/scatterer/overload.go
@@ -86,7 +86,7 @@
 	return &peer.ScatterLoad{
 		Shard:   uint32(shard),
 		Finish:  uint32(load.Latency.Milliseconds()),
-		Urgent:  proto.Uint32(uint32(load.Urgent.Milliseconds())),
+		Urgent:  proto.Uint32(uint32(max(load.Urgent, 0).Milliseconds())),
 		Service: uint32(load.Service.Milliseconds()),
 	}
 }
--- a/entryd/pkg/valuer/queue.go
+++ b/entryd/pkg/valuer/queue.go
@@ -1,6 +1,7 @@
 package valuer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -25,6 +26,9 @@
 	Bytes int
 }
 
+// late reports whether the request misses its goal if it is sent now.
+func (o *Offer) late(now time.Time) bool { return !o.Goal.After(now) }
+
 func (o *Offer) expired(now time.Time) bool {
 	return !o.Deadline.IsZero() && !now.Before(o.Deadline)
 }
@@ -67,15 +71,16 @@
 	return n
 }
 
-// Add adds a request. If there is no room for it, Add makes room by turning away less urgent
-// requests, the least urgent and latest first. If that is not enough, or if the deadline has
-// passed, it adds nothing and returns no waiter. The requests in dropped have been removed.
+// Add adds a request. If there is no room for it, Add makes room by turning away requests that
+// yield to it: those past their goals first, then the least urgent and latest. If that is not
+// enough, or if the deadline has passed, it adds nothing and returns no waiter. The requests in
+// dropped have been removed.
 func (q *Queue[T]) Add(now time.Time, o Offer, value T) (w *Waiter[T], dropped []*Waiter[T]) {
 	if o.expired(now) {
 		return nil, nil
 	}
 	dropped = q.RemoveExpired(now)
-	victims, ok := q.victims(o)
+	victims, ok := q.victims(now, &o)
 	if !ok {
 		return nil, dropped
 	}
@@ -92,23 +97,31 @@
 }
 
 // victims returns the requests that have to be turned away to make room for another one, and
-// false if there are not enough less urgent ones.
-func (q *Queue[T]) victims(o Offer) (victims []*Waiter[T], ok bool) {
+// false if not enough requests yield to it. Each kind keeps the places that its share of the
+// sends needs, so that none starves.
+func (q *Queue[T]) victims(now time.Time, o *Offer) (victims []*Waiter[T], ok bool) {
 	n, bytes := len(q.waiting)+1, q.bytes+o.Bytes
 	fits := func() bool {
-		return (q.MaxLen <= 0 || n <= q.MaxLen) && (q.MaxBytes <= 0 || bytes <= q.MaxBytes || n == 1)
+		return (q.MaxLen <= 0 || n <= q.MaxLen) && (q.MaxBytes <= 0 || bytes <= q.MaxBytes || len(q.waiting) == 0)
 	}
 	if fits() {
 		return nil, true
 	}
-	candidates := slices.Clone(q.waiting)
-	slices.Reverse(candidates)
-	slices.SortStableFunc(candidates, func(a, b *Waiter[T]) int { return int(b.offer.Rank) - int(a.offer.Rank) })
-	for _, c := range candidates {
-		if c.offer.Rank <= o.Rank {
-			break
+	places := make(map[uint32]int)
+	for _, w := range q.waiting {
+		places[w.offer.Rank]++
+	}
+	kept := max(q.MaxLen/(maxPassed+1), 1)
+	needsPlace := places[o.Rank] < kept
+	for _, c := range q.candidates(now) {
+		if c.offer.Rank != o.Rank && places[c.offer.Rank] <= kept {
+			continue
+		}
+		if !yields(now, &c.offer, o, needsPlace) {
+			continue
 		}
 		victims = append(victims, c)
+		places[c.offer.Rank]--
 		n--
 		bytes -= c.offer.Bytes
 		if fits() {
@@ -118,6 +131,35 @@
 	return nil, false
 }
 
+// candidates returns the requests in the order in which they are turned away.
+func (q *Queue[T]) candidates(now time.Time) []*Waiter[T] {
+	out := slices.Clone(q.waiting)
+	slices.Reverse(out)
+	slices.SortStableFunc(out, func(a, b *Waiter[T]) int {
+		if a.offer.late(now) != b.offer.late(now) {
+			if a.offer.late(now) {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.offer.Rank, a.offer.Rank)
+	})
+	return out
+}
+
+// yields reports whether a request that waits gives its place to another one, of whose kind
+// there may be fewer than the places that it keeps. Requests that miss their goals yield to
+// those that can make theirs, and less urgent ones to more urgent ones.
+func yields(now time.Time, c, o *Offer, needsPlace bool) bool {
+	switch {
+	case needsPlace && c.Rank != o.Rank:
+		return true
+	case c.late(now) != o.late(now):
+		return c.late(now)
+	}
+	return c.Rank > o.Rank
+}
+
 // Remove removes a request and reports whether it was still in the queue.
 func (q *Queue[T]) Remove(w *Waiter[T]) bool {
 	i := slices.Index(q.waiting, w)
--- a/entryd/pkg/valuer/returns.go
+++ b/entryd/pkg/valuer/returns.go
@@ -20,8 +20,14 @@
 	mu sync.Mutex
 	// from holds, for each request, the time from which it may return.
 	from map[K]time.Time
-	// order holds the keys in the order of the refusals. Some are not in from any more.
-	order []K
+	// order holds the refusals in their order. Some have returned or were refused again.
+	order []refused[K]
+}
+
+// refused is a request that was refused and the time from which it may return.
+type refused[K comparable] struct {
+	key  K
+	from time.Time
 }
 
 // Record records that a request was refused and may return after a time.
@@ -31,10 +37,17 @@
 	if r.from == nil {
 		r.from = make(map[K]time.Time)
 	}
-	r.from[key] = now.Add(after)
-	r.order = append(r.order, key)
+	from := now.Add(after)
+	r.from[key] = from
+	r.order = append(r.order, refused[K]{
+		key:  key,
+		from: from,
+	})
 	for len(r.order) > maxReturns {
-		delete(r.from, r.order[0])
+		oldest := r.order[0]
+		if r.from[oldest.key].Equal(oldest.from) {
+			delete(r.from, oldest.key)
+		}
 		r.order = r.order[1:]
 	}
 }
--- a/entryd/pkg/valuer/valuer.go
+++ b/entryd/pkg/valuer/valuer.go
@@ -14,10 +14,14 @@
 
 // LateWorth returns the worth of an answer between the latency goal and the deadline, in
 // proportion to that of an answer in time. A caller that waits much longer than its goal
-// gets little from a late answer. It is 1 if no goal is set.
+// gets little from a late answer. It is 1 if no goal is set, and 0 if the deadline is not later
+// than the goal, so that there are no late answers.
 func LateWorth(goal, deadline time.Duration) float64 {
-	if goal <= 0 || deadline <= goal {
+	switch {
+	case goal <= 0:
 		return 1
+	case deadline <= goal:
+		return 0
 	}
 	return float64(goal) / float64(deadline)
 }
