Soak with two builds: requests with keys begin once all daemons are replaced

No deployment with institutions can run on that build. The keys are checked on the fleet once the last daemon of the earlier build is replaced, also those that it made configurations for.

--- a/prover/pkg/soaker/soak.go
+++ b/prover/pkg/soaker/soak.go
@@ -107,8 +107,15 @@
 	}
 	s.addInstitutions()
 	s.startCallers()
-	s.startKeyedCaller()
+	// The earlier build knows no institutions, and passes their keys on. Keys are checked once
+	// all daemons are replaced.
+	if o.Earlier == "" {
+		s.startKeyedCaller()
+	}
 	s.disrupt()
+	if o.Earlier != "" {
+		s.startKeyedCaller()
+	}
 	if s.checkRecovery() {
 		s.checkEvacuation()
 		s.checkKeysSettled()
