--- a/entryd/pkg/sharer/quota.go
+++ b/entryd/pkg/sharer/quota.go
@@ -50,7 +50,7 @@
 	handoverTime     = 1.0
 	// reserveRateFraction is the part of the rate at which all reserves together are restored.
 	// It is taken from the overage.
-	reserveRateFraction = 0.08
+	reserveRateFraction = 0.02
 )
 
 func (q Quota) allowance(l Limit) allowance {
