--- a/entryd/pkg/crashtracker/crashtracker.go
+++ b/entryd/pkg/crashtracker/crashtracker.go
@@ -63,6 +63,11 @@
 	content, caller *peer.Suspicion
 }
 
+// Crashes returns the number of crashes of the request that were known.
+func (p *Plan) Crashes() int {
+	return int(max(p.content.GetCrashes(), p.caller.GetCrashes()))
+}
+
 // Subject returns what identifies the request.
 func (p *Plan) Subject() Subject { return p.subject }
 
--- a/entryd/pkg/scatterer/crash.go
+++ b/entryd/pkg/scatterer/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -23,6 +24,8 @@
 	// quarantinedCode is the status code with which a daemon refuses a request of another
 	// daemon because it crashes targets.
 	quarantinedCode = codes.PermissionDenied
+	// maxLoggedTrials bounds the attempts in the line of a send of a suspected request.
+	maxLoggedTrials = 4
 )
 
 // errQuarantined reports that a daemon refused a request because it crashes targets.
@@ -123,6 +126,7 @@
 // it had the request.
 func (j *job) recordCrashes() {
 	now := j.Clock.Now()
+	j.logTrial()
 	if j.crashes.RecordAnswer(now, &j.plan, j.answeredBy) {
 		slog.Info("suspicion ended: a target has answered the request", "id", j.request.ID, "fingerprint", j.plan.Subject().String())
 	}
@@ -139,6 +143,26 @@
 	slog.Info("target ended while it had a request", attrs...)
 }
 
+// logTrial logs a send of a suspected request that no target has answered: how many crashes
+// were known, and what became of each attempt at a target. An attempt that is "open" has shown
+// nothing.
+func (j *job) logTrial() {
+	if !j.plan.Suspected {
+		return
+	}
+	var attempts []string
+	for _, a := range j.attempts {
+		if u := a.units[0]; a.dest.owner == nil && !j.answered(u) {
+			attempts = append(attempts, fmt.Sprintf("%s %s from %v took %v %s", a.log.Shard, a.log.Target, a.log.Start.Round(time.Millisecond), a.log.Took.Round(time.Millisecond), a.log.Result))
+		}
+	}
+	if len(attempts) == 0 {
+		return
+	}
+	slog.Info("suspected request was tried without an answer", "id", j.request.ID, "root", j.root,
+		"content", j.plan.Subject().ContentString(), "known_crashes", j.plan.Crashes(), "attempts", attempts[:min(len(attempts), maxLoggedTrials)])
+}
+
 // crashedPool returns a pool of which targets ended and none answered, and the greatest
 // number of these targets in one pool. Requests with different contents get different pools
 // as far as possible, so that they do not meet when they are sent again. Those with the same
