--- a/entryd/pkg/crashtracker/crashtracker_test.go
+++ b/entryd/pkg/crashtracker/crashtracker_test.go
@@ -147,6 +147,51 @@
 	}
 }
 
+// TestCrashesOfManyEndInRefusal guards against a request that crashes targets and is never
+// refused, since many other targets end beside each of its crashes.
+func TestCrashesOfManyEndInRefusal(t *testing.T) {
+	const (
+		// maxCrashes is one more than the crashes of many that must refuse nothing.
+		maxCrashes = 5
+		sends      = 20
+	)
+	s, beside := subjectOf("a", "x"), subjectOf("b", "y")
+	tests := []struct {
+		name string
+		// before is true if the other targets end before the request's own target.
+		before bool
+	}{
+		{name: "others end before", before: true},
+		{name: "others end after"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var tracker Tracker
+			crashes := 0
+			for i := range sends {
+				now := start.Add(time.Duration(i) * time.Second)
+				endOthers := func() {
+					for k := range massThreshold {
+						tracker.RecordEnd(now, fmt.Sprint("target-", k), beside)
+					}
+				}
+				if test.before {
+					endOthers()
+				}
+				if p := crash(&tracker, now, s); !p.Refused {
+					crashes++
+				}
+				if !test.before {
+					endOthers()
+				}
+			}
+			if crashes > maxCrashes {
+				t.Errorf("%d of %d sends reached targets, want at most %d", crashes, sends, maxCrashes)
+			}
+		})
+	}
+}
+
 // publisherFunc is a Publisher that calls itself.
 type publisherFunc func(*peer.Notice)
 
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -65,6 +65,7 @@
 	pause        chan struct{}
 	endless      Stream
 	crashesOn    func(r *http.Request) bool
+	crashDelay   time.Duration
 	onCrash      func()
 	warmup       warmup
 	load         func(running, waiting, slots int) string
@@ -128,6 +129,14 @@
 	r.crashesOn = f
 }
 
+// SetCrashDelay sets the time from the begin of the execution of a request that crashes the
+// target to the crash, which happens also if the connection is closed meanwhile.
+func (r *Responder) SetCrashDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashDelay = d
+}
+
 // OnCrash sets the function that is called when the target crashes, before its
 // connections are closed.
 func (r *Responder) OnCrash(f func()) {
@@ -298,9 +307,10 @@
 	r.mu.Lock()
 	r.executions[id]++
 	r.bodies[id] = string(body)
-	crashes := r.crashesOn != nil && r.crashesOn(req)
+	crashes, delay := r.crashesOn != nil && r.crashesOn(req), r.crashDelay
 	r.mu.Unlock()
 	if crashes {
+		time.Sleep(delay)
 		r.Crash()
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/pkg/platformsimulator/platform.go
+++ b/standin/pkg/platformsimulator/platform.go
@@ -25,6 +25,7 @@
 	registeredAddress func(id, address string) string
 	crashOn           func(r *http.Request) bool
 	crashed           func(id string)
+	crashDelay        time.Duration
 	clock             clockwork.Clock
 
 	// mu guards the following fields. AddService may run concurrently with readers.
@@ -107,6 +108,8 @@
 	// CrashOn selects the requests that crash each target that executes them. It may
 	// be nil.
 	CrashOn func(r *http.Request) bool
+	// CrashDelay is the time from the begin of the execution of such a request to the crash.
+	CrashDelay time.Duration
 	// Crashed is called with the id of a target that crashes, before its connections
 	// are closed. It may be nil.
 	Crashed func(id string)
@@ -132,6 +135,7 @@
 		registeredAddress: o.RegisteredAddress,
 		crashOn:           o.CrashOn,
 		crashed:           o.Crashed,
+		crashDelay:        o.CrashDelay,
 		clock:             clockwork.NewRealClock(),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standin/pkg/platformsimulator/target.go
+++ b/standin/pkg/platformsimulator/target.go
@@ -82,6 +82,7 @@
 		t.RegisteredAddress = p.registeredAddress(t.ID(), t.Address())
 	}
 	r.CrashOn(p.crashOn)
+	r.SetCrashDelay(p.crashDelay)
 	r.OnCrash(func() { p.handleCrash(t) })
 	p.mu.Lock()
 	p.targets = append(p.targets, t)
