--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -34,6 +34,9 @@
 	gate httpsender.Gate
 	// notExecuted is true if the attempt has ended and was certainly not executed.
 	notExecuted bool
+	// trial is true for the trial of a suspected request. The units that wait for the first one
+	// are sent once that is answered, which ends the suspicion.
+	trial bool
 	// resent is true if one of the units was sent before.
 	resent bool
 	// withdrawn is true once a unit was sent again before the owner was accepted.
@@ -71,6 +74,7 @@
 		dest:        action.Path,
 		cancel:      cancel,
 		cancelQueue: cancelQueue,
+		trial:       j.inTrial(),
 		log: &Attempt{
 			Hedge:  action.Hedge,
 			Start:  now.Sub(j.request.Received),
--- a/entryd/pkg/scatterer/crash.go
+++ b/entryd/pkg/scatterer/crash.go
@@ -1,7 +1,6 @@
 package scatterer
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -9,18 +8,14 @@
 	"slices"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"google.golang.org/grpc/codes"
 
 	"plantaincleat/entryd/pkg/cataloger"
-	"plantaincleat/entryd/pkg/crashtracker"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/pkg/ranker"
 )
 
 const (
-	// turnTimeout bounds the time that a suspected request waits for another one.
-	turnTimeout = 250 * time.Millisecond
 	// quarantinedCode is the status code with which a daemon refuses a request of another
 	// daemon because it crashes targets.
 	quarantinedCode = codes.PermissionDenied
@@ -31,37 +26,6 @@
 // errQuarantined reports that a daemon refused a request because it crashes targets.
 var errQuarantined = errors.New("request is quarantined")
 
-// planSend returns how to serve a request, or the refusal of a request that crashes
-// targets. A suspected request waits until no other one is served for the same pool, and
-// the returned function lets the next one go on.
-func (s *Scatterer) planSend(ctx context.Context, r *Request, route *cataloger.Route, subject crashtracker.Subject) (plan crashtracker.Plan, endTurn func(), refusal *Result) {
-	now := s.Clock.Now()
-	plan = s.crashes.Plan(now, subject)
-	endTurn = func() {}
-	if plan.Suspected && !plan.Refused {
-		endTurn = s.takeTurn(ctx, plan.Pool, min(turnTimeout, r.longestRetry(now)))
-		if endTurn == nil {
-			return plan, nil, refuse(route, peer.Reason_REASON_SHED, minRetry)
-		}
-		// The request that was served meanwhile may have been an equal one.
-		now = s.Clock.Now()
-		plan = s.crashes.Plan(now, subject)
-	}
-	if plan.Refused {
-		endTurn()
-		return plan, nil, refuse(route, peer.Reason_REASON_QUARANTINED, plan.Until.Sub(now))
-	}
-	return plan, endTurn, nil
-}
-
-// takeTurn waits until no other suspected request is served for a pool. It returns the
-// function that lets the next one go on, or nil once the limit has passed.
-func (s *Scatterer) takeTurn(ctx context.Context, pool string, limit time.Duration) func() {
-	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, limit)
-	defer cancel()
-	return s.turns.Take(ctx, pool)
-}
-
 // rejectAll returns the reply to a request of another daemon that was sent to no target.
 func rejectAll(in *peer.ScatterRequest, reason peer.Reason) *peer.ScatterReply {
 	reply := &peer.ScatterReply{
--- a/entryd/pkg/scatterer/crash_test.go
+++ b/entryd/pkg/scatterer/crash_test.go
@@ -92,7 +92,7 @@
 	if p := s.crashes.Plan(now, r.Subject()); !p.Refused {
 		t.Error("the request is not refused after three crashes")
 	}
-	if _, _, res := s.planSend(context.Background(), r, j.route, r.Subject()); res == nil || res.Outcome != Refused || res.Reason != peer.Reason_REASON_QUARANTINED {
+	if _, res := s.planSend(context.Background(), r, j.route, r.Subject()); res == nil || res.Outcome != Refused || res.Reason != peer.Reason_REASON_QUARANTINED {
 		t.Errorf("result %+v, want a refusal", res)
 	}
 }
@@ -124,7 +124,7 @@
 	})
 	r := &Request{Method: "GET", Path: "/all/x", Caller: "first"}
 	other := &Request{Method: "GET", Path: "/all/x", Caller: "second"}
-	endTurn := s.takeTurn(t.Context(), "shard-2", time.Second)
+	endTurn := s.takeTurn(t.Context(), r.Subject(), "shard-2", time.Second)
 	stream := &replyStream{
 		ctx:   t.Context(),
 		reply: make(chan *peer.ScatterReply, 1),
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -127,23 +127,21 @@
 // the owner may make only one attempt per unit.
 func (j *job) encode(a *attempt, now time.Time) *peer.ScatterRequest {
 	in := &peer.ScatterRequest{
-		Id:       j.request.ID,
-		Method:   j.request.Method,
-		Path:     j.request.Path,
-		Host:     j.request.Host,
-		Body:     j.request.Body,
-		Route:    j.route.GetName(),
-		Top:      j.route.GetTop(),
-		Attempts: max(j.route.GetAttempts(), 1),
-		Left:     j.request.Deadline.Sub(now).Microseconds(),
-		Goal:     (j.goal.Sub(now) - replyMargin).Microseconds(),
-		Sent:     now.UnixMilli(),
-		Content:  j.plan.Subject().Content(),
-		Caller:   j.plan.Subject().Caller(),
-		Rank:     proto.Uint32(j.request.Rank),
-		// The units that wait for the first one are sent once it is answered, which
-		// ends the suspicion.
-		Suspected: j.plan.Suspected && (j.query.OnlyFirstSent() || !j.route.Scattered()),
+		Id:        j.request.ID,
+		Method:    j.request.Method,
+		Path:      j.request.Path,
+		Host:      j.request.Host,
+		Body:      j.request.Body,
+		Route:     j.route.GetName(),
+		Top:       j.route.GetTop(),
+		Attempts:  max(j.route.GetAttempts(), 1),
+		Left:      j.request.Deadline.Sub(now).Microseconds(),
+		Goal:      (j.goal.Sub(now) - replyMargin).Microseconds(),
+		Sent:      now.UnixMilli(),
+		Content:   j.plan.Subject().Content(),
+		Caller:    j.plan.Subject().Caller(),
+		Rank:      proto.Uint32(j.request.Rank),
+		Suspected: a.trial,
 	}
 	if tracer.Sampled(j.ctx) {
 		in.Trace = tracer.Inject(j.ctx)
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -35,6 +35,9 @@
 	confirmed bool
 	// plan is how to serve the request in view of earlier sends of it.
 	plan crashtracker.Plan
+	// arbiter is the daemon that carries out the trial of a suspected request, or nil if it is
+	// this one.
+	arbiter *owner
 	// ended holds, for each unit, the number of targets that ended while they had the
 	// request, each sent after the end of the one before was known.
 	ended map[int]int
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -140,6 +140,7 @@
 	linkChecks    singleflight.Group
 	crashes       crashtracker.Tracker
 	turns         crashtracker.Turns
+	contentTurns  crashtracker.Turns
 }
 
 // New returns a Scatterer with the given options.
@@ -185,11 +186,11 @@
 func (s *Scatterer) serve(ctx context.Context, r *Request, route *cataloger.Route, subject crashtracker.Subject) *Result {
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	plan, endTurn, res := s.planSend(ctx, r, route, subject)
+	plan, res := s.planSend(ctx, r, route, subject)
 	if res != nil {
 		return res
 	}
-	defer endTurn()
+	defer plan.endTurn()
 	if res := s.refuseUnreachable(r, route); res != nil {
 		return res
 	}
@@ -202,7 +203,8 @@
 	ctx, span := tracer.StartSpan(tracer.Extract(ctx, r.Header.Get("Traceparent")), "request",
 		attribute.String("id", r.ID), attribute.String("route", route.GetName()))
 	defer span.End()
-	j := newRoot(s, r, route, plan)
+	j := newRoot(s, r, route, plan.Plan)
+	j.arbiter = plan.arbiter
 	j.run(ctx)
 	j.recordCrashes()
 	res = j.result(ctx)
--- /dev/null
+++ b/entryd/pkg/scatterer/trial.go
@@ -0,0 +1,123 @@
+package scatterer
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/crashtracker"
+	"plantaincleat/tier/gen/peer"
+	"plantaincleat/tier/pkg/ranker"
+)
+
+// turnTimeout bounds the time that a suspected request waits for another one.
+const turnTimeout = 250 * time.Millisecond
+
+// trialPlan tells how to serve a request in view of the suspicions. A trial is the send of a
+// suspected request to one target, which shows whether it crashes that as well.
+type trialPlan struct {
+	crashtracker.Plan
+	// arbiter is the daemon that carries out the trial, or nil if it is this one.
+	arbiter *owner
+	// endTurn lets the next suspected request go on.
+	endTurn func()
+}
+
+// planSend returns how to serve a request, or the refusal of a request that crashes
+// targets. The trials of equal requests are carried out by one daemon, one after the other, so
+// that each begins with what the one before has shown.
+func (s *Scatterer) planSend(ctx context.Context, r *Request, route *cataloger.Route, subject crashtracker.Subject) (trialPlan, *Result) {
+	now := s.Clock.Now()
+	p := trialPlan{
+		Plan:    s.crashes.Plan(now, subject),
+		endTurn: func() {},
+	}
+	if p.Suspected && !p.Refused {
+		if p.arbiter = s.arbiterOf(subject, now); p.arbiter != nil {
+			return p, s.refuseWithoutArbiter(p.arbiter, route, now)
+		}
+		if p.endTurn = s.takeTurn(ctx, subject, p.Pool, min(turnTimeout, r.longestRetry(now))); p.endTurn == nil {
+			return p, refuse(route, peer.Reason_REASON_SHED, minRetry)
+		}
+		// The request that was served meanwhile may have been an equal one.
+		now = s.Clock.Now()
+		p.Plan = s.crashes.Plan(now, subject)
+	}
+	if p.Refused {
+		p.endTurn()
+		return p, refuse(route, peer.Reason_REASON_QUARANTINED, p.Until.Sub(now))
+	}
+	return p, nil
+}
+
+// arbiterOf returns the daemon that carries out the trials of requests with a content, or nil if
+// it is this one. The daemons that know the same fleet agree on it.
+func (s *Scatterer) arbiterOf(subject crashtracker.Subject, now time.Time) *owner {
+	if s.Placement == nil {
+		return nil
+	}
+	daemons := slices.DeleteFunc(slices.Clone(s.Placement.Relays()), func(d assigner.Daemon) bool {
+		return s.Placement.Isolated(d.ID) || s.partitionedFrom(d.DataCentre)
+	})
+	if !s.isolated() {
+		daemons = append(daemons, assigner.Daemon{
+			ID: s.ID,
+		})
+	}
+	ranked := ranker.Rank(daemons, subject.ContentString(), daemonID)
+	if len(ranked) == 0 || ranked[0].ID == s.ID {
+		return nil
+	}
+	return s.owners.get(ranked[0])
+}
+
+// refuseWithoutArbiter returns a refusal if the arbiter does not answer this daemon. No other
+// daemon takes its place until the fleet knows that it is gone: the trials would overlap.
+func (s *Scatterer) refuseWithoutArbiter(arbiter *owner, route *cataloger.Route, now time.Time) *Result {
+	if !arbiter.outOfService(now) {
+		return nil
+	}
+	if arbiter.probeDue(now) {
+		go s.probeOwner(arbiter)
+	}
+	return refuse(route, peer.Reason_REASON_SHED, minRetry)
+}
+
+// takeTurn waits until no equal request, and no other suspected request for the same pool, is
+// served by this daemon. It returns the function that lets the next one go on, or nil once the
+// limit has passed.
+func (s *Scatterer) takeTurn(ctx context.Context, subject crashtracker.Subject, pool string, limit time.Duration) func() {
+	ctx, cancel := clockwork.WithTimeout(ctx, s.Clock, limit)
+	defer cancel()
+	endContent := s.contentTurns.Take(ctx, subject.ContentString())
+	if endContent == nil {
+		return nil
+	}
+	endPool := s.turns.Take(ctx, pool)
+	if endPool == nil {
+		endContent()
+		return nil
+	}
+	return func() {
+		endPool()
+		endContent()
+	}
+}
+
+// inTrial reports whether what this daemon sends next is the trial of a suspected request.
+func (j *job) inTrial() bool {
+	return j.root && j.plan.Suspected && (j.query.OnlyFirstSent() || len(j.pools) == 1)
+}
+
+// chooseForTrial returns the arbiter or, if that is this daemon, a replica.
+func (s *selector) chooseForTrial(unit int, tried []destination, now time.Time) (destination, bool) {
+	if s.job.arbiter == nil {
+		return s.chooseReplica(unit, tried, now)
+	}
+	dest := destination{owner: s.job.arbiter}
+	return dest, !slices.Contains(tried, dest)
+}
