--- a/entryd/pkg/crashtracker/crashtracker.go
+++ b/entryd/pkg/crashtracker/crashtracker.go
@@ -39,6 +39,9 @@
 	refusalThreshold = 3
 	// refusalPeriod is how long a request is refused after the last crash.
 	refusalPeriod = 10 * time.Minute
+	// unansweredRefusalPeriod is how long a request is refused after a send that no target
+	// answered, which may be due to a slow target.
+	unansweredRefusalPeriod = 30 * time.Second
 	// suspicionPeriod is how long a suspicion lasts after the last crash. After the
 	// refusalPeriod one more crash is enough to refuse the request again.
 	suspicionPeriod = time.Hour
@@ -161,20 +164,50 @@
 // which is zero if it is not refused.
 func (t *Tracker) RecordCrashes(now time.Time, p *Plan, pool string, n int) (crashes int, until time.Time) {
 	t.mu.Lock()
-	caller := t.raise(now, p.subject.caller, p.caller, pool, n)
-	content := t.raise(now, p.subject.content, p.content, pool, n)
+	changed := []*peer.Suspicion{
+		t.raise(now, p.subject.caller, p.caller, pool, n, refusalPeriod),
+		t.raise(now, p.subject.content, p.content, pool, n, refusalPeriod),
+	}
 	publisher := t.publisher
 	t.mu.Unlock()
-	publish(publisher, []*peer.Suspicion{caller, content})
-	if last := max(caller.GetUntil(), content.GetUntil()); last > 0 {
-		until = time.UnixMilli(last)
+	publish(publisher, changed)
+	return mostCrashes(changed)
+}
+
+// RecordUnanswered records that a target may have executed a suspected request and did not
+// answer it, although it is not known to have ended: the caller left, or the deadline passed.
+// That counts as a crash, with a shorter refusal. It returns what RecordCrashes returns.
+func (t *Tracker) RecordUnanswered(now time.Time, p *Plan) (crashes int, until time.Time) {
+	var changed []*peer.Suspicion
+	t.mu.Lock()
+	for _, known := range []*peer.Suspicion{p.content, p.caller} {
+		// An answer since then says more than the lack of one.
+		if known.GetCrashes() > 0 && t.suspicions.find(now, known.GetFingerprint()).GetGeneration() == known.GetGeneration() {
+			changed = append(changed, t.raise(now, known.GetFingerprint(), known, known.GetPool(), 1, unansweredRefusalPeriod))
+		}
+	}
+	publisher := t.publisher
+	t.mu.Unlock()
+	publish(publisher, changed)
+	return mostCrashes(changed)
+}
+
+// mostCrashes returns the greatest number of crashes of some suspicions, and the latest time
+// until which they are refused.
+func mostCrashes(suspicions []*peer.Suspicion) (crashes int, until time.Time) {
+	for _, s := range suspicions {
+		crashes = max(crashes, int(s.GetCrashes()))
+		if end := time.UnixMilli(s.GetUntil()); s.GetUntil() > 0 && end.After(until) {
+			until = end
+		}
 	}
-	return int(max(caller.GetCrashes(), content.GetCrashes())), until
+	return crashes, until
 }
 
-// raise records n crashes of a send that was planned when seen was known. If many
-// other targets have ended as well, the request is not refused for them. t.mu is held.
-func (t *Tracker) raise(now time.Time, fingerprint uint64, seen *peer.Suspicion, pool string, n int) *peer.Suspicion {
+// raise records n crashes of a send that was planned when seen was known. From refusalThreshold
+// on the request is refused for a period. If many other targets have ended as well, the request
+// is not refused for them. t.mu is held.
+func (t *Tracker) raise(now time.Time, fingerprint uint64, seen *peer.Suspicion, pool string, n int, period time.Duration) *peer.Suspicion {
 	known := t.suspicions.find(now, fingerprint)
 	next := &peer.Suspicion{
 		Fingerprint: fingerprint,
@@ -190,7 +223,7 @@
 		next.Crashes = refusalThreshold - 1
 	}
 	if next.GetCrashes() >= refusalThreshold {
-		next.Until = now.Add(refusalPeriod).UnixMilli()
+		next.Until = now.Add(period).UnixMilli()
 		next.Expires = now.Add(suspicionPeriod).UnixMilli()
 	}
 	if known != nil {
--- a/entryd/pkg/crashtracker/crashtracker_test.go
+++ b/entryd/pkg/crashtracker/crashtracker_test.go
@@ -26,6 +26,13 @@
 	return p
 }
 
+// unanswered serves a request that no target answers.
+func unanswered(t *Tracker, now time.Time, s Subject) {
+	if p := t.Plan(now, s); !p.Refused {
+		t.RecordUnanswered(now, &p)
+	}
+}
+
 func answer(t *Tracker, now time.Time, s Subject, pool string) {
 	p := t.Plan(now, s)
 	t.RecordAnswer(now, &p, func(name string) bool { return name == pool })
@@ -109,6 +116,27 @@
 			answer(t, start, other, "pool")
 			crash(t, start, s)
 		}, subject: s, refused: true, suspected: true},
+		{name: "unanswered without a crash before", events: func(t *Tracker) {
+			for range refusalThreshold {
+				unanswered(t, start, s)
+			}
+		}, subject: s},
+		{name: "one crash and two unanswered", events: func(t *Tracker) {
+			crash(t, start, s)
+			unanswered(t, start, s)
+			unanswered(t, start, s)
+		}, subject: s, refused: true, suspected: true},
+		{name: "one crash and two unanswered, half a minute later", events: func(t *Tracker) {
+			crash(t, start, s)
+			unanswered(t, start, s)
+			unanswered(t, start, s)
+		}, after: unansweredRefusalPeriod, subject: s, suspected: true},
+		{name: "unanswered send from before an answer", events: func(t *Tracker) {
+			crashTimes(t, s, 2)
+			p := t.Plan(start, s)
+			answer(t, start, s, "pool")
+			t.RecordUnanswered(start, &p)
+		}, subject: s},
 		{name: "one content from three callers", events: func(t *Tracker) {
 			for _, caller := range []string{"c", "d", "e"} {
 				crash(t, start, subjectOf(caller, "x"))
@@ -243,9 +271,12 @@
 		for range 12 {
 			tracker := &trackers[r.IntN(len(trackers))]
 			s := subjectOf(fmt.Sprint(r.IntN(2)), "x")
-			if r.IntN(4) == 0 {
+			switch r.IntN(5) {
+			case 0:
 				answer(tracker, start, s, "pool")
-			} else {
+			case 1:
+				unanswered(tracker, start, s)
+			default:
 				crash(tracker, start, s)
 			}
 			if len(notices) > 0 {
--- a/entryd/pkg/gossiper/suspicions.go
+++ b/entryd/pkg/gossiper/suspicions.go
@@ -26,9 +26,11 @@
 		Pool:        a.GetPool(),
 		Until:       a.GetUntil(),
 	}
+	if a.GetGeneration() == b.GetGeneration() {
+		out.Until = max(a.GetUntil(), b.GetUntil())
+	}
 	if c == 0 {
 		out.Pool = max(a.GetPool(), b.GetPool())
-		out.Until = max(a.GetUntil(), b.GetUntil())
 	}
 	return out
 }
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -37,6 +37,8 @@
 	// trial is true for the trial of a suspected request. The units that wait for the first one
 	// are sent once that is answered, which ends the suspicion.
 	trial bool
+	// lost is true if the arbiter failed while it may have carried out the trial.
+	lost bool
 	// resent is true if one of the units was sent before.
 	resent bool
 	// withdrawn is true once a unit was sent again before the owner was accepted.
@@ -55,12 +57,12 @@
 }
 
 // lingers reports whether the attempt should run to its end although its answer is no
-// longer needed.
+// longer needed. What a trial shows is needed in any case.
 func (a *attempt) lingers() bool {
 	if a.dest.owner != nil {
 		return false
 	}
-	return a.dest.replica.Estimator().Service() <= lingerFactor*a.dest.replica.Client().ConnectTime()
+	return a.trial || a.dest.replica.Estimator().Service() <= lingerFactor*a.dest.replica.Client().ConnectTime()
 }
 
 // startAttempt sends units to the destination of an action.
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -73,6 +73,7 @@
 	}
 	plan.Suspected = true
 	c := s.newCollector(in, catalog, route, plan)
+	c.tries = true
 	defer c.recordCrashes()
 	return c.run(stream)
 }
@@ -176,6 +177,7 @@
 		// Nothing is sent after the other daemon has withdrawn the request, because it
 		// may have sent the request elsewhere.
 		if ctx.Err() != nil {
+			c.settle()
 			return status.FromContextError(ctx.Err()).Err()
 		}
 		switch {
@@ -196,6 +198,16 @@
 	return stream.Send(c.reply(true))
 }
 
+// settle handles what attempts have shown of their targets after the other daemon has withdrawn
+// the request.
+func (c *collector) settle() {
+	c.closed = true
+	for _, e := range c.pendingFailures {
+		c.handle(e)
+	}
+	c.awaitOutcome()
+}
+
 // awaitAccepted waits until the other daemon accepts this one, and then closes
 // accepted.
 func (c *collector) awaitAccepted(stream peer.Peer_ScatterServer, accepted chan<- struct{}) {
--- a/entryd/pkg/scatterer/crash.go
+++ b/entryd/pkg/scatterer/crash.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"time"
 
@@ -80,14 +81,22 @@
 	return u >= 0 && j.answered(u)
 }
 
-// answered reports whether a target has answered a unit. An error response shows as well
-// that the target goes on.
+// answered reports whether a target has answered a unit, which shows that it goes on. An error
+// response shows that as well, unless the target only gave up at the deadline.
 func (j *job) answered(unit int) bool {
-	return j.query.Covered(unit) || j.failure != nil && j.failure.Header.Get(j.Signature) != ""
+	switch {
+	case j.route.Scattered():
+		return j.query.Covered(unit)
+	case j.single != nil:
+		return j.single.Status != http.StatusGatewayTimeout
+	case j.failure != nil:
+		return j.failure.Status != http.StatusGatewayTimeout && j.failure.Header.Get(j.Signature) != ""
+	}
+	return false
 }
 
 // recordCrashes records whether targets answered the request, and whether one ended while
-// it had the request.
+// it had the request or left its trial unanswered.
 func (j *job) recordCrashes() {
 	now := j.Clock.Now()
 	j.logTrial()
@@ -95,16 +104,25 @@
 		slog.Info("suspicion ended: a target has answered the request", "id", j.request.ID, "fingerprint", j.plan.Subject().String())
 	}
 	pool, n := j.crashedPool()
-	if n == 0 {
+	msg := "target ended while it had a request"
+	var crashes int
+	var until time.Time
+	switch {
+	case n > 0:
+		crashes, until = j.crashes.RecordCrashes(now, &j.plan, pool, n)
+	case j.unanswered():
+		msg = "suspected request is counted as a crash since no target has answered it"
+		pool = j.plan.Pool
+		crashes, until = j.crashes.RecordUnanswered(now, &j.plan)
+	default:
 		return
 	}
-	crashes, until := j.crashes.RecordCrashes(now, &j.plan, pool, n)
 	attrs := []any{"id", j.request.ID, "fingerprint", j.plan.Subject().String(),
 		"content", j.plan.Subject().ContentString(), "caller", j.request.Caller, "pool", pool, "ended", n, "crashes", crashes}
 	if !until.IsZero() {
 		attrs = append(attrs, "until", until)
 	}
-	slog.Info("target ended while it had a request", attrs...)
+	slog.Info(msg, attrs...)
 }
 
 // logTrial logs a send of a suspected request that no target has answered: how many crashes
--- a/entryd/pkg/scatterer/crash_test.go
+++ b/entryd/pkg/scatterer/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -11,6 +12,8 @@
 	"google.golang.org/grpc"
 
 	"plantaincleat/entryd/pkg/assigner"
+	"plantaincleat/entryd/pkg/cataloger"
+	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/entryd/pkg/router"
 	"plantaincleat/tier/gen/peer"
 )
@@ -97,6 +100,39 @@
 	}
 }
 
+// TestGivingUpAtDeadlineIsNoAnswer guards against the end of a suspicion by a target that gave
+// up a request at its deadline, and so did not execute what may crash it.
+func TestGivingUpAtDeadlineIsNoAnswer(t *testing.T) {
+	signed := http.Header{"Signature": {"s"}}
+	tests := []struct {
+		name            string
+		single, failure *httpsender.Answer
+		want            bool
+	}{
+		{name: "none"},
+		{name: "answer", single: &httpsender.Answer{Status: http.StatusOK}, want: true},
+		{name: "error", failure: &httpsender.Answer{Status: http.StatusInternalServerError, Header: signed}, want: true},
+		{name: "error of an intermediary", failure: &httpsender.Answer{Status: http.StatusInternalServerError}},
+		{name: "given up, idempotent", failure: &httpsender.Answer{Status: http.StatusGatewayTimeout, Header: signed}},
+		{name: "given up, not idempotent", single: &httpsender.Answer{Status: http.StatusGatewayTimeout, Header: signed}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			j := &job{
+				Scatterer: New(Options{
+					Signature: "Signature",
+				}),
+				route:   &cataloger.Route{},
+				single:  test.single,
+				failure: test.failure,
+			}
+			if got := j.answered(0); got != test.want {
+				t.Errorf("answered: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // replyStream is the stream of a request of another daemon. It keeps the last reply.
 type replyStream struct {
 	grpc.ServerStream
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -35,6 +35,9 @@
 	confirmed bool
 	// plan is how to serve the request in view of earlier sends of it.
 	plan crashtracker.Plan
+	// tries is true if the request is suspected and begins with a trial: for the root, and for
+	// the daemon that carries the trial out.
+	tries bool
 	// arbiter is the daemon that carries out the trial of a suspected request, or nil if it is
 	// this one.
 	arbiter *owner
@@ -64,6 +67,9 @@
 	// once no more of them are used.
 	streams  []*httpsender.Answer
 	finished atomic.Bool
+	// closed is true once no attempt may be started any more, and abandoned once the caller
+	// has left before the query was done.
+	closed, abandoned bool
 }
 
 // event is a message from an attempt to its job.
@@ -90,6 +96,7 @@
 		root:      true,
 		confirmed: true,
 		plan:      plan,
+		tries:     plan.Suspected,
 		goal:      s.goal(r, route),
 	}
 	options := router.Options{
@@ -160,7 +167,7 @@
 		case <-timer.Chan():
 			j.apply(j.query.Tick(j.Clock.Now()))
 		case <-ctx.Done():
-			j.cancel()
+			j.abandoned = true
 			return
 		}
 	}
@@ -190,7 +197,9 @@
 func (j *job) apply(actions []router.Action[destination]) {
 	for _, a := range actions {
 		if !a.Cancel {
-			j.startAttempt(a)
+			if !j.closed {
+				j.startAttempt(a)
+			}
 			continue
 		}
 		open := j.open[a.Nonce]
--- a/entryd/pkg/scatterer/relay_test.go
+++ b/entryd/pkg/scatterer/relay_test.go
@@ -183,7 +183,7 @@
 			for !j.query.Done() {
 				j.handle(<-j.events)
 			}
-			if res := j.result(t.Context()); res.Outcome != test.want {
+			if res := j.result(); res.Outcome != test.want {
 				t.Errorf("outcome %v, want %v", res.Outcome, test.want)
 			}
 		})
--- a/entryd/pkg/scatterer/reply.go
+++ b/entryd/pkg/scatterer/reply.go
@@ -24,6 +24,7 @@
 	a := e.attempt
 	if e.err != nil {
 		a.log.Result = e.err.Error()
+		a.lost = !a.notExecuted
 		j.apply(j.query.FailAttempt(a.nonce, a.ownerFailureReason(e.err), now))
 		return
 	}
--- a/entryd/pkg/scatterer/result.go
+++ b/entryd/pkg/scatterer/result.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"math/rand/v2"
 	"time"
 
@@ -42,7 +41,7 @@
 }
 
 // result returns the result of the request.
-func (j *job) result(ctx context.Context) *Result {
+func (j *job) result() *Result {
 	res := &Result{
 		Shards:  len(j.pools),
 		Hedges:  j.query.Hedges(),
@@ -52,7 +51,7 @@
 		res.Attempts = append(res.Attempts, *a.log)
 	}
 	switch {
-	case ctx.Err() != nil && !j.query.Done():
+	case j.abandoned:
 		res.Outcome = Abandoned
 	case j.route.Scattered():
 		j.fillMerged(res)
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -206,8 +206,12 @@
 	j := newRoot(s, r, route, plan.Plan)
 	j.arbiter = plan.arbiter
 	j.run(ctx)
+	j.awaitOutcome()
+	if j.abandoned {
+		j.cancel()
+	}
 	j.recordCrashes()
-	res = j.result(ctx)
+	res = j.result()
 	j.finish(res.Answer)
 	return res
 }
--- a/entryd/pkg/scatterer/trial.go
+++ b/entryd/pkg/scatterer/trial.go
@@ -110,7 +110,52 @@
 
 // inTrial reports whether what this daemon sends next is the trial of a suspected request.
 func (j *job) inTrial() bool {
-	return j.root && j.plan.Suspected && (j.query.OnlyFirstSent() || len(j.pools) == 1)
+	return j.tries && (j.query.OnlyFirstSent() || len(j.pools) == 1)
+}
+
+// awaitOutcome waits until a trial that is at a target has shown whether it crashes that, for
+// lingerTime at most. Nothing is sent any more.
+func (j *job) awaitOutcome() {
+	if !j.tries {
+		return
+	}
+	j.closed = true
+	timer := j.Clock.NewTimer(lingerTime)
+	defer timer.Stop()
+	for j.atTarget() {
+		select {
+		case e := <-j.events:
+			j.handle(e)
+		case <-timer.Chan():
+			return
+		}
+	}
+}
+
+// atTarget reports whether a trial of this daemon is open at a target. It withdraws what was not
+// sent yet.
+func (j *job) atTarget() bool {
+	sent := false
+	for _, a := range j.open {
+		if a.trial && a.dest.owner == nil {
+			sent = !a.gate.Close() || sent
+		}
+	}
+	return sent
+}
+
+// unanswered reports whether a target may have executed the trial of a suspected request and has
+// not answered it, or whether the arbiter was lost with it.
+func (j *job) unanswered() bool {
+	for _, a := range j.attempts {
+		if !a.trial || a.notExecuted || j.answered(a.units[0]) {
+			continue
+		}
+		if a.lost || a.dest.owner == nil && !a.gate.Close() {
+			return true
+		}
+	}
+	return false
 }
 
 // chooseForTrial returns the arbiter or, if that is this daemon, a replica.
