--- a/entryd/pkg/crashtracker/crashtracker.go
+++ b/entryd/pkg/crashtracker/crashtracker.go
@@ -4,11 +4,12 @@
 //
 // A request is suspected once a target has ended while it had the request and no target
 // of the same pool has answered it. Its next send goes to a single target first. If that
-// target answers, the suspicion ends. If it ends as well, the number of crashes rises by
-// one, and from refusalThreshold on the request is refused. What was sent before a crash
+// target answers, the suspicion ends. If it ends as well, or may have executed the request and
+// gives no answer, the number of crashes rises by one, and from refusalThreshold on the request
+// is refused. What was sent before a crash
 // was known does not raise the number further, so that several sends beside the one that
 // crashes a target count as one. While many targets end that did not have the request, it
-// stays suspected and is not refused for one crash more.
+// stays suspected and is refused from certainThreshold on.
 //
 // Suspicions are kept for the content of a request, whoever sends it, and for the content
 // with its caller. A caller may come from many addresses, so that the content alone decides.
@@ -37,6 +38,9 @@
 const (
 	// refusalThreshold is the number of crashes from which a request is refused.
 	refusalThreshold = 3
+	// certainThreshold is the number of crashes from which a request is refused also while
+	// many other targets end.
+	certainThreshold = 5
 	// refusalPeriod is how long a request is refused after the last crash.
 	refusalPeriod = 10 * time.Minute
 	// unansweredRefusalPeriod is how long a request is refused after a send that no target
@@ -142,13 +146,13 @@
 	var changed []*peer.Suspicion
 	for _, r := range t.refusals {
 		known := t.suspicions.find(now, r.fingerprint)
-		if !refused(known, now) || !t.ends.many(now, r.fingerprint) {
+		if !refused(known, now) || t.refuses(now, known) {
 			continue
 		}
 		next := &peer.Suspicion{
 			Fingerprint: r.fingerprint,
 			Generation:  known.GetGeneration() + 1,
-			Crashes:     refusalThreshold - 1,
+			Crashes:     known.GetCrashes(),
 			Pool:        known.GetPool(),
 			Expires:     known.GetExpires(),
 		}
@@ -204,9 +208,8 @@
 	return crashes, until
 }
 
-// raise records n crashes of a send that was planned when seen was known. From refusalThreshold
-// on the request is refused for a period. If many other targets have ended as well, the request
-// is not refused for them. t.mu is held.
+// raise records n crashes of a send that was planned when seen was known. A refusal
+// lasts for a period. t.mu is held.
 func (t *Tracker) raise(now time.Time, fingerprint uint64, seen *peer.Suspicion, pool string, n int, period time.Duration) *peer.Suspicion {
 	known := t.suspicions.find(now, fingerprint)
 	next := &peer.Suspicion{
@@ -219,10 +222,7 @@
 	if seen.GetGeneration() == known.GetGeneration() {
 		next.Crashes += seen.GetCrashes()
 	}
-	if next.GetCrashes() >= refusalThreshold && t.ends.many(now, fingerprint) {
-		next.Crashes = refusalThreshold - 1
-	}
-	if next.GetCrashes() >= refusalThreshold {
+	if t.refuses(now, next) {
 		next.Until = now.Add(period).UnixMilli()
 		next.Expires = now.Add(suspicionPeriod).UnixMilli()
 	}
@@ -234,6 +234,15 @@
 	return next
 }
 
+// refuses reports whether a request is refused for its crashes. While many targets end that did
+// not have it, it is not until certainThreshold. t.mu is held.
+func (t *Tracker) refuses(now time.Time, s *peer.Suspicion) bool {
+	if s.GetCrashes() >= certainThreshold {
+		return true
+	}
+	return s.GetCrashes() >= refusalThreshold && !t.ends.many(now, s.GetFingerprint())
+}
+
 // noteRefusal keeps the beginning of a refusal for massWindow. t.mu is held.
 func (t *Tracker) noteRefusal(now time.Time, before, after *peer.Suspicion) bool {
 	if !refused(after, now) || refused(before, now) {
