--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -136,7 +137,7 @@
 	defer a.cancel()
 	begin := j.Clock.Now()
 	target := a.dest.replica.Target
-	admitted := false
+	admitted, quarantined := false, false
 	answer, err := target.Client().Do(ctx, queue, &httpsender.Request{
 		ID:       j.request.ID,
 		Method:   j.request.Method,
@@ -152,13 +153,20 @@
 		Tally:    &j.tally,
 		Gate:     &a.gate,
 		Admit: func() bool {
-			admitted = target.State().Enter(j.Clock.Now())
+			now := j.Clock.Now()
+			if quarantined = j.quarantined(now); quarantined {
+				return false
+			}
+			admitted = target.State().Enter(now)
 			if admitted {
 				j.recordSent(target)
 			}
 			return admitted
 		},
 	})
+	if quarantined {
+		err = fmt.Errorf("%w: %w", errQuarantined, err)
+	}
 	j.recordReach(ctx, target, admitted, answer, err)
 	err = j.checkEnded(ctx, target, err)
 	now := j.Clock.Now()
--- a/entryd/pkg/scatterer/crash.go
+++ b/entryd/pkg/scatterer/crash.go
@@ -42,6 +42,13 @@
 	return reply
 }
 
+// quarantined reports whether the request is refused by now. It may have waited since it was
+// planned, for a connection or for another target.
+func (j *job) quarantined(now time.Time) bool {
+	plan := j.crashes.Plan(now, j.plan.Subject())
+	return plan.Refused
+}
+
 // unitToTry returns the unit to which a suspected request is sent first: that of the
 // suspicion's pool, or any if the route no longer has that pool.
 func (j *job) unitToTry(pool string) int {
--- a/entryd/pkg/scatterer/crash_test.go
+++ b/entryd/pkg/scatterer/crash_test.go
@@ -100,6 +100,30 @@
 	}
 }
 
+// TestQuarantinedWhileItWaits guards against a request that waits for a connection or for another
+// target, and is sent after its daemon has learnt that it is refused.
+func TestQuarantinedWhileItWaits(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	catalogs := newCatalogs(1)
+	s := New(Options{
+		Clock:    clock,
+		Catalogs: catalogs,
+	})
+	r := &Request{Method: "GET", Path: "/all/x", Caller: "first"}
+	other := &Request{Method: "GET", Path: "/all/x", Caller: "second"}
+	j := newRoot(s, r, catalogs.Catalog().Route("all"), s.crashes.Plan(clock.Now(), r.Subject()))
+	for i := range 3 {
+		if j.quarantined(clock.Now()) {
+			t.Errorf("refused after %d crashes", i)
+		}
+		plan := s.crashes.Plan(clock.Now(), other.Subject())
+		s.crashes.RecordCrashes(clock.Now(), &plan, "shard-0", 1)
+	}
+	if !j.quarantined(clock.Now()) {
+		t.Error("not refused after three crashes of an equal request")
+	}
+}
+
 // TestGivingUpAtDeadlineIsNoAnswer guards against the end of a suspicion by a target that gave
 // up a request at its deadline, and so did not execute what may crash it.
 func TestGivingUpAtDeadlineIsNoAnswer(t *testing.T) {
