--- a/entryd/pkg/scatterer/owner.go
+++ b/entryd/pkg/scatterer/owner.go
@@ -110,6 +110,13 @@
 	return o.missed(now)
 }
 
+// unresponsive reports whether the owner does not acknowledge in time, whatever its replies.
+func (o *owner) unresponsive() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lateAcks >= missLimit
+}
+
 // probeDue reports whether an owner that is out of service should be probed now. It
 // returns true for one caller in each interval.
 func (o *owner) probeDue(now time.Time) bool {
--- a/entryd/pkg/scatterer/trial.go
+++ b/entryd/pkg/scatterer/trial.go
@@ -75,10 +75,11 @@
 	return s.owners.get(ranked[0])
 }
 
-// refuseWithoutArbiter returns a refusal if the arbiter does not answer this daemon. No other
-// daemon takes its place until the fleet knows that it is gone: the trials would overlap.
+// refuseWithoutArbiter returns a refusal if the arbiter does not acknowledge requests of this
+// daemon. No other daemon takes its place until the fleet knows that it is gone: the trials would
+// overlap.
 func (s *Scatterer) refuseWithoutArbiter(arbiter *owner, route *cataloger.Route, now time.Time) *Result {
-	if !arbiter.outOfService(now) {
+	if !arbiter.unresponsive() {
 		return nil
 	}
 	if arbiter.probeDue(now) {
