--- a/entryd/pkg/scatterer/trial.go
+++ b/entryd/pkg/scatterer/trial.go
@@ -28,8 +28,9 @@
 }
 
 // planSend returns how to serve a request, or the refusal of a request that crashes
-// targets. The trials of equal requests are carried out by one daemon, one after the other, so
-// that each begins with what the one before has shown.
+// targets. One daemon carries out the trials: those of equal requests one after the other, so
+// that each begins with what the one before has shown, and those in one pool one after the
+// other, so that the end of a target is not blamed on two requests.
 func (s *Scatterer) planSend(ctx context.Context, r *Request, route *cataloger.Route, subject crashtracker.Subject) (trialPlan, *Result) {
 	now := s.Clock.Now()
 	p := trialPlan{
@@ -37,7 +38,7 @@
 		endTurn: func() {},
 	}
 	if p.Suspected && !p.Refused {
-		if p.arbiter = s.arbiterOf(subject, now); p.arbiter != nil {
+		if p.arbiter = s.arbiterOf(route); p.arbiter != nil {
 			return p, s.refuseWithoutArbiter(p.arbiter, route, now)
 		}
 		if p.endTurn = s.takeTurn(ctx, subject, p.Pool, min(turnTimeout, r.longestRetry(now))); p.endTurn == nil {
@@ -54,9 +55,9 @@
 	return p, nil
 }
 
-// arbiterOf returns the daemon that carries out the trials of requests with a content, or nil if
-// it is this one. The daemons that know the same fleet agree on it.
-func (s *Scatterer) arbiterOf(subject crashtracker.Subject, now time.Time) *owner {
+// arbiterOf returns the daemon that carries out the trials of all suspected requests for the
+// pools of a route, or nil if it is this one. The daemons that know the same fleet agree on it.
+func (s *Scatterer) arbiterOf(route *cataloger.Route) *owner {
 	if s.Placement == nil {
 		return nil
 	}
@@ -68,13 +69,25 @@
 			ID: s.ID,
 		})
 	}
-	ranked := ranker.Rank(daemons, subject.ContentString(), daemonID)
+	ranked := ranker.Rank(daemons, arbiterKey(route), daemonID)
 	if len(ranked) == 0 || ranked[0].ID == s.ID {
 		return nil
 	}
 	return s.owners.get(ranked[0])
 }
 
+// arbiterKey returns the key by which daemons are ranked as arbiter: the first pool by name, so
+// that routes over the same shards have the same arbiter.
+func arbiterKey(route *cataloger.Route) string {
+	first := ""
+	for _, p := range route.Pools() {
+		if first == "" || p.Name() < first {
+			first = p.Name()
+		}
+	}
+	return "arbiter " + first
+}
+
 // refuseWithoutArbiter returns a refusal if the arbiter does not acknowledge requests of this
 // daemon. No other daemon takes its place until the fleet knows that it is gone: the trials would
 // overlap.
--- a/prover/pkg/soaker/crash_test.go
+++ b/prover/pkg/soaker/crash_test.go
@@ -35,6 +35,10 @@
 		addresses int
 		// light is true if the load beside it is one request a second at each daemon.
 		light bool
+		// callers send the request at the same time, and every second send is left early if
+		// hasty is true.
+		callers int
+		hasty   bool
 	}{
 		{name: "one target", requests: []crashingRequest{get}},
 		{name: "one target, not idempotent", requests: []crashingRequest{post}},
@@ -47,6 +51,10 @@
 		{name: "one target, light load", requests: []crashingRequest{get}, light: true},
 		{name: "one target, caller with several addresses", requests: []crashingRequest{get}, addresses: 4},
 		{name: "all shards, caller with several addresses", requests: []crashingRequest{all}, addresses: 4},
+		{name: "one target, sends overlap", requests: []crashingRequest{get}, callers: 3},
+		{name: "all shards, sends overlap", requests: []crashingRequest{all}, callers: 3},
+		{name: "one target, callers leave early", requests: []crashingRequest{get}, hasty: true},
+		{name: "all shards, callers leave early", requests: []crashingRequest{all}, hasty: true},
 		{name: "all at once while daemons restart", requests: []crashingRequest{get, post, all}, disrupt: restartInTurn},
 		{name: "all at once while the store comes and goes", requests: []crashingRequest{get, post, all}, disrupt: takeStoreAway},
 		{name: "all at once while a daemon is cut off from the others", requests: []crashingRequest{get, post, all}, disrupt: cutDaemonOff},
@@ -67,6 +75,7 @@
 			var senders []*crashSender
 			for i, r := range test.requests {
 				c := newCrashSender(s, r, crashAddresses(i, test.addresses)...)
+				c.callers, c.hasty = test.callers, test.hasty
 				senders = append(senders, c)
 				s.background.Go(func() { c.run(s.ended) })
 			}
--- a/prover/pkg/soaker/crashsender.go
+++ b/prover/pkg/soaker/crashsender.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -8,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"plantaincleat/standin/pkg/platformsimulator"
@@ -28,6 +30,10 @@
 	quarantined = "QUARANTINED"
 	// crashSendGap is the pause between two sends of a request that crashes.
 	crashSendGap = 250 * time.Millisecond
+	// crashDelay is the time that a target executes such a request before it crashes.
+	crashDelay = 100 * time.Millisecond
+	// hastyPatience is the time after which a caller leaves who does not wait for a crash.
+	hastyPatience = 60 * time.Millisecond
 )
 
 // crashSender sends one request again and again, each time with a new id and to another
@@ -38,8 +44,15 @@
 	// clients send from one address each. The next one is used once the request has to be
 	// known and is refused because it crashes targets.
 	clients []*http.Client
+	// callers is the number of callers that send the request at the same time. Zero means one.
+	callers int
+	// hasty is true if every second send is left by its caller after hastyPatience.
+	hasty bool
 
+	// mu guards what follows and clients.
+	mu      sync.Mutex
 	sends   []crashSend
+	begun   int
 	knownBy time.Time
 }
 
@@ -82,27 +95,50 @@
 
 // run sends the request until stop is closed.
 func (c *crashSender) run(stop <-chan struct{}) {
-	for i := 0; ; i++ {
+	var callers sync.WaitGroup
+	for range max(c.callers, 1) {
+		callers.Go(func() { c.runCaller(stop) })
+	}
+	callers.Wait()
+}
+
+// runCaller sends the request again and again, to one daemon after the other.
+func (c *crashSender) runCaller(stop <-chan struct{}) {
+	for {
 		select {
 		case <-stop:
 			return
 		case <-time.After(crashSendGap):
 		}
-		c.send(c.soak.fleet.daemons[i%len(c.soak.fleet.daemons)])
-		if c.knownBy.IsZero() && c.executions() >= crashesUntilKnown {
+		c.send()
+		known := c.executions() >= crashesUntilKnown
+		c.mu.Lock()
+		if c.knownBy.IsZero() && known {
 			c.knownBy = time.Now().Add(stableWindow)
 		}
+		c.mu.Unlock()
 	}
 }
 
-// send sends the request once. A daemon that does not run is passed over.
-func (c *crashSender) send(d *daemon) {
+// send sends the request once, to the next daemon. A daemon that does not run is passed over.
+func (c *crashSender) send() {
+	c.mu.Lock()
+	n, client := c.begun, c.clients[0]
+	c.begun++
+	c.mu.Unlock()
+	d := c.soak.fleet.daemons[n%len(c.soak.fleet.daemons)]
 	s := crashSend{
-		id:     fmt.Sprintf("%s-%d", strings.Trim(c.path, "/"), len(c.sends)),
+		id:     fmt.Sprintf("%s-%d", strings.Trim(c.path, "/"), n),
 		at:     time.Now(),
 		daemon: d.number,
 	}
-	req, err := http.NewRequest(c.method, "http://"+d.callerAddress+c.path, strings.NewReader(c.body))
+	ctx := context.Background()
+	if c.hasty && n%2 == 1 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, hastyPatience)
+		defer cancel()
+	}
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+d.callerAddress+c.path, strings.NewReader(c.body))
 	if err != nil {
 		c.soak.ledger.addFinding("build request: %v", err)
 		return
@@ -110,23 +146,30 @@
 	req.Host = platformsimulator.RouteHost
 	req.Header.Set("Request-Id", s.id)
 	req.Header.Set("Request-Deadline", fmt.Sprint(callerDeadline.Milliseconds()))
-	if resp, err := c.clients[0].Do(req); err == nil {
+	refused := false
+	if resp, err := client.Do(req); err == nil {
 		body, _ := io.ReadAll(resp.Body)
 		_ = resp.Body.Close()
 		s.status = resp.StatusCode
-		known := !c.knownBy.IsZero() && s.at.After(c.knownBy)
-		if known && len(c.clients) > 1 && strings.Contains(string(body), quarantined) {
-			c.clients = c.clients[1:]
-		}
+		refused = strings.Contains(string(body), quarantined)
 	}
 	s.took = time.Since(s.at)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := !c.knownBy.IsZero() && s.at.After(c.knownBy)
+	if known && refused && client == c.clients[0] && len(c.clients) > 1 {
+		c.clients = c.clients[1:]
+	}
 	c.sends = append(c.sends, s)
 }
 
 // executions returns how often targets have begun to execute the request.
 func (c *crashSender) executions() int {
+	c.mu.Lock()
+	sends := slices.Clone(c.sends)
+	c.mu.Unlock()
 	n := 0
-	for _, s := range c.sends {
+	for _, s := range sends {
 		n += c.soak.fleet.platform.Executions(s.id)
 	}
 	return n
@@ -161,6 +204,9 @@
 // maxCrashSenders bounds the crashing requests of a run.
 const maxCrashSenders = 2
 
+// maxCrashCallers bounds the callers that send one crashing request at the same time.
+const maxCrashCallers = 3
+
 // crashTargets begins to send a request that crashes targets, which goes on until the end
 // of the run. It is done at most maxCrashSenders times in a run.
 func (s *Soak) crashTargets(r *rand.Rand, _ time.Duration) {
@@ -178,6 +224,7 @@
 	request := requests[r.IntN(len(requests))]
 	request.path += fmt.Sprintf("%s-%d", crashMark, n)
 	c := newCrashSender(s, request, fmt.Sprintf("127.0.9.%d", 1+n))
+	c.callers, c.hasty = 1+r.IntN(maxCrashCallers), r.IntN(2) == 0
 	s.crashSenders = append(s.crashSenders, c)
 	s.background.Go(func() { c.run(s.ended) })
 }
--- a/prover/pkg/soaker/fleet.go
+++ b/prover/pkg/soaker/fleet.go
@@ -120,7 +120,8 @@
 		RegisteredAddress: func(id, address string) string {
 			return f.openLink(targetLink(id), address)
 		},
-		CrashOn: func(r *http.Request) bool { return strings.Contains(r.URL.Path, crashMark) },
+		CrashOn:    func(r *http.Request) bool { return strings.Contains(r.URL.Path, crashMark) },
+		CrashDelay: crashDelay,
 		Crashed: func(id string) {
 			if !f.acceptsForEnded.Load() {
 				f.relay.StopLink(targetLink(id))
