--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -38,8 +38,8 @@
 	// trial is true for the trial of a suspected request. The units that wait for the first one
 	// are sent once that is answered, which ends the suspicion.
 	trial bool
-	// lost is true if the arbiter failed while it may have carried out the trial.
-	lost bool
+	// expired is true if the attempt has ended with the deadline and may have been executed.
+	expired bool
 	// resent is true if one of the units was sent before.
 	resent bool
 	// withdrawn is true once a unit was sent again before the owner was accepted.
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -234,6 +234,7 @@
 		j.handleReply(e, now)
 		return
 	}
+	a.expired = j.expired(e)
 	if errors.Is(e.err, httpsender.ErrEnded) {
 		j.raiseEnded(a.units[0], a.endedBefore+1)
 	}
--- a/entryd/pkg/scatterer/reply.go
+++ b/entryd/pkg/scatterer/reply.go
@@ -24,7 +24,6 @@
 	a := e.attempt
 	if e.err != nil {
 		a.log.Result = e.err.Error()
-		a.lost = !a.notExecuted
 		j.apply(j.query.FailAttempt(a.nonce, a.ownerFailureReason(e.err), now))
 		return
 	}
--- a/entryd/pkg/scatterer/trial.go
+++ b/entryd/pkg/scatterer/trial.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -10,6 +12,7 @@
 	"plantaincleat/entryd/pkg/assigner"
 	"plantaincleat/entryd/pkg/cataloger"
 	"plantaincleat/entryd/pkg/crashtracker"
+	"plantaincleat/entryd/pkg/httpsender"
 	"plantaincleat/tier/gen/peer"
 	"plantaincleat/tier/pkg/ranker"
 )
@@ -158,20 +161,30 @@
 	return sent
 }
 
-// unanswered reports whether a target may have executed the trial of a suspected request and has
-// not answered it, or whether the arbiter was lost with it.
+// unanswered reports whether the trial of this daemon may have been executed by a target and has
+// shown nothing: it is open, or it ended with the deadline. A connection that failed shows nothing
+// either, but is not held against the request, since no target may have been behind it.
 func (j *job) unanswered() bool {
 	for _, a := range j.attempts {
-		if !a.trial || a.notExecuted || j.answered(a.units[0]) {
+		if !a.trial || a.dest.owner != nil || j.answered(a.units[0]) {
 			continue
 		}
-		if a.lost || a.dest.owner == nil && !a.gate.Close() {
+		if _, open := j.open[a.nonce]; a.expired || open && !a.gate.Close() {
 			return true
 		}
 	}
 	return false
 }
 
+// expired reports whether the last event of an attempt at a target shows only that the deadline
+// has passed.
+func (j *job) expired(e event) bool {
+	if e.err != nil {
+		return !notExecuted(e.err) && !errors.Is(e.err, httpsender.ErrEnded) && !j.Clock.Now().Before(j.request.Deadline)
+	}
+	return e.answer.Status == http.StatusGatewayTimeout
+}
+
 // chooseForTrial returns the arbiter or, if that is this daemon, a replica.
 func (s *selector) chooseForTrial(unit int, tried []destination, now time.Time) (destination, bool) {
 	if s.job.arbiter == nil {
