--- a/entryd/pkg/scatterer/trial.go
+++ b/entryd/pkg/scatterer/trial.go
@@ -149,12 +149,12 @@
 	}
 }
 
-// atTarget reports whether a trial of this daemon is open at a target. It withdraws what was not
-// sent yet.
+// atTarget reports whether a trial of this daemon is open at a target and unanswered. It withdraws
+// what was not sent yet.
 func (j *job) atTarget() bool {
 	sent := false
 	for _, a := range j.open {
-		if a.trial && a.dest.owner == nil {
+		if a.trial && a.dest.owner == nil && !j.answered(a.units[0]) {
 			sent = !a.gate.Close() || sent
 		}
 	}
