--- a/entryd/pkg/crashtracker/crashtracker.go
+++ b/entryd/pkg/crashtracker/crashtracker.go
@@ -6,10 +6,9 @@
 // of the same pool has answered it. Its next send goes to a single target first. If that
 // target answers, the suspicion ends. If it ends as well, or may have executed the request and
 // gives no answer, the number of crashes rises by one, and from refusalThreshold on the request
-// is refused. What was sent before a crash
-// was known does not raise the number further, so that several sends beside the one that
-// crashes a target count as one. While many targets end that did not have the request, it
-// stays suspected and is refused from certainThreshold on.
+// is refused. What was sent before a crash was known does not raise the number further, so that
+// several sends beside the one that crashes a target count as one. While many targets end that
+// did not have the request, it stays suspected and is refused from certainThreshold on.
 //
 // Suspicions are kept for the content of a request, whoever sends it, and for the content
 // with its caller. A caller may come from many addresses, so that the content alone decides.
