Show that a stop cuts requests that wait in queues

Cause: at the end of the grace period a daemon closes the connections of callers whose requests wait for a connection to a target, instead of refusing the requests. Nothing is fixed.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -30,7 +31,7 @@
 // send sends a request and waits for its answer. It opens a new connection after an answer
 // that closes it, and after an answer that tells to come back.
 func (c *consumer) send(daemon, method, path, id, body string, limit time.Duration) outcome {
-	o := outcome{id: id, path: path, sent: time.Now()}
+	o := outcome{id: id, path: path, daemon: daemon, sent: time.Now()}
 	defer func() {
 		o.at = time.Now()
 		c.used = o.at
@@ -59,6 +60,7 @@
 	}
 	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
 	if err != nil {
+		o.cut = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF)
 		c.close()
 		return o
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,8 @@
 	http, peer, admin, settings string
 	cmd                         *exec.Cmd
 	exited                      chan struct{}
+	// out is true while the platform sends no consumers to the daemon.
+	out atomic.Bool
 }
 
 // fleet is all daemons of a case.
@@ -139,6 +142,39 @@
 	return nil
 }
 
+// checkReadiness asks each daemon once a second whether it is ready, as the platform does.
+// After two misses a daemon gets no consumers until it is ready again.
+func (f *fleet) checkReadiness() {
+	for _, d := range f.daemons {
+		go func() {
+			for misses := 0; ; time.Sleep(time.Second) {
+				misses++
+				if d.ready() {
+					misses = 0
+				}
+				if out := misses >= 2; d.out.Swap(out) != out {
+					f.log.add("%s out of rotation: %v", d.id, out)
+				}
+			}
+		}()
+	}
+}
+
+// terminate sends SIGTERM to a daemon, and SIGKILL after grace.
+func (f *fleet) terminate(d *daemon, grace time.Duration) {
+	f.log.add("SIGTERM to %s", d.id)
+	_ = d.cmd.Process.Signal(syscall.SIGTERM)
+	go func() {
+		select {
+		case <-d.exited:
+			f.log.add("%s has exited", d.id)
+		case <-time.After(grace):
+			f.log.add("SIGKILL to %s", d.id)
+			_ = d.cmd.Process.Kill()
+		}
+	}()
+}
+
 // stop ends all daemons.
 func (f *fleet) stop() {
 	for _, d := range f.daemons {
--- a/review/standin/journal.go
+++ b/review/standin/journal.go
@@ -20,8 +20,13 @@
 	// status is 0 if the connection ended without an answer.
 	status   int
 	sent, at time.Time
-	header   map[string]string
-	body     []byte
+	// cut is true if the daemon has closed the connection, after it had read all of the
+	// request, without an answer: with unread bytes it would have been reset.
+	cut bool
+	// daemon is the one that the request was sent to.
+	daemon string
+	header map[string]string
+	body   []byte
 }
 
 // journal is the record of a run: what was sent, answered and run.
@@ -74,5 +79,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.outcomes = append(j.outcomes, o)
-	j.line("answered %s %s with %d after %d ms", o.id, o.path, o.status, o.at.Sub(o.sent).Milliseconds())
+	text := ""
+	if o.cut {
+		text = ": connection was closed without an answer"
+	}
+	j.line("answered %s %s with %d after %d ms%s", o.id, o.path, o.status, o.at.Sub(o.sent).Milliseconds(), text)
 }
--- a/review/standin/load.go
+++ b/review/standin/load.go
@@ -18,6 +18,16 @@
 	daemons []*daemon
 }
 
+// choose returns the daemon for the next request, one in rotation if there is any.
+func (k *kind) choose() *daemon {
+	for range 20 {
+		if d := k.daemons[rand.IntN(len(k.daemons))]; !d.out.Load() {
+			return d
+		}
+	}
+	return k.daemons[rand.IntN(len(k.daemons))]
+}
+
 // consumersPerDaemon is the number of consumers of a kind that keep a connection to a daemon.
 const consumersPerDaemon = 12
 
@@ -69,7 +79,7 @@
 				return
 			case <-time.After(gap):
 			}
-			d := k.daemons[rand.IntN(len(k.daemons))]
+			d := k.choose()
 			id := s.nextID()
 			wg.Go(func() {
 				c := pools[d].take(s.log)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -42,6 +42,7 @@
 	"stray":  runStray,
 	"queue":  runQueue,
 	"relay":  runRelay,
+	"stop":   runStop,
 }
 
 func main() {
