--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -12,8 +12,10 @@
 // daemons, while some searchers lose answers.
 func runRelay(s *stand) (verdict, error) {
 	const (
-		lost   = 0.4
-		length = 12 * time.Second
+		lost = 0.4
+		// Answers are lost in windows that follow each other while the daemon is cut off.
+		windows = 3
+		window  = 4 * time.Second
 	)
 	var losing atomic.Bool
 	l := newLinks()
@@ -47,11 +49,13 @@
 	if s.trouble {
 		s.log.add("%s is cut off from the searchers", first.id)
 		l.cutOff(first.ip)
-		losing.Store(true)
 	}
-	time.Sleep(length)
-	if s.trouble {
+	for range windows {
+		losing.Store(s.trouble)
+		time.Sleep(window)
 		losing.Store(false)
+	}
+	if s.trouble {
 		l.heal()
 		s.log.add("all links are back")
 	}
