Show that a crashing request is not found if its caller leaves

Cause: what targets do with a request after its caller has left is watched only for requests that are suspected already, so that one whose caller never waits is never suspected. Nothing is fixed.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -20,6 +20,8 @@
 
 	conn net.Conn
 	in   *bufio.Reader
+	// leaveAfter is the time after which the consumer closes its connection, or zero.
+	leaveAfter time.Duration
 	// used is when the connection was last used.
 	used time.Time
 }
@@ -58,6 +60,9 @@
 		c.close()
 		return o
 	}
+	if c.leaveAfter > 0 {
+		_ = c.conn.SetReadDeadline(time.Now().Add(c.leaveAfter))
+	}
 	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
 	if err != nil {
 		o.cut = errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF)
--- a/review/standin/journal.go
+++ b/review/standin/journal.go
@@ -38,6 +38,8 @@
 	runs     map[string][]arrival
 	arrivals []arrival
 	outcomes []outcome
+	// crashes holds when searchers have crashed.
+	crashes []time.Time
 }
 
 func newJournal(path string) (*journal, error) {
@@ -75,6 +77,13 @@
 	j.line("run %s %s %s (%d bytes of body) by %s of %s", id, method, path, size, s.id, s.service)
 }
 
+func (j *journal) crashed(s *searcher, id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.crashes = append(j.crashes, time.Now())
+	j.line("crash of %s of %s under %s", s.id, s.service, id)
+}
+
 func (j *journal) answered(o outcome) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,6 +43,7 @@
 	"queue":  runQueue,
 	"relay":  runRelay,
 	"stop":   runStop,
+	"poison": runPoison,
 }
 
 func main() {
--- a/review/standin/searcher.go
+++ b/review/standin/searcher.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -45,6 +46,14 @@
 	// registered is the address in the entry.
 	registered string
 
+	// deadly is the path of requests that crash the searcher when it runs them, or empty.
+	deadly string
+	// drops is true if the searcher drops a deadly request when its connection closes, as most
+	// do.
+	drops bool
+	// process counts the starts of the searcher from 0.
+	process int
+
 	listener net.Listener
 	running  chan struct{}
 	waiting  atomic.Int64
@@ -58,7 +67,11 @@
 
 // start opens the searcher's listener and registers it.
 func (s *searcher) start() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address := "127.0.0.1:0"
+	if s.process > 0 {
+		address = s.registered
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
@@ -135,6 +148,41 @@
 	}
 }
 
+const (
+	// crashAfter is the time from the begin of the run of a deadly request to the crash.
+	crashAfter = 130 * time.Millisecond
+	// restartAfter is the time from a crash to the next start, under another id.
+	restartAfter = 2 * time.Second
+	// silence is the time without check-ins after which an entry is removed.
+	silence = 3 * heartbeat
+)
+
+// crash ends the searcher at once. It sends nothing; its entry is removed later.
+func (s *searcher) crash(id string) {
+	if s.ended.Swap(true) {
+		return
+	}
+	s.log.crashed(s, id)
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for c := range s.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	time.AfterFunc(silence, func() { s.store.remove(s.key()) })
+	time.AfterFunc(restartAfter, func() {
+		base, _, _ := strings.Cut(s.id, ".")
+		next := &searcher{id: fmt.Sprintf("%s.%d", base, s.process+1), service: s.service, zone: s.zone, slots: s.slots, queue: s.queue,
+			work: s.work, log: s.log, store: s.store, registered: s.registered, deadly: s.deadly, drops: s.drops, process: s.process + 1}
+		if err := next.start(); err != nil {
+			s.log.add("%s could not start again: %v", next.id, err)
+		}
+	})
+}
+
 func (s *searcher) accept() {
 	for {
 		c, err := s.listener.Accept()
@@ -174,7 +222,7 @@
 			}
 			extra = nil
 		}
-		answer, b := s.handle(r, len(body))
+		answer, b := s.handle(r, len(body), func(d time.Duration) bool { return closedWithin(c, in, d) })
 		if b.loseAnswer {
 			if tcp, ok := c.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
@@ -191,6 +239,17 @@
 	}
 }
 
+// closedWithin waits for a time and reports whether the other side has closed the connection.
+func closedWithin(c net.Conn, in *bufio.Reader, d time.Duration) bool {
+	begin := time.Now()
+	_ = c.SetReadDeadline(begin.Add(d))
+	_, err := in.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	time.Sleep(d - time.Since(begin))
+	var timeout net.Error
+	return err != nil && !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // message returns an answer with a status, headers and a body.
 func message(status int, id string, headers []string, body []byte) []byte {
 	var b strings.Builder
@@ -205,8 +264,9 @@
 	return append([]byte(b.String()), body...)
 }
 
-// handle serves a request and returns the answer.
-func (s *searcher) handle(r *http.Request, size int) ([]byte, behaviour) {
+// handle serves a request and returns the answer. left waits for a time and reports whether
+// the sender has closed the connection.
+func (s *searcher) handle(r *http.Request, size int, left func(time.Duration) bool) ([]byte, behaviour) {
 	if r.URL.Path == "/health" {
 		status := http.StatusOK
 		s.mu.Lock()
@@ -243,6 +303,14 @@
 	}
 	defer func() { <-s.running }()
 	s.log.ran(s, r.Method, id, r.URL.Path, size)
+	if s.deadly != "" && r.URL.Path == s.deadly {
+		if left(crashAfter) && s.drops {
+			s.log.add("%s drops %s: its connection was closed", s.id, id)
+			return nil, behaviour{loseAnswer: true}
+		}
+		s.crash(id)
+		return nil, behaviour{loseAnswer: true}
+	}
 	time.Sleep(min(s.work(), time.Until(deadline)))
 	signature := "Response-Signature: " + s.id + "." + id
 	if !time.Now().Before(deadline) {
