--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +27,8 @@
 	http, peer, admin, settings string
 	cmd                         *exec.Cmd
 	exited                      chan struct{}
+	// reserved holds the ports of the daemon until it is started.
+	reserved []net.Listener
 	// out is true while the platform sends no consumers to the daemon.
 	out atomic.Bool
 }
@@ -37,14 +40,24 @@
 	log     *journal
 }
 
-// freePort returns a port that is free on an address.
-func freePort(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+// Ports of daemons are below those that the kernel gives to outgoing connections, so that no
+// connection takes the port of a daemon that has not started yet.
+const (
+	firstPort = 20000
+	lastPort  = 31999
+)
+
+// reserve returns an address with a free port, and keeps the port until the daemon is started.
+func (d *daemon) reserve() string {
+	for {
+		address := fmt.Sprintf("%s:%d", d.ip, firstPort+rand.IntN(lastPort-firstPort+1))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		d.reserved = append(d.reserved, l)
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // startFleet starts perZone daemons in each zone. own is true if each daemon has an address of its own
@@ -59,7 +72,7 @@
 			ip = fmt.Sprintf("127.0.7.%d", i+1)
 		}
 		d := &daemon{id: fmt.Sprintf("front-%s-%d", zone, i/len(zones)+1), zone: zone, ip: ip}
-		d.http, d.peer, d.admin = freePort(ip), freePort(ip), freePort(ip)
+		d.http, d.peer, d.admin = d.reserve(), d.reserve(), d.reserve()
 		f.daemons = append(f.daemons, d)
 		if len(seeds) < 3 {
 			seeds = append(seeds, d.peer)
@@ -105,6 +118,9 @@
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "PLANTAINCLEAT_SETTINGS=" + d.settings}
 	d.cmd.Stdout, d.cmd.Stderr = out, out
 	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	for _, l := range d.reserved {
+		_ = l.Close()
+	}
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/standin/poison.go
+++ b/review/standin/poison.go
@@ -16,7 +16,7 @@
 	const (
 		shards = 8
 		// pause is the time between two sends of the request, and times their number.
-		pause = 700 * time.Millisecond
+		pause = 600 * time.Millisecond
 		times = 11
 		// leave is half of the latency target of the route.
 		leave = 100 * time.Millisecond
@@ -42,7 +42,7 @@
 	if s.fleet, err = startFleet(s.log, s.dir, s.store, zones, 2, false); err != nil {
 		return verdict{}, err
 	}
-	others := s.startLoad(kind{method: http.MethodGet, prefix: "/browse/x", perSecond: 45, limit: limit, daemons: s.fleet.daemons})
+	others := s.startLoad(kind{method: http.MethodGet, prefix: "/browse/x", perSecond: 50, limit: limit, daemons: s.fleet.daemons})
 	time.Sleep(4 * time.Second)
 	var sent []string
 	for i := range times {
