Log the reason and the executions of a reply without an answer

A daemon that reads the last reply of an owner or a relay logged only that it replied. Why it has sent the request on was not to be seen. The attempt now says for how many units the reply has no answer, and the reason and the count of executions of the first.

--- a/entryd/pkg/scatterer/reply.go
+++ b/entryd/pkg/scatterer/reply.go
@@ -1,6 +1,7 @@
 package scatterer
 
 import (
+	"fmt"
 	"time"
 
 	"plantaincleat/entryd/pkg/router"
@@ -38,7 +39,7 @@
 		j.apply(j.query.RecordPartial(a.nonce, covered, now))
 		return
 	}
-	a.log.Result = "replied"
+	a.log.Result = describeReply(e.reply)
 	a.notExecuted = e.reply.GetUntouched()
 	var missing []router.MissingUnit
 	for _, l := range e.reply.GetLacks() {
@@ -82,3 +83,13 @@
 	}
 	return p.units
 }
+
+// describeReply describes the last reply of an owner for logs: for how many units it has no
+// answer, and what it says of the first of them.
+func describeReply(reply *peer.ScatterReply) string {
+	lacks := reply.GetLacks()
+	if len(lacks) == 0 {
+		return "replied"
+	}
+	return fmt.Sprintf("replied, %d without answer: %s, executions up to %d", len(lacks), lacks[0].GetReason(), lacks[0].GetExecutions())
+}
