Count the executions that a relay reports, whatever its reason

Cause: a relay asks several targets and replies with one reason for all of them, the one that explains most. A rejection ranks above a lost answer and hides it. The reply also counts the executions, but the router read the count only if the reason allowed that there was one, so that it took the write for not executed and sent it to the next relay.

No relay was given up, and none sent twice.

Why this works: the count is exact for all reasons, since a relay ends with no open attempt, and every build with relays sends it. A unit is sent again only if it may be executed once more.

Related paths: owners of shards reply in the same way (a read could reach more targets than its route allows; mended by the same change); reasons paused, limited, evacuated, no budget; Untouched, which tells refused from failed (sound); writes of entryd, which pass on the outcome of one target (sound).

--- a/entryd/pkg/router/attempt.go
+++ b/entryd/pkg/router/attempt.go
@@ -109,15 +109,20 @@
 		return false
 	}
 	s.reason = moreInformative(s.reason, m.Reason)
-	switch {
-	case !mayHaveExecuted[m.Reason]:
-		s.executions -= a.executions
-	case m.Executions > 0:
-		s.executions -= max(a.executions-m.Executions, 0)
-	}
+	s.executions -= max(a.executions-m.executions(a.executions), 0)
 	return len(s.attempts) == 0
 }
 
+// executions returns the number of times that an attempt that was allowed to execute the unit
+// that often may have done so. The reason tells it only if the attempt does not count them: a path that asks several targets reports one
+// reason for all, and a rejection by one of them hides that another has executed the unit.
+func (m MissingUnit) executions(allowed int) int {
+	if m.Executions == 0 && mayHaveExecuted[m.Reason] {
+		return allowed
+	}
+	return m.Executions
+}
+
 // failOpenUnits calls failUnit for all open units of an attempt and returns the units
 // that may be sent again.
 func (q *Query[P]) failOpenUnits(a *attempt[P], reason peer.Reason) []int {
--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -99,8 +99,8 @@
 type MissingUnit struct {
 	Unit   int
 	Reason peer.Reason
-	// Executions is the number of times that the attempt may have executed the unit, if
-	// the reason allows that it has. Zero means as often as it was allowed to.
+	// Executions is the number of times that the attempt may have executed the unit. Zero
+	// means as often as it was allowed to, if the reason allows that it has.
 	Executions int
 }
 
--- a/entryd/pkg/router/router_test.go
+++ b/entryd/pkg/router/router_test.go
@@ -431,3 +431,39 @@
 		})
 	}
 }
+
+// TestExecutionBehindOtherReasonCounts guards against units that are executed more often than
+// they may be, because the reason of a path hides that one of its targets has executed them.
+func TestExecutionBehindOtherReasonCounts(t *testing.T) {
+	tests := []struct {
+		name       string
+		reason     peer.Reason
+		executions int
+		sent       int
+	}{
+		{name: "rejected by all", reason: peer.Reason_REASON_SHED, sent: 2},
+		{name: "rejected and failed", reason: peer.Reason_REASON_SHED, executions: 1, sent: 1},
+		{name: "leaving and failed", reason: peer.Reason_REASON_LEAVING, executions: 1, sent: 1},
+		{name: "no budget after a failure", reason: peer.Reason_REASON_BUDGET, executions: 1, sent: 1},
+		{name: "failed, not counted", reason: peer.Reason_REASON_FAILED, sent: 1},
+		{name: "more than it was allowed to", reason: peer.Reason_REASON_SHED, executions: 1 << 30, sent: 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			options := waitForAll()
+			options.MaxExecutions = 1
+			q := newQuery(1, options, twoPaths(), &tokenBudget{
+				retries: 9,
+			})
+			first := q.Start(epoch)
+			q.Answer(first[0].Nonce, nil, []MissingUnit{{
+				Unit:       0,
+				Reason:     test.reason,
+				Executions: test.executions,
+			}}, true, epoch)
+			if q.Sent() != test.sent {
+				t.Errorf("unit sent %d times, want %d", q.Sent(), test.sent)
+			}
+		})
+	}
+}
--- a/entryd/pkg/scatterer/relay_test.go
+++ b/entryd/pkg/scatterer/relay_test.go
@@ -143,6 +143,10 @@
 			Lacks:     []*peer.ScatterLack{{Reason: reason}},
 		}
 	}
+	executed := func(reply *peer.ScatterReply) *peer.ScatterReply {
+		reply.Lacks[0].Executions = 1
+		return reply
+	}
 	tests := []struct {
 		name  string
 		reply *peer.ScatterReply
@@ -153,6 +157,7 @@
 	}{
 		{name: "not executed", reply: lacking(peer.Reason_REASON_UNREACHABLE, true), again: true, want: Refused},
 		{name: "failed at the target", reply: lacking(peer.Reason_REASON_FAILED, false), want: Failed},
+		{name: "target that leaves hides one that failed", reply: executed(lacking(peer.Reason_REASON_LEAVING, false)), want: Failed},
 		{name: "daemon of a build before relays", reply: &peer.ScatterReply{Last: true}, want: Failed},
 		{name: "link to the relay lost", err: errors.New("link lost"), want: Failed},
 		{name: "nothing was sent", err: httpsender.ErrNotSent, again: true, want: Refused},
--- a/entryd/pkg/scatterer/withhold.go
+++ b/entryd/pkg/scatterer/withhold.go
@@ -169,9 +169,8 @@
 func (j *job) lack(unit int) *peer.ScatterLack {
 	now := j.Clock.Now()
 	out := &peer.ScatterLack{
-		Shard:  uint32(unit),
-		Reason: j.reason(unit, now),
-		// Only counts if the reason allows that a target has executed the request.
+		Shard:      uint32(unit),
+		Reason:     j.reason(unit, now),
 		Executions: uint32(max(j.query.Executions(unit), 0)),
 	}
 	if isWithheld(out.GetReason()) {
