Count a unit that a last reply leaves out as executed

What callers could see: a read that reaches more targets than its route allows (BUDGET).

Cause: a unit that the last answer of a path neither covers nor lists counted as unreachable, which means not executed and free to send again. A root meets that when an owner's reply overlaps with another one and is not used.

Failed before: TestUnreportedUnitCountsAsExecuted (3 units sent, 2 allowed).

--- a/entryd/pkg/router/router.go
+++ b/entryd/pkg/router/router.go
@@ -189,8 +189,9 @@
 
 // Answer records the answer of an attempt: the units that it covers and the units
 // that it could not answer. If last is true, the attempt ends, and its units that were
-// never reported count as unreachable. Otherwise its open units are late and are
-// hedged. Answers with an unknown nonce are counted and otherwise ignored.
+// never reported count as failed, since nothing tells whether they were executed. Otherwise
+// its open units are late and are hedged. Answers with an unknown nonce are counted and
+// otherwise ignored.
 func (q *Query[P]) Answer(nonce uint64, covered []int, missing []MissingUnit, last bool, now time.Time) []Action[P] {
 	q.actions = nil
 	a := q.recordCovered(nonce, covered)
@@ -204,7 +205,7 @@
 		}
 	}
 	if last {
-		again = append(again, q.failOpenUnits(a, peer.Reason_REASON_UNREACHABLE)...)
+		again = append(again, q.failOpenUnits(a, peer.Reason_REASON_FAILED)...)
 	}
 	q.removeIfFinished(a)
 	q.retryUnits(again, now)
--- a/entryd/pkg/router/router_test.go
+++ b/entryd/pkg/router/router_test.go
@@ -467,3 +467,18 @@
 		})
 	}
 }
+
+// TestUnreportedUnitCountsAsExecuted guards against units that are executed more often than they
+// may be, because a last answer neither covers them nor tells what became of them.
+func TestUnreportedUnitCountsAsExecuted(t *testing.T) {
+	options := waitForAll()
+	options.MaxExecutions = 1
+	q := newQuery(2, options, twoPaths(), &tokenBudget{
+		retries: 9,
+	})
+	first := q.Start(epoch)
+	q.Answer(first[0].Nonce, []int{0}, nil, true, epoch)
+	if q.Sent() != 2 || !q.Done() {
+		t.Errorf("%d units sent, want 2; Done() = %v, want true", q.Sent(), q.Done())
+	}
+}
