Answer the requests that wait or run when a graceful stop ends

Cause: Stop waited for the running requests and told them nothing. They knew their own deadlines only, which may be later than the end of the stop, and waited in the queues of targets until the connections were closed.

With targets that work longer than the grace period the same happens to requests that were sent.

Why this works: when the listener closes, the daemon ends all sends. What waits was sent to no target, so that 503 is true, and its callers have half of the grace period left for other daemons. What was sent goes on, and gets an answer (merged, or 504) 0.3 s before the connections close.

Related paths: requests of other daemons were taken until the last caller had its answer, and cut (refused unsent now); the outcome of a trial; turns of suspected requests and tokens of institutions (bounded, unchanged); late requests on open connections (closed by net/http unread, a test shows it); Stop of entryd (read only).

--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -39,6 +39,9 @@
 	if len(in.GetShards()) == 0 {
 		return s.serveProbe(stream, in)
 	}
+	if s.mayNotSend() {
+		return errStopping
+	}
 	catalog := s.Catalogs.Catalog()
 	route := catalog.Route(in.GetRoute())
 	if route == nil {
@@ -159,7 +162,7 @@
 	go c.awaitAccepted(stream, c.accepted)
 	timer := c.Clock.NewTimer(time.Hour)
 	defer timer.Stop()
-	lost := c.lost()
+	lost, sendsEnded, requestsEnded := c.lost(), c.stopping.sendsEnded, c.stopping.requestsEnded
 	for !c.query.Done() {
 		timer.Reset(c.nextWake().Sub(c.Clock.Now()))
 		var e *event
@@ -171,6 +174,12 @@
 		case <-lost:
 			lost = nil
 			c.loseReach()
+		case <-sendsEnded:
+			sendsEnded = nil
+			c.withdrawWaiting()
+		case <-requestsEnded:
+			requestsEnded = nil
+			c.expire()
 		case <-timer.Chan():
 		case <-ctx.Done():
 		}
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -155,7 +155,7 @@
 	j.startAll(ctx)
 	timer := j.Clock.NewTimer(time.Hour)
 	defer timer.Stop()
-	lost := j.lost()
+	lost, sendsEnded, requestsEnded := j.lost(), j.stopping.sendsEnded, j.stopping.requestsEnded
 	for !j.query.Done() {
 		timer.Reset(j.query.NextTick().Sub(j.Clock.Now()))
 		select {
@@ -164,6 +164,11 @@
 		case <-lost:
 			lost = nil
 			j.loseReach()
+		case <-sendsEnded:
+			sendsEnded = nil
+			j.withdrawWaiting()
+		case <-requestsEnded:
+			j.expire()
 		case <-timer.Chan():
 			j.apply(j.query.Tick(j.Clock.Now()))
 		case <-ctx.Done():
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -141,6 +141,7 @@
 	crashes       crashtracker.Tracker
 	turns         crashtracker.Turns
 	contentTurns  crashtracker.Turns
+	stopping      stopSignals
 }
 
 // New returns a Scatterer with the given options.
@@ -152,7 +153,8 @@
 		o.Cores = 1
 	}
 	return &Scatterer{
-		Options: o,
+		Options:  o,
+		stopping: newStopSignals(),
 	}
 }
 
@@ -174,7 +176,7 @@
 func (s *Scatterer) Running() int64 { return s.running.Load() }
 
 // Serve serves a request on a route. It returns when the request is answered or
-// refused, or when ctx ends, which is the context of the caller's connection.
+// refused, when EndRequests is called, or when ctx ends, which is the context of the caller's connection.
 func (s *Scatterer) Serve(ctx context.Context, r *Request, route *cataloger.Route) *Result {
 	subject := r.Subject()
 	res := s.serve(ctx, r, route, subject)
@@ -186,6 +188,9 @@
 func (s *Scatterer) serve(ctx context.Context, r *Request, route *cataloger.Route, subject crashtracker.Subject) *Result {
 	s.running.Add(1)
 	defer s.running.Add(-1)
+	if res := s.refuseStopping(route); res != nil {
+		return res
+	}
 	plan, res := s.planSend(ctx, r, route, subject)
 	if res != nil {
 		return res
--- a/entryd/pkg/scatterer/selector.go
+++ b/entryd/pkg/scatterer/selector.go
@@ -23,6 +23,9 @@
 
 // Choose implements router.Chooser.
 func (s *selector) Choose(unit int, tried []destination, now time.Time) (destination, bool) {
+	if s.job.mayNotSend() {
+		return destination{}, false
+	}
 	if s.job.inTrial() {
 		return s.chooseForTrial(unit, tried, now)
 	}
--- a/entryd/pkg/scatterer/trial.go
+++ b/entryd/pkg/scatterer/trial.go
@@ -131,7 +131,7 @@
 }
 
 // awaitOutcome waits until a trial that is at a target has shown whether it crashes that, for
-// lingerTime at most. Nothing is sent any more.
+// lingerTime at most, or until EndRequests is called. Nothing is sent any more.
 func (j *job) awaitOutcome() {
 	if !j.tries {
 		return
@@ -145,6 +145,8 @@
 			j.handle(e)
 		case <-timer.Chan():
 			return
+		case <-j.stopping.requestsEnded:
+			return
 		}
 	}
 }
