Show that an answer that a target breaks off never counts as whole

TestCutAnswerIsIncomplete cuts six kinds of answers after each of their bytes, on new and on used connections, and wants an error each time.

--- a/entryd/pkg/httpsender/client_test.go
+++ b/entryd/pkg/httpsender/client_test.go
@@ -184,6 +184,47 @@
 	}
 }
 
+// TestCutAnswerIsIncomplete guards against an answer that a target has broken off, in its head or
+// its body, and that counts as a whole one with a shorter body or none.
+func TestCutAnswerIsIncomplete(t *testing.T) {
+	chunked := "HTTP/1.1 200 OK\r\nRequest-Id: cut\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	tests := []struct {
+		name string
+		// whole is the answer that is cut after each of its bytes.
+		whole string
+	}{
+		{name: "length", whole: response("cut", "", "hello")},
+		{name: "length above the other headers", whole: "HTTP/1.1 200 OK\r\nContent-Length: 120\r\nRequest-Id: cut\r\n\r\n" + strings.Repeat("x", 120)},
+		{name: "chunks", whole: chunked},
+		{name: "interim answer before", whole: "HTTP/1.1 100 Continue\r\n\r\n" + response("cut", "", "hello")},
+		{name: "answer to another request before", whole: response("other", "", "other") + response("cut", "", "hello")},
+		{name: "no body", whole: "HTTP/1.1 200 OK\r\nRequest-Id: cut\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, first := range []bool{true, false} {
+				for n := range len(test.whole) {
+					s := newTarget(t, func(_ int, r *http.Request) (string, bool) {
+						if id := r.Header.Get("Request-Id"); id != "cut" {
+							return response(id, "", "first"), false
+						}
+						return test.whole[:n], true
+					})
+					c := s.client(1)
+					if !first {
+						if _, err := do(c, request("first")); err != nil {
+							t.Fatal(err)
+						}
+					}
+					if a, err := do(c, request("cut")); !errors.Is(err, ErrIncomplete) {
+						t.Errorf("%q: answer %+v, error %v", test.whole[:n], a, err)
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestConnectionReuse(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/standin/pkg/httpresponder/fault.go
+++ b/standin/pkg/httpresponder/fault.go
@@ -13,6 +13,8 @@
 	Reset
 	// Truncate closes the connection after half of the body.
 	Truncate
+	// TruncateHead closes the connection after half of the head of the answer.
+	TruncateHead
 	// ExtraAnswer sends the complete answer twice.
 	ExtraAnswer
 	// MismatchedAnswer sends an answer to another request before the right one.
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -4,7 +4,7 @@
 package httpresponder
 
 import (
-	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
@@ -377,7 +377,7 @@
 	case Unresponsive:
 		<-req.Context().Done()
 		panic(http.ErrAbortHandler)
-	case Truncate, ExtraAnswer, MismatchedAnswer, NoContentLength:
+	case Truncate, TruncateHead, ExtraAnswer, MismatchedAnswer, NoContentLength:
 		r.writeMalformed(w, id, fault)
 		return
 	case Endless:
@@ -412,6 +412,10 @@
 	case Truncate:
 		r.writeHead(buffer.Writer, id, fmt.Sprintf("Content-Length: %d\r\n", len(body)))
 		_, _ = buffer.Write(body[:len(body)/2])
+	case TruncateHead:
+		var head bytes.Buffer
+		r.writeHead(&head, id, fmt.Sprintf("Content-Length: %d\r\n", len(body)))
+		_, _ = buffer.Write(head.Bytes()[:head.Len()/2])
 	case NoContentLength:
 		r.writeHead(buffer.Writer, id, "Connection: close\r\n")
 		_, _ = buffer.Write(body)
@@ -434,6 +438,6 @@
 // MismatchedAnswer.
 const lingerTime = 300 * time.Millisecond
 
-func (r *Responder) writeHead(w *bufio.Writer, id, framing string) {
+func (r *Responder) writeHead(w io.Writer, id, framing string) {
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s\r\n", headerRequestID, id, headerSignature, r.Signature(id), framing)
 }
