Take a response without an id for none of any request

The bytes are a refusal without an id.

Cause: a response was skipped only if it had another request's id. Without an id it counted as that of the request that waits, which was sent to a second target while the first one executed it.

Related paths: probes (a connection each, closed after it), idle connections and bytes before the first request (sound), parts of answers over shards (same code).

Failed before: TestAnswerWithoutIDBelongsToNoRequest (12 of 18 requests). Answers in rows of TestDoErrorTellsWhetherRequestMayHaveExecuted and TestDoReportsEndedTarget had no id; they have one now, as all answers of targets, and want the same as before.

--- a/entryd/pkg/httpsender/client_test.go
+++ b/entryd/pkg/httpsender/client_test.go
@@ -124,15 +124,15 @@
 		want   error
 	}{
 		{name: "complete", answer: response("a", "", "body")},
-		{name: "complete, ends with the connection", answer: "HTTP/1.1 200 OK\r\n\r\nbody", closes: true},
+		{name: "complete, ends with the connection", answer: "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\nbody", closes: true},
 		{name: "closed without response", closes: true, want: ErrIncomplete},
-		{name: "truncated", answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", closes: true, want: ErrIncomplete},
+		{name: "truncated", answer: "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\nbody", closes: true, want: ErrIncomplete},
 		{name: "not HTTP", answer: "garbage\r\n\r\n", closes: true, want: ErrIncomplete},
-		{name: "last chunk missing", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", closes: true, want: ErrIncomplete},
-		{name: "endless head", answer: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 4*headLimit) + "\r\nContent-Length: 4\r\n\r\nbody", want: ErrIncomplete},
-		{name: "endless trailer", answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + strings.Repeat("x", 4*bodyLimit) + "\r\n\r\n", want: ErrIncomplete},
-		{name: "shed", answer: "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", want: ErrNotExecuted},
-		{name: "wrong target", answer: "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", want: ErrWrongTarget},
+		{name: "last chunk missing", answer: "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n", closes: true, want: ErrIncomplete},
+		{name: "endless head", answer: "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nX: " + strings.Repeat("x", 4*headLimit) + "\r\nContent-Length: 4\r\n\r\nbody", want: ErrIncomplete},
+		{name: "endless trailer", answer: "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + strings.Repeat("x", 4*bodyLimit) + "\r\n\r\n", want: ErrIncomplete},
+		{name: "shed", answer: "HTTP/1.1 503 x\r\nRequest-Id: a\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", want: ErrNotExecuted},
+		{name: "wrong target", answer: "HTTP/1.1 421 x\r\nRequest-Id: a\r\nContent-Length: 0\r\n\r\n", want: ErrWrongTarget},
 		{name: "response to another request first", answer: response("b", "", "no") + response("a", "", "body")},
 		{name: "only response to another request", answer: response("b", "", "no"), closes: true, want: ErrIncomplete},
 		{name: "interim response first", answer: "HTTP/1.1 103 Early\r\n\r\n" + response("a", "", "body")},
@@ -225,6 +225,43 @@
 	}
 }
 
+// TestAnswerWithoutIDBelongsToNoRequest guards against additional bytes of a target that count as
+// the answer to the request that waits: it would be sent again, or refused, while the target
+// executes it, or its caller would get another request's answer.
+func TestAnswerWithoutIDBelongsToNoRequest(t *testing.T) {
+	tests := []struct {
+		name  string
+		stray string
+	}{
+		{name: "refusal", stray: "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+		{name: "refusal for a limit", stray: "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"},
+		{name: "another target", stray: "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n"},
+		{name: "answer", stray: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"},
+		{name: "empty id", stray: response("", "", "stray")},
+		{name: "two", stray: response("", "", "stray") + response("", "Not-Executed: 1\r\n", "")},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newTarget(t, func(n int, r *http.Request) (string, bool) {
+				id := r.Header.Get("Request-Id")
+				whole := response(id, "", "body of "+id)
+				if n == 1 {
+					return whole, false
+				}
+				return test.stray + whole, false
+			})
+			c := s.client(1)
+			for i := range 3 {
+				id := fmt.Sprint(i)
+				a, err := do(c, request(id))
+				if err != nil || string(a.Body) != "body of "+id {
+					t.Errorf("request %d: answer %+v, error %v", i, a, err)
+				}
+			}
+		})
+	}
+}
+
 func TestConnectionReuse(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -171,8 +171,8 @@
 	return answer, nil
 }
 
-// readAnswer returns the response to a request. It skips up to maxStrayAnswers
-// interim responses and responses to other requests.
+// readAnswer returns the response to a request, which has its id. It skips up to maxStrayAnswers
+// interim responses and responses to other requests or to none.
 func (c *conn) readAnswer(cl *Client, r *Request, sentAt time.Time) (*Answer, error) {
 	for range maxStrayAnswers {
 		c.limiter.left = headLimit
@@ -186,9 +186,9 @@
 		}
 		// Chunks and a trailer may be longer than the body.
 		c.limiter.left = 2*bodyLimit + headLimit
-		if echo := resp.Header.Get(cl.headers.Request); echo != "" && echo != r.ID {
-			if _, err := io.CopyN(io.Discard, resp.Body, bodyLimit); !errors.Is(err, io.EOF) {
-				return nil, fmt.Errorf("target %s: skip response to request %s: body too long or truncated: %w", cl.address, echo, ErrIncomplete)
+		if echo := resp.Header.Get(cl.headers.Request); echo != r.ID {
+			if err := skipBody(resp); err != nil {
+				return nil, fmt.Errorf("target %s: skip response to request %q: %w: %w", cl.address, echo, ErrIncomplete, err)
 			}
 			continue
 		}
@@ -197,6 +197,17 @@
 	return nil, fmt.Errorf("target %s: %w: %w", cl.address, ErrIncomplete, errStrayAnswers)
 }
 
+// skipBody reads the body of a response to another request to its end.
+func skipBody(resp *http.Response) error {
+	switch _, err := io.CopyN(io.Discard, resp.Body, bodyLimit); {
+	case err == nil:
+		return errReadLimit
+	case err != io.EOF:
+		return err
+	}
+	return nil
+}
+
 // readBody reads the body of a response to its end or up to bodyLimit bytes, and
 // converts statuses that report that the request was not executed to errors.
 func (c *conn) readBody(cl *Client, resp *http.Response) (*Answer, error) {
--- a/entryd/pkg/httpsender/endcheck_test.go
+++ b/entryd/pkg/httpsender/endcheck_test.go
@@ -23,9 +23,9 @@
 		ends   bool
 	}{
 		{name: "target ends before the answer", ends: true},
-		{name: "target ends within the answer", answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", ends: true},
+		{name: "target ends within the answer", answer: "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\nbody", ends: true},
 		{name: "target closes one connection"},
-		{name: "target truncates one answer", answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody"},
+		{name: "target truncates one answer", answer: "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9\r\n\r\nbody"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
