Look at the store's word on a target again after the wait for it

Cause: whether a target drains or was removed was looked up in the catalog with which the request was begun. After the wait only the target's own announcements and evacuations were looked at.

Evidence: the test counts arrivals from the moment at which the daemon's own catalog has the new state, so that a late configuration is ruled out.

Why this works: the state stands with the process of the target, which all catalogs share, and is asked at the choice and at the last step before a request is written. What is not admitted was not sent, and goes elsewhere or is refused.

Related paths: targets replaced by another process (asked at the last step too now); announcements, pauses, limits, evacuations, quarantine (were); gatherer of entryd (read).

--- a/entryd/pkg/cataloger/catalog.go
+++ b/entryd/pkg/cataloger/catalog.go
@@ -41,6 +41,9 @@
 	state *withholder.State
 	// replaced is true once another process has answered at the address.
 	replaced atomic.Bool
+	// usableUntil is the time in Unix nanoseconds from which the process gets no requests
+	// according to the configuration in force, or 0 if there is none.
+	usableUntil atomic.Int64
 }
 
 // ID returns the id of the target's process.
@@ -75,6 +78,26 @@
 // Replaced reports whether another process has answered at the target's address.
 func (t *Target) Replaced() bool { return t.replaced.Load() }
 
+// Ended reports whether the process gets no requests any more, whichever catalog a request was
+// begun with: it drains, another process has its address, or it has vanished from the
+// configuration in force and its time as a last resort has ended.
+func (t *Target) Ended(now time.Time) bool {
+	until := t.usableUntil.Load()
+	return t.Replaced() || until != 0 && now.UnixNano() >= until
+}
+
+// past is a time before all others, until which a process is used that gets no requests any more.
+var past = time.Unix(0, 1)
+
+// setUsable sets the time until which the process is used. The zero time sets none.
+func (t *Target) setUsable(until time.Time) {
+	if until.IsZero() {
+		t.usableUntil.Store(0)
+		return
+	}
+	t.usableUntil.Store(until.UnixNano())
+}
+
 // Replica is a target in its role as a member of a pool in one catalog.
 type Replica struct {
 	*Target
@@ -89,13 +112,7 @@
 // if its use has ended for good, or if requests are withheld from it because of its own
 // announcement or because its data centre is evacuated.
 func (r *Replica) Unavailable(now time.Time) bool {
-	return r.ended(now) || r.state.Withheld(now)
-}
-
-// ended reports whether the target drains, whether another process has its address, or
-// whether it vanished from the configuration and its time as a last resort has ended.
-func (r *Replica) ended(now time.Time) bool {
-	return r.draining || r.Replaced() || r.Vanished() && !now.Before(r.lastResortUntil)
+	return r.Ended(now) || r.state.Withheld(now)
 }
 
 // Draining reports whether the configuration marks the target as leaving.
@@ -155,7 +172,7 @@
 	var out Withholding
 	evacuated := false
 	for _, r := range p.replicas {
-		if r.ended(now) || r.state.Leaving() {
+		if r.Ended(now) || r.state.Leaving() {
 			continue
 		}
 		if r.state.Evacuated() {
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -245,8 +245,14 @@
 		if p == nil {
 			continue
 		}
+		known := c.target(t, p)
+		var until time.Time
+		if t.GetLeaving() {
+			until = past
+		}
+		known.setUsable(until)
 		p.replicas = append(p.replicas, &Replica{
-			Target:   c.target(t, p),
+			Target:   known,
 			draining: t.GetLeaving(),
 		})
 	}
@@ -257,6 +263,7 @@
 			delete(c.vanished, k)
 			continue
 		}
+		t.setUsable(until)
 		if p := out.pools[t.pool]; p != nil {
 			p.replicas = append(p.replicas, &Replica{
 				Target:          t,
@@ -367,6 +374,7 @@
 	}
 	for k, t := range c.targets {
 		if !used[t] {
+			t.setUsable(past)
 			t.client.Close()
 			c.withholder.Release(now, t.Process())
 			delete(c.targets, k)
--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -157,7 +157,7 @@
 			if quarantined = j.quarantined(now); quarantined {
 				return false
 			}
-			admitted = target.State().Enter(now)
+			admitted = !target.Ended(now) && target.State().Enter(now)
 			if admitted {
 				j.recordSent(target)
 			}
