Watch the attempts of a caller that has left, so that crashes are counted

What targets saw: a request that crashes them, and whose caller leaves before they end, was never suspected.

Cause: when a caller left, its attempts were cancelled at once, here and at owners, so that nobody saw what became of the targets. Only requests that were suspected already were watched further.

Nothing new is sent and what waits is withdrawn. Owners are told by a new field (abandoned) and reply the ends that they see; earlier builds ignore it.

Related paths: trials of suspected requests (were awaited), deadlines of first sends (not counted, as before), mutations of entryd (read).

--- a/entryd/pkg/scatterer/attempt.go
+++ b/entryd/pkg/scatterer/attempt.go
@@ -52,9 +52,10 @@
 	// acknowledged is true once the owner has acknowledged the request. Only the
 	// goroutine that communicates with the owner uses it.
 	acknowledged bool
-	// sendAccepted tells the owner that its acknowledgement was processed.
-	sendAccepted func()
-	log          *Attempt
+	// sendAccepted tells the owner that its acknowledgement was processed, and sendAbandoned
+	// that the caller has left. They are set once the owner has acknowledged the request.
+	sendAccepted, sendAbandoned func()
+	log                         *Attempt
 }
 
 // lingers reports whether the attempt should run to its end although its answer is no
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -94,6 +94,8 @@
 	// accepted is closed when the other daemon has accepted this one, which means that it
 	// does not send the request elsewhere unless this daemon fails.
 	accepted chan struct{}
+	// left is closed when the other daemon says that the caller has left.
+	left chan struct{}
 	// pendingFailures are the events of failed attempts that wait for accepted. They may
 	// lead to requests to other targets.
 	pendingFailures []event
@@ -133,6 +135,7 @@
 		urgent:   mostUrgent(catalog),
 		sent:     make([]bool, len(j.pools)),
 		accepted: make(chan struct{}),
+		left:     make(chan struct{}),
 	}
 }
 
@@ -159,7 +162,7 @@
 	c.startAll(ctx)
 	defer c.finish(nil)
 	defer c.stop()
-	go c.awaitAccepted(stream, c.accepted)
+	go c.receive(stream, c.accepted, c.left)
 	timer := c.Clock.NewTimer(time.Hour)
 	defer timer.Stop()
 	lost, sendsEnded, requestsEnded := c.lost(), c.stopping.sendsEnded, c.stopping.requestsEnded
@@ -171,6 +174,11 @@
 			e = &received
 		case <-c.accepted:
 			c.confirm()
+		case <-c.left:
+			c.closed = true
+			c.handlePending()
+			c.abandon()
+			return stream.Send(c.reply(true))
 		case <-lost:
 			lost = nil
 			c.loseReach()
@@ -211,17 +219,25 @@
 // the request.
 func (c *collector) settle() {
 	c.closed = true
-	for _, e := range c.pendingFailures {
-		c.handle(e)
-	}
+	c.handlePending()
 	c.awaitOutcome()
 }
 
-// awaitAccepted waits until the other daemon accepts this one, and then closes
-// accepted.
-func (c *collector) awaitAccepted(stream peer.Peer_ScatterServer, accepted chan<- struct{}) {
-	if in, err := stream.Recv(); err == nil && in.GetAccepted() {
-		close(accepted)
+// receive receives the later messages of the other daemon. It closes accepted when that accepts
+// this daemon, and left when the caller has left.
+func (c *collector) receive(stream peer.Peer_ScatterServer, accepted, left chan<- struct{}) {
+	for {
+		in, err := stream.Recv()
+		switch {
+		case err != nil:
+			return
+		case in.GetAbandoned():
+			close(left)
+			return
+		case in.GetAccepted() && accepted != nil:
+			close(accepted)
+			accepted = nil
+		}
 	}
 }
 
@@ -229,6 +245,11 @@
 func (c *collector) confirm() {
 	c.confirmed = true
 	c.accepted = nil
+	c.handlePending()
+}
+
+// handlePending handles the failures that have waited for accepted.
+func (c *collector) handlePending() {
 	for _, e := range c.pendingFailures {
 		c.handle(e)
 	}
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -48,12 +48,9 @@
 	}
 	o.ackEstimator.Answer(j.Clock.Now(), a.ticket, estimator.Report{Incarnation: 1})
 	a.acknowledged = true
-	a.sendAccepted = func() {
-		// If this fails, the call has failed and receiveReplies returns its error.
-		_ = stream.Send(&peer.ScatterRequest{
-			Accepted: true,
-		})
-	}
+	// If a send fails, the call has failed and receiveReplies returns its error.
+	a.sendAccepted = func() { _ = stream.Send(&peer.ScatterRequest{Accepted: true}) }
+	a.sendAbandoned = func() { _ = stream.Send(&peer.ScatterRequest{Abandoned: true}) }
 	j.sendEvent(event{
 		attempt:      a,
 		acknowledged: true,
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -172,7 +172,7 @@
 		case <-timer.Chan():
 			j.apply(j.query.Tick(j.Clock.Now()))
 		case <-ctx.Done():
-			j.abandoned = true
+			j.abandon()
 			return
 		}
 	}
--- a/entryd/pkg/scatterer/trial.go
+++ b/entryd/pkg/scatterer/trial.go
@@ -137,18 +137,7 @@
 		return
 	}
 	j.closed = true
-	timer := j.Clock.NewTimer(lingerTime)
-	defer timer.Stop()
-	for j.atTarget() {
-		select {
-		case e := <-j.events:
-			j.handle(e)
-		case <-timer.Chan():
-			return
-		case <-j.stopping.requestsEnded:
-			return
-		}
-	}
+	j.awaitEvents(lingerTime, j.atTarget)
 }
 
 // atTarget reports whether a trial of this daemon is open at a target and unanswered. It withdraws
