--- a/prover/pkg/soaker/faults.go
+++ b/prover/pkg/soaker/faults.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"strings"
 	"syscall"
@@ -63,6 +62,8 @@
 	{name: "isolation", run: (*Soak).isolateDaemons},
 	{name: "evacuate", run: (*Soak).evacuate},
 	{name: "key rotation", run: (*Soak).rotateKey},
+	{name: "foreign bytes", run: (*Soak).foreignBytes},
+	{name: "foreign entry", run: (*Soak).writeForeignEntry},
 }
 
 func (s *Soak) randomDaemon(r *rand.Rand) *daemon {
@@ -222,19 +223,7 @@
 // targetFault makes one to three targets spoil a fraction of their requests,
 // all in the same way.
 func (s *Soak) targetFault(r *rand.Rand, duration time.Duration) {
-	all := s.fleet.platform.AllTargets()
-	kind := httpresponder.Fault(1 + r.IntN(int(httpresponder.Unresponsive)))
-	for range 1 + r.IntN(3) {
-		t := all[r.IntN(len(all))]
-		t.SetFault(func(*http.Request) httpresponder.Fault {
-			if rand.Float64() < faultFraction {
-				return kind
-			}
-			return httpresponder.NoFault
-		})
-		defer t.SetFault(func(*http.Request) httpresponder.Fault { return httpresponder.NoFault })
-	}
-	time.Sleep(duration)
+	s.spoil(r, httpresponder.Fault(1+r.IntN(int(httpresponder.Unresponsive))), duration)
 }
 
 // maxCopyAge bounds the age of the copy that the store returns from, and writeAgainLimit
--- a/standin/pkg/httpresponder/fault.go
+++ b/standin/pkg/httpresponder/fault.go
@@ -13,8 +13,6 @@
 	Reset
 	// Truncate closes the connection after half of the body.
 	Truncate
-	// TruncateHead closes the connection after half of the head of the answer.
-	TruncateHead
 	// ExtraAnswer sends the complete answer twice.
 	ExtraAnswer
 	// MismatchedAnswer sends an answer to another request before the right one.
@@ -31,4 +29,8 @@
 	// Endless executes the request and sends the bytes of SetEndless until the caller closes
 	// the connection.
 	Endless
+	// TruncateHead closes the connection after half of the head of the answer.
+	TruncateHead
+	// StrayRefusal sends a refusal without an id before the answer.
+	StrayRefusal
 )
--- a/standin/pkg/httpresponder/httpresponder.go
+++ b/standin/pkg/httpresponder/httpresponder.go
@@ -377,7 +377,7 @@
 	case Unresponsive:
 		<-req.Context().Done()
 		panic(http.ErrAbortHandler)
-	case Truncate, TruncateHead, ExtraAnswer, MismatchedAnswer, NoContentLength:
+	case Truncate, TruncateHead, ExtraAnswer, MismatchedAnswer, StrayRefusal, NoContentLength:
 		r.writeMalformed(w, id, fault)
 		return
 	case Endless:
@@ -425,9 +425,12 @@
 	case MismatchedAnswer:
 		writeAnswer("another")
 		writeAnswer(id)
+	case StrayRefusal:
+		_, _ = fmt.Fprintf(buffer, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", headerNotExecuted)
+		writeAnswer(id)
 	}
 	_ = buffer.Flush()
-	if fault == ExtraAnswer || fault == MismatchedAnswer {
+	if fault == ExtraAnswer || fault == MismatchedAnswer || fault == StrayRefusal {
 		// A correct target keeps the connection open. The caller must detect the
 		// extra bytes on it.
 		time.Sleep(lingerTime)
