--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -202,7 +202,7 @@
 	switch _, err := io.CopyN(io.Discard, resp.Body, bodyLimit); {
 	case err == nil:
 		return errReadLimit
-	case err != io.EOF:
+	case !errors.Is(err, io.EOF):
 		return err
 	}
 	return nil
--- a/entryd/pkg/router/attempt.go
+++ b/entryd/pkg/router/attempt.go
@@ -113,9 +113,10 @@
 	return len(s.attempts) == 0
 }
 
-// executions returns the number of times that an attempt that was allowed to execute the unit
-// that often may have done so. The reason tells it only if the attempt does not count them: a path that asks several targets reports one
-// reason for all, and a rejection by one of them hides that another has executed the unit.
+// executions returns the number of times that the attempt may have executed the unit, of the
+// allowed ones. The reason decides only if the attempt does not count them: a path that asks
+// several targets reports one reason for all, so that a rejection by one of them hides that
+// another has executed the unit.
 func (m MissingUnit) executions(allowed int) int {
 	if m.Executions == 0 && mayHaveExecuted[m.Reason] {
 		return allowed
--- a/entryd/pkg/scatterer/abandon.go
+++ b/entryd/pkg/scatterer/abandon.go
@@ -4,7 +4,8 @@
 
 const (
 	// abandonedTime is how long attempts at targets go on after the caller has left, if no target
-	// has answered the request: one may crash the target.
+	// has answered the request: it may crash them. Callers may expect that targets stop work within
+	// half a second.
 	abandonedTime = 250 * time.Millisecond
 	// abandonedReplyTime is the additional time in which owners reply what became of theirs.
 	abandonedReplyTime = 50 * time.Millisecond
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -176,8 +176,8 @@
 // Running returns the number of requests that are being served.
 func (s *Scatterer) Running() int64 { return s.running.Load() }
 
-// Serve serves a request on a route. It returns when the request is answered or
-// refused, when EndRequests is called, or when ctx ends, which is the context of the caller's connection.
+// Serve serves a request on a route. It returns when the request is answered or refused, when
+// EndRequests is called, or soon after the end of ctx, the context of the caller's connection.
 func (s *Scatterer) Serve(ctx context.Context, r *Request, route *cataloger.Route) *Result {
 	subject := r.Subject()
 	res := s.serve(ctx, r, route, subject)
