--- a/entryd/pkg/router/hedge.go
+++ b/entryd/pkg/router/hedge.go
@@ -68,3 +68,10 @@
 	slices.SortFunc(due, func(a, b *attempt[P]) int { return cmp.Compare(a.nonce, b.nonce) })
 	return due
 }
+
+// usefulAsHedge reports whether the next path of a unit is expected to answer
+// promptly.
+func (q *Query[P]) usefulAsHedge(u int, now time.Time) bool {
+	path, ok := q.chooser.Choose(u, q.units[u].tried, now)
+	return ok && q.chooser.Prompt(u, path, now)
+}
