Show a crashing request that is never suspected

Cause: when a caller leaves, its attempts are watched for 250 ms and then closed; the ends of targets that go on are seen by nobody.

--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,8 +21,13 @@
 type daemon struct {
 	name, zone                  string
 	front, peer, admin, metrics string
-	settings, log               string
-	bootstrap                   bool
+	// source is the daemon's own address, and advertised that at which the others reach it, if
+	// they are to.
+	source, advertised string
+	settings, log      string
+	bootstrap          bool
+	// held keeps the ports until the first start.
+	held []net.Listener
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -35,20 +42,30 @@
 	program string
 	dir     string
 	store   string
+	// zones is nil if no zone is cut off.
+	zones   *zones
 	record  *record
 	daemons []*daemon
-	stop    chan struct{}
-	wg      sync.WaitGroup
+	// forwarders are the listeners in front of the peer listeners.
+	forwarders []net.Listener
+	stop       chan struct{}
+	wg         sync.WaitGroup
 }
 
-// freeAddress returns a loopback address with a port that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// listen returns a listener on a loopback address. Its port is below those that the kernel uses
+// for outgoing connections, so that none of them takes it while a process is not there.
+func listen() (net.Listener, error) { return listenAt("127.0.0.1") }
+
+func listenAt(ip string) (net.Listener, error) {
+	const lowest, count, tries = 12000, 18000, 200
+	var err error
+	for range tries {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("%s:%d", ip, lowest+rand.IntN(count))); err == nil {
+			return l, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return nil, err
 }
 
 // newFleet prepares daemons. They are spread evenly over the zones, in the order of the names.
@@ -58,10 +75,11 @@
 		for i := range perZone {
 			d := &daemon{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, bootstrap: true}
 			for _, a := range []*string{&d.front, &d.peer, &d.admin, &d.metrics} {
-				var err error
-				if *a, err = freeAddress(); err != nil {
+				l, err := listen()
+				if err != nil {
 					return nil, err
 				}
+				*a, d.held = l.Addr().String(), append(d.held, l)
 			}
 			d.settings = filepath.Join(dir, d.name+".json")
 			d.log = filepath.Join(dir, d.name+".log")
@@ -71,6 +89,24 @@
 	return f, nil
 }
 
+// separate gives each daemon an address of its own, and a forwarder to its peer listener, so that
+// zones can be cut off.
+func (f *fleet) separate(z *zones) error {
+	f.zones = z
+	for i, d := range f.daemons {
+		d.source = fmt.Sprintf("127.0.1.%d", i+1)
+		z.assign(d.source, d.zone)
+		l, err := listenAt(d.source)
+		if err != nil {
+			return err
+		}
+		d.advertised = l.Addr().String()
+		f.forwarders = append(f.forwarders, l)
+		go forward(&zoneListener{Listener: l, zones: z, zone: d.zone}, d.peer)
+	}
+	return nil
+}
+
 // writeSettings writes what deploy/settings.json.tmpl yields for a small deployment.
 func (f *fleet) writeSettings(d *daemon) error {
 	var seeds []string
@@ -78,7 +114,7 @@
 	for _, other := range f.daemons {
 		if !zones[other.zone] && len(seeds) < 3 {
 			zones[other.zone] = true
-			seeds = append(seeds, other.peer)
+			seeds = append(seeds, cmp.Or(other.advertised, other.peer))
 		}
 	}
 	s := map[string]any{
@@ -95,6 +131,9 @@
 		"extra":    map[string]any{"ratio": 0.2, "slack": 52, "window": "10s"},
 		"quota":    map[string]any{"window": "5s", "overage": 0.1, "slack": 20},
 	}
+	if d.advertised != "" {
+		s["advertise"], s["source"] = d.advertised, d.source
+	}
 	if d.bootstrap {
 		s["hold"] = "1s"
 	}
@@ -125,6 +164,10 @@
 		return err
 	}
 	d.bootstrap = false
+	for _, l := range d.held {
+		_ = l.Close()
+	}
+	d.held = nil
 	log, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -263,6 +306,9 @@
 		}
 	}
 	f.wg.Wait()
+	for _, l := range f.forwarders {
+		_ = l.Close()
+	}
 }
 
 // metricsJSON reads a JSON page of a daemon's metrics listener.
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -25,7 +25,9 @@
 var cases = map[string]func(e *environment) (broken bool, err error){
 	"quota-freeze": quotaFreeze,
 	"quota-roll":   quotaRoll,
+	"quota-cut":    quotaCut,
 	"refused":      refusedFailure,
+	"poison":       poisonLeaving,
 }
 
 func main() {
--- a/review/cases/quota.go
+++ b/review/cases/quota.go
@@ -46,7 +46,8 @@
 	wg   sync.WaitGroup
 }
 
-func newQuotaScene(e *environment) (*quotaScene, error) {
+// newQuotaScene starts a deployment. With z, its zones can be cut off.
+func newQuotaScene(e *environment, z *zones) (*quotaScene, error) {
 	s := &quotaScene{environment: e, rate: usualRate, stop: make(chan struct{})}
 	var err error
 	if s.store, err = newStore(); err != nil {
@@ -60,6 +61,7 @@
 			slots:   4,
 			queue:   12,
 			work:    10 * time.Millisecond,
+			zones:   z,
 		}
 		if err := x.start(s.store, e.record); err != nil {
 			return nil, err
@@ -88,6 +90,11 @@
 	if s.fleet, err = newFleet(e.program, e.dir, s.store.address, e.record, quotaZones, 2); err != nil {
 		return nil, err
 	}
+	if z != nil {
+		if err := s.fleet.separate(z); err != nil {
+			return nil, err
+		}
+	}
 	if err := s.fleet.startAll(); err != nil {
 		s.fleet.closeAll()
 		return nil, err
@@ -245,7 +252,7 @@
 // sends many times its usual from shortly before the daemon wakes.
 func quotaFreeze(e *environment) (bool, error) {
 	const freeze = 3500 * time.Millisecond
-	s, err := newQuotaScene(e)
+	s, err := newQuotaScene(e, nil)
 	if err != nil {
 		return false, err
 	}
@@ -278,7 +285,7 @@
 // tenant's tokens by then. The tenant sends many times its usual from shortly before.
 func quotaRoll(e *environment) (bool, error) {
 	const gap = time.Second
-	s, err := newQuotaScene(e)
+	s, err := newQuotaScene(e, nil)
 	if err != nil {
 		return false, err
 	}
@@ -320,3 +327,50 @@
 	}
 	s.record.event("start of %s", d.name)
 }
+
+// quotaCut cuts a zone off for two times six seconds, and kills its daemons shortly after the
+// cut has begun.
+func quotaCut(e *environment) (bool, error) {
+	const cut = 12 * time.Second
+	z := newZones()
+	s, err := newQuotaScene(e, z)
+	if err != nil {
+		return false, err
+	}
+	defer s.close()
+	s.send(60)
+	time.Sleep(14 * time.Second)
+	l, err := s.lender()
+	if err != nil {
+		return false, errors.New("no lender: " + err.Error())
+	}
+	e.record.event("lender of the tenant: %s", l.name)
+	zone := quotaZones[0]
+	if l.zone == zone {
+		zone = quotaZones[1]
+	}
+	if e.trouble {
+		e.record.event("%s is cut off", zone)
+		z.setCut(zone)
+	}
+	time.Sleep(300 * time.Millisecond)
+	var wg sync.WaitGroup
+	for _, d := range s.fleet.daemons {
+		if e.trouble && d.zone == zone {
+			e.record.event("SIGKILL to %s", d.name)
+			d.signal(syscall.SIGKILL)
+			wg.Go(func() { s.startAgain(d) })
+		}
+	}
+	wg.Wait()
+	time.Sleep(cut - hotTime - time.Second)
+	s.setRate(hotFactor * usualRate)
+	time.Sleep(hotTime)
+	s.setRate(usualRate)
+	if e.trouble {
+		z.setCut("")
+		e.record.event("the cut has ended")
+	}
+	time.Sleep(8 * time.Second)
+	return s.judge(), nil
+}
--- a/review/cases/searcher.go
+++ b/review/cases/searcher.go
@@ -23,9 +23,16 @@
 	slots   int
 	queue   int
 	work    time.Duration
+	// zones cuts the searcher off from daemons. It may be nil.
+	zones *zones
+	// execute does the work and writes the answer. If it is nil, the work takes its time and the
+	// answer is sound, unless respond writes another one.
+	execute func(w http.ResponseWriter, r *http.Request)
 	// respond writes the answer to a request that was executed. It is nil for a sound answer.
 	respond func(w http.ResponseWriter, r *http.Request) bool
 
+	// address is where the searcher listens. It is set before the start only for a process that
+	// takes the address of an earlier one.
 	address  string
 	server   *http.Server
 	store    *store
@@ -35,19 +42,29 @@
 	running  chan struct{}
 	waiting  atomic.Int32
 
-	mu    sync.Mutex
-	state string
-	stop  chan struct{}
+	mu      sync.Mutex
+	state   string
+	stop    chan struct{}
+	closing sync.Once
 }
 
 // heartbeat is the time between two check-ins of a searcher.
 const heartbeat = 1200 * time.Millisecond
 
 func (s *searcher) start(st *store, rec *record) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	var l net.Listener
+	var err error
+	if s.address == "" {
+		l, err = listen()
+	} else {
+		l, err = net.Listen("tcp", s.address)
+	}
 	if err != nil {
 		return err
 	}
+	if s.zones != nil {
+		l = &zoneListener{Listener: l, zones: s.zones, zone: s.zone}
+	}
 	s.address, s.store, s.record = l.Addr().String(), st, rec
 	s.born, s.state, s.stop = time.Now().UnixMilli(), "ready", make(chan struct{})
 	s.running = make(chan struct{}, s.slots)
@@ -87,9 +104,12 @@
 	s.store.put("servers/"+s.id, value)
 }
 
+// close ends the searcher: its connections break, and its address refuses new ones.
 func (s *searcher) close() {
-	close(s.stop)
-	_ = s.server.Close()
+	s.closing.Do(func() {
+		close(s.stop)
+		_ = s.server.Close()
+	})
 }
 
 // take waits for a slot. It returns false if the queue is full, or if the caller leaves or the
@@ -136,8 +156,7 @@
 	id := r.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Instance-Id", s.id)
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
 	if expected := r.Header.Get("Expected-Instance"); expected != "" && expected != s.id {
@@ -156,6 +175,15 @@
 	}
 	defer func() { <-s.running }()
 	s.record.ran(id, s.id, r.Header.Get("Tenant-Id"))
+	if s.execute != nil {
+		s.execute(w, r)
+		return
+	}
+	s.answer(w, r)
+}
+
+// answer works on a request and answers it.
+func (s *searcher) answer(w http.ResponseWriter, r *http.Request) {
 	timer := time.NewTimer(time.Duration(float64(s.work) * (0.5 + mathrand.Float64())))
 	defer timer.Stop()
 	select {
@@ -168,6 +196,7 @@
 	}
 	var mac [8]byte
 	_, _ = rand.Read(mac[:])
+	id := r.Header.Get("Request-Id")
 	w.Header().Set("Response-Signature", id+"."+hex.EncodeToString(mac[:]))
-	_, _ = w.Write(append([]byte("answer to "+id+" "), body...))
+	_, _ = w.Write([]byte("answer to " + id))
 }
--- a/review/cases/store.go
+++ b/review/cases/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -39,7 +38,7 @@
 const storeLatency = 4 * time.Millisecond
 
 func newStore() (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen()
 	if err != nil {
 		return nil, err
 	}
