Let a lender that was frozen begin anew

The daemon that lends its tokens is frozen for 3.5 s; from its waking on, 183 to 187 requests are executed in a window that allows 141.

Cause: a daemon takes itself for the lender on its own view of the fleet, in which no time passes while it is frozen. It wakes as the lender, with a full bucket, beside the daemon that has taken its place, and stays so until the others take it back a window later.

Evidence: in a run before the change 118 of 186 requests come through the daemon that was frozen, which is the full rate of a lender (22 a second) for the window of 5 s and its full bucket. Tokens saved in the freeze (12 at most) or borrowed before it (16 at most) do not explain it.

Change: the gossiper tells since when the daemon has run without a gap, at once after a freeze. Each decision of the lender begins with a look at it; after a freeze the daemon is like one that has just started, drops what it could lend and what it has borrowed, and tokens that were granted before the freeze are not used. A freeze raises the incarnation as a start does, so that the others treat it as one too. Why this works: the sum over a fleet in which daemons start is what the model checks; a freeze is now the same event.

--- a/entryd/pkg/gossiper/config.go
+++ b/entryd/pkg/gossiper/config.go
@@ -44,6 +44,10 @@
 	Fanout int
 }
 
+// InterruptionStep is the least amount by which the end of a freeze raises the incarnation of a
+// daemon, in milliseconds. The refutation of a suspicion raises it by one.
+const InterruptionStep = 1000
+
 // Defaults of Config.
 const (
 	DefaultRoundInterval    = 250 * time.Millisecond
--- a/entryd/pkg/gossiper/machine.go
+++ b/entryd/pkg/gossiper/machine.go
@@ -40,8 +40,8 @@
 	leaving         bool
 
 	// lastInput is the time of the last input. A long gap since then means that
-	// this daemon was frozen.
-	lastInput time.Time
+	// this daemon was frozen. since is the start or the end of the last freeze.
+	lastInput, since time.Time
 	// lastRequest is when another daemon last opened an exchange with this
 	// daemon.
 	lastRequest     time.Time
@@ -102,6 +102,7 @@
 		mismatches:      make(map[string]int),
 		remotes:         make(map[string]*remoteState),
 		lastInput:       now,
+		since:           now,
 		lastRequest:     now,
 		nextRound:       now,
 		nextRetry:       now.Add(cfg.RetryInterval),
@@ -140,6 +141,10 @@
 // SuspicionTimeout has passed without an answer.
 func (m *Machine) Synced() bool { return !m.refreshing }
 
+// Since returns since when this daemon has run without a gap: its start or the end of its last
+// freeze.
+func (m *Machine) Since() time.Time { return m.since }
+
 // Join asks other daemons for their tables at once, without waiting for the first round,
 // and returns the messages to send.
 func (m *Machine) Join(now time.Time) []Action {
@@ -166,21 +171,22 @@
 
 // detectFreeze compares now with the time of the last input. A gap of
 // SuspicionTimeout or more means that this daemon was frozen, so it refreshes
-// its table and raises its incarnation. The gap is also measured on the wall
-// clock because the monotonic clock stops while a host is suspended.
+// its table and raises its incarnation by InterruptionStep at least, as a start does: other
+// daemons may have taken its place.
 func (m *Machine) detectFreeze(now time.Time) {
-	gap := max(now.Sub(m.lastInput), now.Round(0).Sub(m.lastInput.Round(0)))
+	frozen := wasFrozen(m.lastInput, now, m.cfg.SuspicionTimeout)
 	m.lastInput = now
-	if gap < m.cfg.SuspicionTimeout {
+	if !frozen {
 		return
 	}
+	m.since = now
 	m.refreshing = true
 	// A failed exchange from before the freeze says nothing about the other
 	// daemon.
 	m.pending = make(map[uint64]*pendingExchange)
 	m.refreshDeadline = now.Add(m.cfg.SuspicionTimeout)
 	m.nextRound = now
-	m.raiseIncarnation(0, now)
+	m.raiseIncarnation(max(m.self().incarnation+InterruptionStep, uint64(now.UnixMilli())), now)
 	for _, r := range m.table.records {
 		if r.state == peer.State_STATE_SUSPECT {
 			r.changedAt = now
@@ -191,6 +197,13 @@
 	}
 }
 
+// wasFrozen reports whether a daemon whose last input was at one time was frozen until another.
+// The gap is also measured on the wall clock because the monotonic clock stops while a host is
+// suspended.
+func wasFrozen(last, now time.Time, limit time.Duration) bool {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0))) >= limit
+}
+
 // raiseIncarnation publishes this daemon's record as alive, with an incarnation
 // higher than above and than its present one.
 func (m *Machine) raiseIncarnation(above uint64, now time.Time) {
--- a/entryd/pkg/gossiper/machine_test.go
+++ b/entryd/pkg/gossiper/machine_test.go
@@ -246,8 +246,11 @@
 	if n.m.Synced() {
 		t.Error("synced right after a freeze")
 	}
-	if n.m.self().incarnation <= before {
-		t.Error("incarnation not raised by the freeze")
+	if got := n.m.self().incarnation; got < before+InterruptionStep {
+		t.Errorf("incarnation raised by %d by the freeze, want %d at least", got-before, InterruptionStep)
+	}
+	if got := n.m.Since(); !got.Equal(w.now) {
+		t.Errorf("runs without a gap since %v, want the end of the freeze at %v", got, w.now)
 	}
 	w.run(time.Second)
 	if !n.m.Synced() {
--- a/entryd/pkg/gossiper/runner.go
+++ b/entryd/pkg/gossiper/runner.go
@@ -18,8 +18,8 @@
 	probeTimeout = 2 * exchangeTimeout
 )
 
-// Runner drives a Machine. It is safe for concurrent use. View, Notices and
-// Synced take no lock.
+// Runner drives a Machine. It is safe for concurrent use. View, Notices, Synced and Since
+// take no lock.
 type Runner struct {
 	clock            clockwork.Clock
 	transport        Transport
@@ -34,6 +34,7 @@
 	notices   atomic.Pointer[[]*peer.Notice]
 	synced    atomic.Bool
 	lastInput atomic.Pointer[time.Time]
+	since     atomic.Pointer[time.Time]
 
 	subscribers struct {
 		mu  sync.Mutex
@@ -68,6 +69,8 @@
 	before := r.machine.Next()
 	r.machine.detectFreeze(now)
 	actions := f(now)
+	since := r.machine.Since()
+	r.since.Store(&since)
 	r.lastInput.Store(&now)
 	r.synced.Store(r.machine.Synced())
 	r.publish(r.machine.Changes())
@@ -244,10 +247,19 @@
 // a start or a freeze until another daemon has answered with its table. After a
 // freeze it is false at once, before the machine has processed an input.
 func (r *Runner) Synced() bool {
+	return !wasFrozen(*r.lastInput.Load(), r.clock.Now(), r.suspicionTimeout) && r.synced.Load()
+}
+
+// Since returns since when this daemon has run without a gap: its start or the end of its last
+// freeze. A daemon that acts for the fleet by its view of it, as a lender does, has to begin
+// anew then: another daemon may have taken its place. Right after a freeze, before the machine
+// has processed an input, it is the present.
+func (r *Runner) Since() time.Time {
 	now := r.clock.Now()
-	last := *r.lastInput.Load()
-	gap := max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
-	return gap < r.suspicionTimeout && r.synced.Load()
+	if wasFrozen(*r.lastInput.Load(), now, r.suspicionTimeout) {
+		return now
+	}
+	return *r.since.Load()
 }
 
 // Subscribe returns a channel that receives a value after changes, and a
--- a/entryd/pkg/lender/lender.go
+++ b/entryd/pkg/lender/lender.go
@@ -34,17 +34,30 @@
 	logInterval = time.Second
 )
 
-// errTimeout reports that a daemon has not answered within answerTimeout.
-var errTimeout = errors.New("lend: no answer in time")
+var (
+	// errTimeout reports that a daemon has not answered within answerTimeout.
+	errTimeout = errors.New("lend: no answer in time")
+	// errFrozen reports that this daemon was frozen while it waited for an answer.
+	errFrozen = errors.New("lend: frozen while waiting for an answer")
+)
+
+// Membership is this daemon's own part in the fleet.
+type Membership interface {
+	// Since returns since when the daemon has run without a gap: its start or the end of its
+	// last freeze.
+	Since() time.Time
+}
 
-// Options set up a Runner. All fields but Least are required.
+// Options set up a Runner. All fields but Least and Membership are required.
 type Options struct {
 	ID         string
 	DataCentre string
 	Quota      sharer.Quota
 	// Least is the number of daemons that the fleet has at least.
 	Least int
-	Clock clockwork.Clock
+	// Membership may be nil. The daemon then never freezes.
+	Membership Membership
+	Clock      clockwork.Clock
 	// Dial returns the connection to a peer's address.
 	Dial func(address string) (grpc.ClientConnInterface, error)
 }
@@ -53,7 +66,9 @@
 type Runner struct {
 	Options
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// since is what Membership said last.
+	since     time.Time
 	fleet     *sharer.Fleet
 	lender    *sharer.Lender
 	stock     *sharer.Stock
@@ -97,9 +112,29 @@
 		usage:   make(map[string]*usage),
 	}
 	r.lender = sharer.NewLender(o.Quota, r.fleet.View())
+	if o.Membership != nil {
+		r.since = o.Membership.Since()
+	}
 	return r
 }
 
+// now returns the time, after it has made sure that this daemon does not act on what it was to
+// the fleet before a freeze. All decisions begin with it. r.mu is held.
+func (r *Runner) now() time.Time {
+	now := r.Clock.Now()
+	if r.Membership == nil {
+		return now
+	}
+	if since := r.Membership.Since(); since.After(r.since) {
+		slog.Info("daemon was frozen and lends like one that has just started", "before", r.since, "since", since)
+		r.since = since
+		r.fleet.Resume(now)
+		r.lender.Resume(r.fleet.View())
+		r.stock.Resume()
+	}
+	return now
+}
+
 // Configure takes the limits of a configuration. It does nothing if its revision is that of
 // the last one.
 func (r *Runner) Configure(revision uint64, institutions []*config.Institution) {
@@ -131,7 +166,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.addresses = addresses
-	now := r.Clock.Now()
+	now := r.now()
 	if r.fleet.Observe(now, daemons) {
 		r.lender.SetView(now, r.fleet.View())
 	}
@@ -141,7 +176,7 @@
 // counts it. It waits for the lender if this daemon holds no token.
 func (r *Runner) Admit(ctx context.Context, institution, request string) Admission {
 	r.mu.Lock()
-	now := r.Clock.Now()
+	now := r.now()
 	verdict := r.stock.Take(now, institution)
 	if verdict != sharer.Pending {
 		defer r.mu.Unlock()
@@ -224,8 +259,10 @@
 		list := r.waiting[institution]
 		batch := list[:min(len(list), maxWanted)]
 		r.waiting[institution] = list[len(batch):]
-		ask := r.stock.Ask(r.Clock.Now(), institution, len(batch))
-		order := r.stock.Arrange(r.Clock.Now(), r.fleet.View().Order(institution))
+		now := r.now()
+		since := r.since
+		ask := r.stock.Ask(now, institution, len(batch))
+		order := r.stock.Arrange(now, r.fleet.View().Order(institution))
 		r.mu.Unlock()
 		var grant sharer.Grant
 		var from string
@@ -234,6 +271,10 @@
 			grant, from, err = r.askAll(order, ask)
 		}
 		r.mu.Lock()
+		if r.now(); r.since != since {
+			// The tokens were granted before the freeze.
+			grant, err = sharer.Grant{}, errFrozen
+		}
 		r.deliver(institution, batch, grant, from, err)
 		if len(r.waiting[institution]) == 0 {
 			delete(r.waiting, institution)
@@ -304,7 +345,7 @@
 	if id == r.ID {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return r.lender.Lend(r.Clock.Now(), ask)
+		return r.lender.Lend(r.now(), ask)
 	}
 	type result struct {
 		grant sharer.Grant
@@ -312,6 +353,7 @@
 	}
 	done := make(chan result)
 	late := make(chan struct{})
+	begin := r.Clock.Now()
 	go func() {
 		g, err := r.call(id, ask)
 		select {
@@ -320,7 +362,7 @@
 			err:   err,
 		}:
 		case <-late:
-			r.recordLate(id, ask.Institution, g, err)
+			r.recordLate(id, ask.Institution, g, err, begin)
 		}
 	}()
 	timer := r.Clock.NewTimer(answerTimeout)
@@ -347,16 +389,18 @@
 	r.stock.Failed(r.Clock.Now(), id)
 }
 
-// recordLate keeps the tokens of an answer that came too late.
-func (r *Runner) recordLate(id, institution string, g sharer.Grant, err error) {
+// recordLate keeps the tokens of an answer that came too late, unless this daemon was frozen
+// since it asked.
+func (r *Runner) recordLate(id, institution string, g sharer.Grant, err error, begin time.Time) {
 	if err != nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.now()
 	r.stock.Answered(id)
-	if r.limits[institution].Rate > 0 {
-		r.stock.Add(r.Clock.Now(), institution, g, g.Granted)
+	if r.limits[institution].Rate > 0 && !r.since.After(begin) {
+		r.stock.Add(now, institution, g, g.Granted)
 	}
 }
 
@@ -403,7 +447,7 @@
 func (r *Runner) Lend(_ context.Context, in *peer.LendRequest) (*peer.LendReply, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	g, err := r.lender.Lend(r.Clock.Now(), sharer.Ask{
+	g, err := r.lender.Lend(r.now(), sharer.Ask{
 		Institution: in.GetInstitution(),
 		Wanted:      int(min(in.GetWanted(), maxWanted)),
 		Spare:       int(min(in.GetSpare(), maxWanted)),
--- a/entryd/pkg/lender/lender_test.go
+++ b/entryd/pkg/lender/lender_test.go
@@ -221,3 +221,41 @@
 		t.Errorf("%d calls for 100 requests", f.calls)
 	}
 }
+
+// membership is a Membership whose parts a test sets.
+type membership struct {
+	since time.Time
+}
+
+func (m *membership) Since() time.Time { return m.since }
+
+// ask asks a daemon for a number of tokens and returns how many it grants.
+func ask(r *Runner, wanted uint32) (uint32, error) {
+	reply, err := r.Lend(context.Background(), &peer.LendRequest{
+		Institution: institution,
+		Wanted:      wanted,
+	})
+	return reply.GetGranted(), err
+}
+
+// TestLendAfterFreeze guards against a lender that was frozen and lends on what it was to the fleet
+// before, in the first call after it, while another daemon has taken its place.
+func TestLendAfterFreeze(t *testing.T) {
+	const freeze = 3500 * time.Millisecond
+	f := newTestFleet(5, &config.Institution{Name: institution, Rate: 20, Burst: 10})
+	lender, _, _ := f.roles(t)
+	m := &membership{since: f.clock.Now()}
+	lender.Membership, lender.since = m, m.since
+	if n, err := ask(lender, 10); n != 10 || err != nil {
+		t.Fatalf("%d of 10 tokens and error %v before the freeze", n, err)
+	}
+	f.clock.Advance(freeze)
+	m.since = f.clock.Now()
+	// 1.7 tokens are the reserve with which a daemon starts.
+	if n, err := ask(lender, 10); n > 1 || err != nil {
+		t.Errorf("%d of 10 tokens and error %v after the freeze, want those of a daemon that has started", n, err)
+	}
+	if order := lender.fleet.View().Order(institution); order[0] == lender.ID {
+		t.Error("the daemon asks itself first after the freeze")
+	}
+}
--- a/entryd/pkg/lender/usage.go
+++ b/entryd/pkg/lender/usage.go
@@ -39,7 +39,7 @@
 	// Role is that of this daemon, and Tokens what it could lend.
 	Role   sharer.Role
 	Tokens float64
-	// Lender is the daemon that this one asks.
+	// Lender is the daemon that this one asks, or empty if there is none.
 	Lender string
 }
 
@@ -47,7 +47,7 @@
 func (r *Runner) Usages() []Usage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Clock.Now()
+	now := r.now()
 	var out []Usage
 	for _, name := range slices.Sorted(maps.Keys(r.limits)) {
 		if r.limits[name].Rate <= 0 {
@@ -65,7 +65,9 @@
 		Revision:    r.revision,
 		Demand:      r.stock.Demand(now, name),
 		Held:        r.stock.Held(now, name),
-		Lender:      r.fleet.View().Order(name)[0],
+	}
+	if order := r.fleet.View().Order(name); len(order) > 0 {
+		out.Lender = order[0]
 	}
 	out.Role, out.Tokens = r.lender.Lends(now, name)
 	if u := r.usage[name]; u != nil {
--- a/entryd/pkg/sharer/fleet.go
+++ b/entryd/pkg/sharer/fleet.go
@@ -12,8 +12,9 @@
 	// standbysPerDataCentre is the number of daemons of a data centre that stand in for a
 	// lender that does not answer. Two would have reserves of less than a token.
 	standbysPerDataCentre = 1
-	// restartStep is the least difference of the incarnations of two processes of a daemon, in
-	// milliseconds. A process raises its incarnation by small steps.
+	// restartStep is the least difference, in milliseconds, of the incarnations of two processes
+	// of a daemon, or of one before and after a freeze. Otherwise a process raises its
+	// incarnation by small steps.
 	restartStep = 500
 	// settleTime is the time within which all daemons have heard of one that has joined. It is
 	// added to the window before a daemon takes itself for one that lends, and before the
@@ -25,7 +26,8 @@
 type Daemon struct {
 	ID         string
 	DataCentre string
-	// Incarnation is the start time of the process in Unix milliseconds, or shortly after.
+	// Incarnation is the time at which the process started or was last frozen in Unix
+	// milliseconds, or shortly after.
 	Incarnation uint64
 	Live        bool
 }
@@ -55,9 +57,10 @@
 	self, dataCentre string
 	least            int
 	window           time.Duration
-	started          time.Time
-	known            map[string]*knownDaemon
-	view             *View
+	// started is when this daemon has started, or Resume was called last.
+	started time.Time
+	known   map[string]*knownDaemon
+	view    *View
 }
 
 type knownDaemon struct {
@@ -83,9 +86,16 @@
 	return f
 }
 
-// View returns the result of the last Observe.
+// View returns the view as of the last call of Observe or Resume.
 func (f *Fleet) View() *View { return f.view }
 
+// Resume is to be called when this daemon was frozen. Another one may lend in its place, of which
+// its view does not tell. It is then like a daemon that has just started.
+func (f *Fleet) Resume(now time.Time) {
+	f.started = now
+	f.view = f.build(now)
+}
+
 // Observe takes all daemons that have not left the fleet, and reports whether the view has
 // changed. It should be called about twice a second even if nothing has changed.
 func (f *Fleet) Observe(now time.Time, daemons []Daemon) bool {
--- a/entryd/pkg/sharer/lender.go
+++ b/entryd/pkg/sharer/lender.go
@@ -97,6 +97,13 @@
 	}
 }
 
+// Resume is to be called with the new view when this daemon was frozen. What it could have lent
+// until then counts no more.
+func (l *Lender) Resume(v *View) {
+	l.view = v
+	clear(l.accounts)
+}
+
 // Lends returns the role of the daemon for an institution, and the tokens that it could lend.
 func (l *Lender) Lends(now time.Time, institution string) (Role, float64) {
 	a := l.accounts[institution]
--- a/entryd/pkg/sharer/model_test.go
+++ b/entryd/pkg/sharer/model_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"plantaincleat/tier/pkg/hasher"
 )
 
 const (
@@ -24,9 +26,9 @@
 // modelEpoch is the state of a fleet up to the next epoch.
 type modelEpoch struct {
 	at time.Duration
-	// parts holds the part of the network of each daemon, or down.
+	// parts holds the part of the network of each daemon, or down or frozen.
 	parts []int
-	// incarnations holds the start of each daemon's process.
+	// incarnations holds the start of each daemon's process, or the end of its last freeze.
 	incarnations []uint64
 	limit        Limit
 	// lost is true if daemons are lost with it, which the others notice later than they hear
@@ -34,7 +36,10 @@
 	lost bool
 }
 
-const down = -1
+const (
+	down   = -1
+	frozen = -2
+)
 
 // model is a fleet of daemons, its network and the requests of one institution.
 type model struct {
@@ -56,6 +61,8 @@
 	lender         *Lender
 	stock          *Stock
 	limit          Limit
+	// frozen is true if the daemon was frozen and has not run since.
+	frozen bool
 }
 
 func newModel(n int, q Quota, seed uint64, epochs []modelEpoch) *model {
@@ -104,9 +111,15 @@
 // update lets a daemon start, observe the fleet and apply the configuration.
 func (m *model) update(at time.Duration, i int) {
 	d, now, real := &m.daemons[i], m.clock(at), m.current(at, nil, 0)
-	if real.parts[i] == down {
+	switch {
+	case real.parts[i] == down:
 		d.fleet = nil
 		return
+	case real.parts[i] == frozen:
+		d.frozen = d.fleet != nil
+		return
+	case d.frozen:
+		m.resume(d, now, real.incarnations[i])
 	}
 	if d.fleet == nil || d.incarnation != real.incarnations[i] {
 		d.incarnation = real.incarnations[i]
@@ -124,7 +137,7 @@
 	if (at+time.Duration(i)*modelStep)%observeInterval != 0 {
 		return
 	}
-	seen := m.current(at, m.seen, i)
+	seen := m.observed(at, i)
 	var list []Daemon
 	for j, o := range m.daemons {
 		// A daemon that has not joined yet has no incarnation.
@@ -142,10 +155,34 @@
 	}
 }
 
+// resume lets a daemon that was frozen go on.
+func (m *model) resume(d *modelDaemon, now time.Time, incarnation uint64) {
+	d.frozen, d.incarnation = false, incarnation
+	d.fleet.Resume(now)
+	d.lender.Resume(d.fleet.View())
+	d.stock.Resume()
+}
+
+// observed returns the epoch that daemon i knows of. After a freeze, that is the one from before
+// it at first.
+func (m *model) observed(at time.Duration, i int) *modelEpoch {
+	seen := m.current(at, m.seen, i)
+	for seen.parts[i] == frozen {
+		e := slices.IndexFunc(m.epochs, func(e modelEpoch) bool { return e.at == seen.at })
+		seen = &m.epochs[e-1]
+	}
+	return seen
+}
+
+// runs reports whether daemon i answers.
+func (m *model) runs(at time.Duration, i int) bool {
+	return m.daemons[i].fleet != nil && m.current(at, nil, 0).parts[i] != frozen
+}
+
 // request sends a request to daemon i and reports whether it was admitted.
 func (m *model) request(at time.Duration, i int) bool {
 	d, now := &m.daemons[i], m.clock(at)
-	if d.fleet == nil {
+	if !m.runs(at, i) {
 		return false
 	}
 	verdict := d.stock.Take(now, modelName)
@@ -165,7 +202,7 @@
 	ask := d.stock.Ask(now, modelName, 1)
 	for _, id := range d.stock.Arrange(now, d.fleet.View().Order(modelName)) {
 		j := slices.IndexFunc(m.daemons, func(o modelDaemon) bool { return o.id == id })
-		if real.parts[j] != real.parts[i] || m.daemons[j].fleet == nil {
+		if real.parts[j] != real.parts[i] || !m.runs(at, j) {
 			d.stock.Failed(now, id)
 			continue
 		}
@@ -237,7 +274,14 @@
 			incarnations: slices.Clone(last.incarnations),
 			limit:        last.limit,
 		}
-		kind := rapid.SampledFrom([]string{"cut data centre", "cut in parts", "cut single", "heal", "restart", "kill", "return", "lower"}).Draw(t, "kind")
+		for i, part := range next.parts {
+			if part == frozen {
+				// A freeze lasts until the next change.
+				next.parts[i] = 0
+				next.incarnations[i] += restartStep
+			}
+		}
+		kind := rapid.SampledFrom([]string{"cut data centre", "cut in parts", "cut single", "heal", "restart", "kill", "return", "lower", "freeze"}).Draw(t, "kind")
 		share := rapid.Float64Range(0.02, 0.6).Draw(t, "share")
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "chosen"), 2))
 		for i := range n {
@@ -256,12 +300,14 @@
 				next.incarnations[i] += 1000000
 			case kind == "kill" && chosen:
 				next.parts[i] = down
+			case kind == "freeze" && up && chosen:
+				next.parts[i] = frozen
 			}
 		}
 		if kind == "lower" {
 			next.limit.Rate *= share
 		}
-		next.lost = strings.HasPrefix(kind, "cut") || kind == "kill"
+		next.lost = strings.HasPrefix(kind, "cut") || kind == "kill" || kind == "freeze"
 		epochs = append(epochs, next)
 	}
 	return epochs
@@ -283,8 +329,8 @@
 
 // TestSumHolds guards against daemons that together admit more requests of an institution
 // than its limit allows in a window, whatever happens to them and however requests arrive:
-// cuts in parts, restarts, joins, kills, lowered limits, an institution that sends many
-// times its limit, and callers that move between daemons.
+// cuts in parts, restarts, joins, kills, freezes, lowered limits, an institution that
+// sends many times its limit, and callers that move between daemons.
 func TestSumHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{3, 6, 12, 30, 89}).Draw(t, "daemons")
@@ -365,6 +411,52 @@
 	}
 }
 
+// lenderAmong returns the number of the daemon that lends if only some of the n daemons of a model
+// are left.
+func lenderAmong(left []int) int {
+	var candidates []candidate
+	for _, i := range left {
+		id := fmt.Sprint("daemon-", i)
+		candidates = append(candidates, candidate{
+			id:   id,
+			hash: hasher.Strings(id),
+		})
+	}
+	id := top(hasher.Strings(modelName), candidates, func(candidate) bool { return true })
+	return slices.IndexFunc(candidates, func(c candidate) bool { return c.id == id })
+}
+
+// TestSumHoldsAfterFreezeOfLender guards against a lender that was frozen and goes on to lend beside
+// the daemon that has taken its place.
+func TestSumHoldsAfterFreezeOfLender(t *testing.T) {
+	for seed := range uint64(60) {
+		n := []int{2, 3, 6, 12}[seed%4]
+		limit := Limit{Rate: []float64{9, 40, 100}[seed%3]}
+		var all []int
+		for i := range n {
+			all = append(all, i)
+		}
+		lender := lenderAmong(all)
+		epochs := []modelEpoch{firstEpoch(n, n, limit), firstEpoch(n, n, limit), firstEpoch(n, n, limit)}
+		epochs[1].at, epochs[1].lost = 12*time.Second, true
+		epochs[1].parts[lender] = frozen
+		epochs[2].at = epochs[1].at + time.Duration(2000+500*(seed%7))*time.Millisecond
+		epochs[2].incarnations[lender] += restartStep
+		m := newModel(n, Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, seed, epochs)
+		// Few requests before the end of the freeze leave the lenders with full buckets.
+		load := func(at time.Duration) float64 {
+			if at < epochs[2].at-500*time.Millisecond {
+				return limit.Rate
+			}
+			return 7.5 * limit.Rate
+		}
+		m.play(0, load, func(time.Duration) int { return m.random.IntN(n) })
+		if over, end := m.excess(); over > 0 {
+			t.Errorf("seed %d: %.1f requests too many in the window that ends at %s", seed, over, end)
+		}
+	}
+}
+
 // TestNothingBelowTheLimitIsRefused answers loads within a limit in a fleet without troubles:
 // all of it must be served, wherever it arrives.
 func TestNothingBelowTheLimitIsRefused(t *testing.T) {
--- a/entryd/pkg/sharer/stock.go
+++ b/entryd/pkg/sharer/stock.go
@@ -68,6 +68,16 @@
 	s.limits = limits
 }
 
+// Resume is to be called when this daemon was frozen. It drops the tokens in hand, which may have
+// been granted long ago.
+func (s *Stock) Resume() {
+	for _, a := range s.accounts {
+		a.spares, a.unused = 0, 0
+		a.empty = time.Time{}
+	}
+	clear(s.passed)
+}
+
 // Verdict is what becomes of a request.
 type Verdict int
 
--- a/prover/pkg/soaker/fleet.go
+++ b/prover/pkg/soaker/fleet.go
@@ -40,6 +40,10 @@
 	// fraction of all requests plus a constant.
 	extraRatio = 0.2
 	extraSlack = 50.0
+	// quotaWindow, quotaOverage and quotaSlack are what the limits of institutions tolerate.
+	quotaWindow  = 3 * time.Second
+	quotaOverage = 0.1
+	quotaSlack   = 20.0
 )
 
 // Offsets of a daemon's ports, on its own loopback address, from the first port
@@ -221,11 +225,13 @@
   "seeds": [%s],
   "grace": "%ds",
   "security": {"insecure": true},
-  "extra": {"ratio": %g, "slack": %g, "window": "10s"}
+  "extra": {"ratio": %g, "slack": %g, "window": "10s"},
+  "quota": {"window": %q, "overage": %g, "slack": %g}
 }
 `, d.number, dataCentres[d.number%len(dataCentres)],
 		f.daemonAddress(d, portHTTP), f.daemonAddress(d, portPeer), f.daemonAddress(d, portAdmin), f.daemonAddress(d, portMetrics),
-		seeds[d.number], d.ip, store, strings.Join(seeds, ", "), int(grace.Seconds()), extraRatio, extraSlack)
+		seeds[d.number], d.ip, store, strings.Join(seeds, ", "), int(grace.Seconds()), extraRatio, extraSlack,
+		quotaWindow, quotaOverage, quotaSlack)
 	return eris.Wrap(os.WriteFile(f.settingsFile(d), []byte(text), fileMode), "write settings")
 }
 
