Let a lender that leaves the fleet lend no more

Cause: a daemon that is told to stop tells the others, and another one becomes the lender. Its own fleet counted itself as a candidate all the same, so that it lent at the full rate to its own callers for the 2.5 s in which it still serves.

Change: the daemon is no candidate any more once it leaves, refuses to lend, and asks its successor. A fleet of one daemon goes on. Why this works: what was said to the others and what the daemon does are the same flag.

--- a/entryd/pkg/gossiper/runner.go
+++ b/entryd/pkg/gossiper/runner.go
@@ -18,8 +18,8 @@
 	probeTimeout = 2 * exchangeTimeout
 )
 
-// Runner drives a Machine. It is safe for concurrent use. View, Notices, Synced and Since
-// take no lock.
+// Runner drives a Machine. It is safe for concurrent use. View, Notices, Synced, Since and
+// Leaving take no lock.
 type Runner struct {
 	clock            clockwork.Clock
 	transport        Transport
@@ -35,6 +35,7 @@
 	synced    atomic.Bool
 	lastInput atomic.Pointer[time.Time]
 	since     atomic.Pointer[time.Time]
+	leaving   atomic.Bool
 
 	subscribers struct {
 		mu  sync.Mutex
@@ -222,6 +223,7 @@
 // Leave tells a few other daemons that this daemon leaves the fleet. They pass
 // it on. It returns after those calls have ended.
 func (r *Runner) Leave(ctx context.Context) {
+	r.leaving.Store(true)
 	actions := r.update(func(now time.Time) []Action { return r.machine.Leave(now) })
 	var wait sync.WaitGroup
 	for _, a := range actions {
@@ -262,6 +264,10 @@
 	return *r.since.Load()
 }
 
+// Leaving reports whether Leave was called. From then on, the other daemons give what this one
+// did for the fleet to others.
+func (r *Runner) Leaving() bool { return r.leaving.Load() }
+
 // Subscribe returns a channel that receives a value after changes, and a
 // function that ends the subscription. Several changes may be signalled by one
 // value.
--- a/entryd/pkg/lender/lender.go
+++ b/entryd/pkg/lender/lender.go
@@ -46,6 +46,8 @@
 	// Since returns since when the daemon has run without a gap: its start or the end of its
 	// last freeze.
 	Since() time.Time
+	// Leaving reports whether the daemon leaves the fleet.
+	Leaving() bool
 }
 
 // Options set up a Runner. All fields but Least and Membership are required.
@@ -55,7 +57,7 @@
 	Quota      sharer.Quota
 	// Least is the number of daemons that the fleet has at least.
 	Least int
-	// Membership may be nil. The daemon then never freezes.
+	// Membership may be nil. The daemon then neither leaves nor freezes.
 	Membership Membership
 	Clock      clockwork.Clock
 	// Dial returns the connection to a peer's address.
@@ -67,8 +69,9 @@
 	Options
 
 	mu sync.Mutex
-	// since is what Membership said last.
+	// since and leaving are what Membership said last.
 	since     time.Time
+	leaving   bool
 	fleet     *sharer.Fleet
 	lender    *sharer.Lender
 	stock     *sharer.Stock
@@ -119,12 +122,18 @@
 }
 
 // now returns the time, after it has made sure that this daemon does not act on what it was to
-// the fleet before a freeze. All decisions begin with it. r.mu is held.
+// the fleet before a freeze, or before it left. All decisions begin with it. r.mu is held.
 func (r *Runner) now() time.Time {
 	now := r.Clock.Now()
 	if r.Membership == nil {
 		return now
 	}
+	if !r.leaving && r.Membership.Leaving() {
+		r.leaving = true
+		r.fleet.Leave(now)
+		r.lender.SetView(now, r.fleet.View())
+		slog.Info("daemon leaves the fleet and lends no more")
+	}
 	if since := r.Membership.Since(); since.After(r.since) {
 		slog.Info("daemon was frozen and lends like one that has just started", "before", r.since, "since", since)
 		r.since = since
--- a/entryd/pkg/lender/lender_test.go
+++ b/entryd/pkg/lender/lender_test.go
@@ -224,11 +224,14 @@
 
 // membership is a Membership whose parts a test sets.
 type membership struct {
-	since time.Time
+	since   time.Time
+	leaving bool
 }
 
 func (m *membership) Since() time.Time { return m.since }
 
+func (m *membership) Leaving() bool { return m.leaving }
+
 // ask asks a daemon for a number of tokens and returns how many it grants.
 func ask(r *Runner, wanted uint32) (uint32, error) {
 	reply, err := r.Lend(context.Background(), &peer.LendRequest{
@@ -259,3 +262,30 @@
 		t.Error("the daemon asks itself first after the freeze")
 	}
 }
+
+// TestLendWhileLeaving guards against a lender that is stopped and goes on to lend, to itself or to
+// others, beside its successor.
+func TestLendWhileLeaving(t *testing.T) {
+	f := newTestFleet(5, &config.Institution{Name: institution, Rate: 20, Burst: 10})
+	lender, _, _ := f.roles(t)
+	lender.Membership = &membership{leaving: true}
+	if _, err := ask(lender, 1); status.Code(err) != codes.FailedPrecondition {
+		t.Errorf("error %v of a daemon that leaves, want that it is no lender", err)
+	}
+	if v := admit(lender); v != sharer.Admitted {
+		t.Errorf("%v for a caller of the daemon that leaves, want a token of its successor", v)
+	}
+	if f.calls == 0 {
+		t.Error("the daemon that leaves has not asked another one")
+	}
+}
+
+// TestLendWhileLeavingAlone guards against refusals in the stop of a daemon that has no others.
+func TestLendWhileLeavingAlone(t *testing.T) {
+	f := newTestFleet(1, &config.Institution{Name: institution, Rate: 20, Burst: 10})
+	only := f.runners["daemon-0"]
+	only.Membership = &membership{leaving: true}
+	if v := admit(only); v != sharer.Admitted {
+		t.Errorf("%v, want admitted", v)
+	}
+}
--- a/entryd/pkg/sharer/fleet.go
+++ b/entryd/pkg/sharer/fleet.go
@@ -59,6 +59,7 @@
 	window           time.Duration
 	// started is when this daemon has started, or Resume was called last.
 	started time.Time
+	leaving bool
 	known   map[string]*knownDaemon
 	view    *View
 }
@@ -86,7 +87,7 @@
 	return f
 }
 
-// View returns the view as of the last call of Observe or Resume.
+// View returns the view as of the last call of Observe, Resume or Leave.
 func (f *Fleet) View() *View { return f.view }
 
 // Resume is to be called when this daemon was frozen. Another one may lend in its place, of which
@@ -96,6 +97,13 @@
 	f.view = f.build(now)
 }
 
+// Leave is to be called when this daemon begins to leave the fleet: as soon as the others know,
+// another one lends in its place. It lends no more, unless it has always been alone.
+func (f *Fleet) Leave(now time.Time) {
+	f.leaving = true
+	f.view = f.build(now)
+}
+
 // Observe takes all daemons that have not left the fleet, and reports whether the view has
 // changed. It should be called about twice a second even if nothing has changed.
 func (f *Fleet) Observe(now time.Time, daemons []Daemon) bool {
@@ -143,6 +151,9 @@
 	k.Daemon = d
 }
 
+// alone reports whether this daemon is the only one of its fleet.
+func (f *Fleet) alone() bool { return len(f.known) == 1 && f.least <= 1 }
+
 // build returns the view at a time. A daemon that has just started does not lend to itself
 // if there is another.
 func (f *Fleet) build(now time.Time) *View {
@@ -152,6 +163,7 @@
 		selfHash:   f.known[f.self].hash,
 		since:      now,
 		young:      now.Sub(f.started) < f.window+settleTime,
+		leaving:    f.leaving && !f.alone(),
 	}
 	reached := 0
 	for _, k := range f.known {
@@ -159,7 +171,7 @@
 		if k.ID == f.self || k.Live && live >= f.window+settleTime {
 			reached++
 		}
-		if k.ID == f.self && !v.young || k.ID != f.self && k.Live && live >= f.window {
+		if k.ID == f.self && !v.young && !v.leaving || k.ID != f.self && k.Live && live >= f.window {
 			v.candidates = append(v.candidates, candidate{
 				id:         k.ID,
 				dataCentre: k.DataCentre,
@@ -186,11 +198,11 @@
 	candidates       []candidate
 	fraction         float64
 	since            time.Time
-	young            bool
+	young, leaving   bool
 }
 
 func (v *View) equal(o *View) bool {
-	return v.fraction == o.fraction && v.young == o.young && slices.Equal(v.candidates, o.candidates)
+	return v.fraction == o.fraction && v.young == o.young && v.leaving == o.leaving && slices.Equal(v.candidates, o.candidates)
 }
 
 // Fraction returns the part of the known daemons that can be reached, and with it the part
@@ -199,10 +211,10 @@
 
 // Order returns the daemons to ask for tokens of an institution: the lender, then its
 // standbys of the own data centre. A daemon that has just started asks itself last: it may
-// be the one that the others ask.
+// be the one that the others ask. The order is empty if no daemon lends.
 func (v *View) Order(institution string) []string {
 	out := v.order(hasher.Strings(institution), v.candidates)
-	if v.young {
+	if v.young && !v.leaving {
 		out = append(out, v.self)
 	}
 	return out
@@ -248,6 +260,9 @@
 
 // Role returns what this daemon is for an institution when another asks it.
 func (v *View) Role(institution string) Role {
+	if v.leaving {
+		return Borrower
+	}
 	candidates := v.candidates
 	if v.young {
 		candidates = append(slices.Clone(candidates), candidate{
--- a/entryd/pkg/sharer/model_test.go
+++ b/entryd/pkg/sharer/model_test.go
@@ -1,7 +1,9 @@
 package sharer
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -30,7 +32,9 @@
 	parts []int
 	// incarnations holds the start of each daemon's process, or the end of its last freeze.
 	incarnations []uint64
-	limit        Limit
+	// leaving holds the daemons that were told to stop and still serve.
+	leaving map[int]bool
+	limit   Limit
 	// lost is true if daemons are lost with it, which the others notice later than they hear
 	// of daemons that join.
 	lost bool
@@ -62,7 +66,7 @@
 	stock          *Stock
 	limit          Limit
 	// frozen is true if the daemon was frozen and has not run since.
-	frozen bool
+	frozen, leaving bool
 }
 
 func newModel(n int, q Quota, seed uint64, epochs []modelEpoch) *model {
@@ -121,7 +125,13 @@
 	case d.frozen:
 		m.resume(d, now, real.incarnations[i])
 	}
+	if d.leaving = d.leaving && d.fleet != nil; real.leaving[i] && !d.leaving && d.fleet != nil {
+		d.leaving = true
+		d.fleet.Leave(now)
+		d.lender.SetView(now, d.fleet.View())
+	}
 	if d.fleet == nil || d.incarnation != real.incarnations[i] {
+		d.leaving = false
 		d.incarnation = real.incarnations[i]
 		d.fleet = NewFleet(now, d.id, d.dataCentre, len(m.daemons)/2, m.quota)
 		d.lender = NewLender(m.quota, d.fleet.View())
@@ -141,7 +151,7 @@
 	var list []Daemon
 	for j, o := range m.daemons {
 		// A daemon that has not joined yet has no incarnation.
-		if seen.incarnations[j] > 0 && j != i {
+		if seen.incarnations[j] > 0 && j != i && !seen.leaving[j] {
 			list = append(list, Daemon{
 				ID:          o.id,
 				DataCentre:  o.dataCentre,
@@ -272,16 +282,21 @@
 			at:           last.at + time.Duration(rapid.IntRange(500, 9000).Draw(t, "after"))*time.Millisecond,
 			parts:        slices.Clone(last.parts),
 			incarnations: slices.Clone(last.incarnations),
+			leaving:      maps.Clone(last.leaving),
 			limit:        last.limit,
 		}
 		for i, part := range next.parts {
-			if part == frozen {
+			switch {
+			case part == frozen:
 				// A freeze lasts until the next change.
 				next.parts[i] = 0
 				next.incarnations[i] += restartStep
+			case next.leaving[i]:
+				next.parts[i] = down
 			}
 		}
-		kind := rapid.SampledFrom([]string{"cut data centre", "cut in parts", "cut single", "heal", "restart", "kill", "return", "lower", "freeze"}).Draw(t, "kind")
+		clear(next.leaving)
+		kind := rapid.SampledFrom([]string{"cut data centre", "cut in parts", "cut single", "heal", "restart", "kill", "return", "lower", "freeze", "leave"}).Draw(t, "kind")
 		share := rapid.Float64Range(0.02, 0.6).Draw(t, "share")
 		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "chosen"), 2))
 		for i := range n {
@@ -302,6 +317,8 @@
 				next.parts[i] = down
 			case kind == "freeze" && up && chosen:
 				next.parts[i] = frozen
+			case kind == "leave" && up && chosen:
+				next.leaving[i] = true
 			}
 		}
 		if kind == "lower" {
@@ -315,7 +332,8 @@
 
 func firstEpoch(n, joined int, l Limit) modelEpoch {
 	e := modelEpoch{
-		limit: l,
+		limit:   l,
+		leaving: make(map[int]bool),
 	}
 	for i := range n {
 		if i < joined {
@@ -329,7 +347,7 @@
 
 // TestSumHolds guards against daemons that together admit more requests of an institution
 // than its limit allows in a window, whatever happens to them and however requests arrive:
-// cuts in parts, restarts, joins, kills, freezes, lowered limits, an institution that
+// cuts in parts, restarts, joins, kills, freezes, stops, lowered limits, an institution that
 // sends many times its limit, and callers that move between daemons.
 func TestSumHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -457,6 +475,75 @@
 	}
 }
 
+// TestSumHoldsWhileLendersLeave guards against lenders that are stopped, one after the other, and go
+// on to lend for their own callers beside their successors.
+func TestSumHoldsWhileLendersLeave(t *testing.T) {
+	const (
+		gap = time.Second
+		// serveTime is the time for which a daemon that was told to stop still serves, and
+		// startDelay the time after which it starts again.
+		serveTime  = 2500 * time.Millisecond
+		startDelay = 300 * time.Millisecond
+	)
+	for seed := range uint64(60) {
+		n := []int{2, 3, 6, 12}[seed%4]
+		limit := Limit{Rate: []float64{9, 20, 100}[seed%3], Burst: 10}
+		first := firstEpoch(n, n, limit)
+		var changes []modelEpoch
+		left := slices.Clone(first.parts)
+		for i := range left {
+			left[i] = i
+		}
+		for begin := 12 * time.Second; len(left) > 0; begin += gap {
+			k := lenderAmong(left)
+			i := left[k]
+			left = slices.Delete(left, k, k+1)
+			changes = append(changes,
+				modelEpoch{at: begin, leaving: map[int]bool{i: true}},
+				modelEpoch{at: begin + serveTime, parts: []int{i, down}},
+				modelEpoch{at: begin + serveTime + startDelay, parts: []int{i, 0}})
+		}
+		m := newModel(n, Quota{Window: 5 * time.Second, Overage: 0.1, Slack: 20}, seed, sumChanges(first, changes))
+		m.play(0, func(at time.Duration) float64 {
+			if at < 12*time.Second {
+				return limit.Rate
+			}
+			return 7.5 * limit.Rate
+		}, func(time.Duration) int { return m.random.IntN(n) })
+		if over, end := m.excess(); over > 0 {
+			t.Errorf("seed %d: %.1f requests too many in the window that ends at %s", seed, over, end)
+		}
+	}
+}
+
+// sumChanges returns the epochs of a model in which each change adds to those before it. A change
+// has one daemon that leaves, or one that ends or starts.
+func sumChanges(first modelEpoch, changes []modelEpoch) []modelEpoch {
+	slices.SortStableFunc(changes, func(a, b modelEpoch) int { return cmp.Compare(a.at, b.at) })
+	epochs := []modelEpoch{first}
+	for _, c := range changes {
+		last := epochs[len(epochs)-1]
+		next := modelEpoch{
+			at:           c.at,
+			parts:        slices.Clone(last.parts),
+			incarnations: slices.Clone(last.incarnations),
+			leaving:      maps.Clone(last.leaving),
+			limit:        last.limit,
+		}
+		maps.Copy(next.leaving, c.leaving)
+		if len(c.parts) > 0 {
+			i := c.parts[0]
+			next.parts[i] = c.parts[1]
+			if next.parts[i] == 0 {
+				next.incarnations[i] += 1000000
+				delete(next.leaving, i)
+			}
+		}
+		epochs = append(epochs, next)
+	}
+	return epochs
+}
+
 // TestNothingBelowTheLimitIsRefused answers loads within a limit in a fleet without troubles:
 // all of it must be served, wherever it arrives.
 func TestNothingBelowTheLimitIsRefused(t *testing.T) {
--- a/prover/pkg/soaker/limit_test.go
+++ b/prover/pkg/soaker/limit_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"plantaincleat/prover/pkg/deployer"
 	"plantaincleat/standin/pkg/platformsimulator"
 )
 
@@ -123,7 +124,7 @@
 }
 
 // TestLenderLosesItsRole guards against two daemons that lend the tokens of one institution: one that
-// was frozen, and the one that has taken its place. Together they admitted more
+// was frozen or is being stopped, and the one that has taken its place. Together they admitted more
 // than the limit of the institution allows.
 func TestLenderLosesItsRole(t *testing.T) {
 	program := buildDaemon(t)
@@ -140,6 +141,17 @@
 			hot()
 			p.Resume()
 		}},
+		{name: "lenders are stopped one after the other", disrupt: func(t *testing.T, s *Soak, hot func()) {
+			hot()
+			var wg sync.WaitGroup
+			for left := s.allNumbers(); len(left) > 0; time.Sleep(time.Second) {
+				i := s.lenderOf(t, left)
+				left = slices.DeleteFunc(left, func(k int) bool { return k == i })
+				d := s.fleet.daemons[i]
+				wg.Go(func() { s.withProcess(d, func(p *deployer.Process) { s.stopProcess(d, p) }) })
+			}
+			wg.Wait()
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
