Let a daemon that leaves or was frozen carry out no trials

Seen, by tests: two daemons carry out trials of requests that are suspected of crashing targets, so that more of them reach targets than may (BUDGET).

Change: one that leaves gives the trials of its callers to its successor and refuses those of others. After a start or a freeze a daemon carries out no trials for 1.5 s, in which the one that has done so meanwhile hears of it; the requests are refused unsent and come back.

--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -65,6 +65,9 @@
 // The requests before it may have shown meanwhile that it does. What it shows itself is
 // recorded before the next one begins, which the notice of the other daemon may not be.
 func (s *Scatterer) serveSuspected(stream peer.Peer_ScatterServer, in *peer.ScatterRequest, catalog *cataloger.Catalog, route *cataloger.Route, subject crashtracker.Subject) error {
+	if !s.mayArbitrateForOthers(s.Clock.Now()) {
+		return stream.Send(rejectAll(in, peer.Reason_REASON_SHED))
+	}
 	endTurn := s.takeTurn(stream.Context(), subject, in.GetShards()[0], turnTimeout)
 	if endTurn == nil {
 		return stream.Send(rejectAll(in, peer.Reason_REASON_SHED))
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -60,6 +60,9 @@
 	// ReachDetector is told what becomes of requests to targets, and reports whether the
 	// daemon is isolated from all of them. It may be nil.
 	ReachDetector ReachDetector
+	// Membership is this daemon's own part in the fleet. If it is nil, the daemon neither leaves
+	// nor freezes.
+	Membership Membership
 	// Cores is the number of processor cores that the daemon may use, which can be a
 	// fraction. Zero means one.
 	Cores float64
@@ -77,6 +80,15 @@
 	Isolated(daemon string) bool
 }
 
+// Membership is this daemon's own part in the fleet.
+type Membership interface {
+	// Since returns since when the daemon has run without a gap: its start or the end of its
+	// last freeze.
+	Since() time.Time
+	// Leaving reports whether the daemon leaves the fleet.
+	Leaving() bool
+}
+
 // Dial returns a connection to a daemon, which need not be ready yet.
 type Dial func(address string) (grpc.ClientConnInterface, error)
 
--- a/entryd/pkg/scatterer/trial.go
+++ b/entryd/pkg/scatterer/trial.go
@@ -17,8 +17,14 @@
 	"plantaincleat/tier/pkg/ranker"
 )
 
-// turnTimeout bounds the time that a suspected request waits for another one.
-const turnTimeout = 250 * time.Millisecond
+const (
+	// turnTimeout bounds the time that a suspected request waits for another one.
+	turnTimeout = 250 * time.Millisecond
+	// arbiterDelay is the time after its start, or after a freeze, from which a daemon carries
+	// out trials. Within it, the daemon that has carried them out meanwhile hears that it is
+	// there.
+	arbiterDelay = 1500 * time.Millisecond
+)
 
 // trialPlan tells how to serve a request in view of the suspicions. A trial is the send of a
 // suspected request to one target, which shows whether it crashes that as well.
@@ -44,6 +50,9 @@
 		if p.arbiter = s.arbiterOf(route); p.arbiter != nil {
 			return p, s.refuseWithoutArbiter(p.arbiter, route, now)
 		}
+		if !s.mayArbitrate(now) {
+			return p, refuse(route, peer.Reason_REASON_SHED, minRetry)
+		}
 		if p.endTurn = s.takeTurn(ctx, subject, p.Pool, min(turnTimeout, r.longestRetry(now))); p.endTurn == nil {
 			return p, refuse(route, peer.Reason_REASON_SHED, minRetry)
 		}
@@ -61,7 +70,8 @@
 // arbiterOf returns the daemon that carries out the trials of all suspected requests for the
 // pools of a route, or nil if it is this one. The daemons that know the same fleet agree on it.
 // An isolated daemon stays arbiter, and refuses: daemons learn of an isolation at different
-// times, in which two of them would carry out trials.
+// times, in which two of them would carry out trials. One that leaves the fleet is none, as the
+// others know.
 func (s *Scatterer) arbiterOf(route *cataloger.Route) *owner {
 	if s.Placement == nil {
 		return nil
@@ -69,16 +79,33 @@
 	daemons := slices.DeleteFunc(slices.Clone(s.Placement.Peers()), func(d assigner.Daemon) bool {
 		return s.partitionedFrom(d.DataCentre)
 	})
-	daemons = append(daemons, assigner.Daemon{
-		ID: s.ID,
-	})
+	if !s.leaving() || len(daemons) == 0 {
+		daemons = append(daemons, assigner.Daemon{
+			ID: s.ID,
+		})
+	}
 	ranked := ranker.Rank(daemons, arbiterKey(route), daemonID)
-	if len(ranked) == 0 || ranked[0].ID == s.ID {
+	if ranked[0].ID == s.ID {
 		return nil
 	}
 	return s.owners.get(ranked[0])
 }
 
+// leaving reports whether this daemon leaves the fleet.
+func (s *Scatterer) leaving() bool { return s.Membership != nil && s.Membership.Leaving() }
+
+// mayArbitrate reports whether this daemon, which takes itself for the arbiter, may carry out
+// trials. Right after a start or a freeze, another daemon may carry them out in its place.
+func (s *Scatterer) mayArbitrate(now time.Time) bool {
+	return s.Membership == nil || now.Sub(s.Membership.Since()) >= arbiterDelay
+}
+
+// mayArbitrateForOthers reports whether this daemon may carry out the trial of a request that
+// another daemon has received. One that leaves may not: those that know have another arbiter.
+func (s *Scatterer) mayArbitrateForOthers(now time.Time) bool {
+	return !s.leaving() && s.mayArbitrate(now)
+}
+
 // arbiterKey returns the key by which daemons are ranked as arbiter: the first pool by name, so
 // that routes over the same shards have the same arbiter.
 func arbiterKey(route *cataloger.Route) string {
--- a/prover/pkg/soaker/crash_test.go
+++ b/prover/pkg/soaker/crash_test.go
@@ -234,3 +234,48 @@
 	defer s.fleet.addRules(rules...)()
 	time.Sleep(crashRunTime / 2)
 }
+
+// TestFrozenArbiterCarriesOutNoTrial guards against a daemon that carries out trials of suspected
+// requests right after a freeze, while another daemon still carries them out in its place.
+func TestFrozenArbiterCarriesOutNoTrial(t *testing.T) {
+	const (
+		// freeze is longer than the others need to take the daemon for dead.
+		freeze = 4 * time.Second
+		path   = routeOne + crashMark
+	)
+	s := startCrashFleet(t, buildDaemon(t))
+	s.awaitReady(t)
+	client := &http.Client{Timeout: callerDeadline}
+	send := func(id string, d *daemon) {
+		req, err := http.NewRequest(http.MethodGet, "http://"+d.callerAddress+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = platformsimulator.RouteHost
+		req.Header.Set("Request-Id", id)
+		req.Header.Set("Request-Deadline", fmt.Sprint(callerDeadline.Milliseconds()))
+		if resp, err := client.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}
+	send("first", s.fleet.daemons[0])
+	if n := s.fleet.platform.Executions("first"); n == 0 {
+		t.Fatal("the request has reached no target")
+	}
+	// All daemons hear of the crash, and the target comes back.
+	time.Sleep(2 * time.Second)
+	for _, d := range s.fleet.daemons {
+		d.process.Load().Freeze()
+	}
+	time.Sleep(freeze)
+	for _, d := range s.fleet.daemons {
+		d.process.Load().Resume()
+	}
+	for _, d := range s.fleet.daemons {
+		id := fmt.Sprintf("awake-%d", d.number)
+		send(id, d)
+		if n := s.fleet.platform.Executions(id); n > 0 {
+			t.Errorf("request of daemon %d was executed %d times right after the freeze", d.number, n)
+		}
+	}
+}
