Drop what a daemon has saved of the budget when it was frozen

Seen, by a test: the daemons of a fleet may send 66 extra requests at once to a pool that allows 60, right after the first owner of its shard was frozen.

Change: after a freeze a budget has the tokens of a new one at most. The cold targets' places were looked at the same way: with freezes added, TestColdRateHoldsOverFleet holds without a change.

Test: TestFleetBudgetBoundAfterFreeze (without the change: 66 of 60).

--- a/entryd/pkg/budgeter/budgeter.go
+++ b/entryd/pkg/budgeter/budgeter.go
@@ -70,6 +70,17 @@
 	b.tokens.Store(min(b.tokens.Load()+int64(tokens*tokenUnit), b.burst.Load()))
 }
 
+// DropTokens drops the tokens beyond a number.
+func (b *Budget) DropTokens(kept float64) {
+	most := int64(max(kept, 0) * tokenUnit)
+	for {
+		old := b.tokens.Load()
+		if old <= most || b.tokens.CompareAndSwap(old, most) {
+			return
+		}
+	}
+}
+
 // Earn adds the tokens of n first attempts. It must not be called for extra
 // sub-requests.
 func (b *Budget) Earn(n int) {
--- a/entryd/pkg/cataloger/budget.go
+++ b/entryd/pkg/cataloger/budget.go
@@ -82,12 +82,26 @@
 		sent:     budgeter.New((1 - receivedFraction) * usedFraction * e.Ratio),
 	}
 	b.setPosition(e, p)
+	received, sent := initialTokens(e, p)
+	b.received.AddTokens(received)
+	b.sent.AddTokens(sent)
+	return b
+}
+
+// initialTokens returns the tokens of a new budget.
+func initialTokens(e ExtraLimit, p fleetPosition) (received, sent float64) {
 	initial := fleetPosition{
 		daemons: max(p.daemons, minInitialDaemons),
 	}
-	b.received.AddTokens(initialFraction * usedFraction * e.Slack * initial.receivedSlack())
-	b.sent.AddTokens(initialFraction * usedFraction * e.Slack * initial.sentSlack())
-	return b
+	slack := initialFraction * usedFraction * e.Slack
+	return slack * initial.receivedSlack(), slack * initial.sentSlack()
+}
+
+// resume drops the tokens beyond those of a new budget.
+func (b *Budget) resume(e ExtraLimit, p fleetPosition) {
+	received, sent := initialTokens(e, p)
+	b.received.DropTokens(received)
+	b.sent.DropTokens(sent)
 }
 
 // setPosition sets the slack according to the daemon's position. It adds no tokens:
--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -111,6 +111,16 @@
 	c.divideTargets()
 }
 
+// Resume is to be called when this daemon was frozen. Others may have used its part of the budgets
+// meanwhile, so that it begins with the tokens of a daemon that has just started.
+func (c *Cataloger) Resume() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, b := range c.budgets {
+		b.resume(c.options.ExtraLimit, c.fleetPosition(name))
+	}
+}
+
 // divideTargets divides the connections and the limits of all targets. The caller holds
 // c.mu.
 func (c *Cataloger) divideTargets() {
--- a/entryd/pkg/cataloger/cataloger_test.go
+++ b/entryd/pkg/cataloger/cataloger_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"slices"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -244,6 +245,73 @@
 	})
 }
 
+// TestFleetBudgetBoundAfterFreeze guards against an owner that was frozen and spends what it had saved
+// before, beside the owner that has saved as much in its place.
+func TestFleetBudgetBoundAfterFreeze(t *testing.T) {
+	const daemons = 6
+	extra := ExtraLimit{
+		Ratio: 0.2,
+		Slack: 60,
+	}
+	clock := clockwork.NewFakeClock()
+	var fleet []*Cataloger
+	for range daemons {
+		c := New(Options{
+			Clock:      clock,
+			ExtraLimit: extra,
+		})
+		c.Adopt(coldConfig(0, true))
+		fleet = append(fleet, c)
+	}
+	// Each owner of the shard saves what it may, and is then frozen.
+	var live []assigner.Daemon
+	for i := range daemons {
+		live = append(live, assigner.Daemon{
+			ID:         fmt.Sprint("daemon-", i),
+			DataCentre: fmt.Sprint("dc-", i%3),
+		})
+	}
+	shards := []assigner.ShardInput{{Name: "pool"}}
+	for i := range 30 {
+		shards = append(shards, assigner.ShardInput{Name: fmt.Sprint("shard-", i)})
+	}
+	take := func(running []assigner.Daemon) {
+		for i := range daemons {
+			id := fmt.Sprint("daemon-", i)
+			if !slices.ContainsFunc(running, func(d assigner.Daemon) bool { return d.ID == id }) {
+				continue
+			}
+			fleet[i].SetFleet(id, running, assigner.NewOwners(id, running, shards))
+			for range 1000 {
+				fleet[i].Catalog().Pool("pool").Budget().RecordSent()
+				fleet[i].Catalog().Pool("pool").Budget().RecordReceived()
+			}
+		}
+	}
+	take(live)
+	first := assigner.NewOwners("", live, shards).Ranked("pool")[0].ID
+	running := slices.DeleteFunc(slices.Clone(live), func(d assigner.Daemon) bool { return d.ID == first })
+	take(running)
+	for i, d := range live {
+		if d.ID == first {
+			fleet[i].Resume()
+		}
+	}
+	taken := 0
+	for _, c := range fleet {
+		b := c.Catalog().Pool("pool").Budget()
+		for b.TakeSent() {
+			taken++
+		}
+		for b.TakeReceived() {
+			taken++
+		}
+	}
+	if float64(taken) > extra.Slack {
+		t.Errorf("%d extra requests at once, limit %v", taken, extra.Slack)
+	}
+}
+
 // TestFirstOwnerSlack guards against a first owner with too little slack in a large
 // fleet. It sends nearly all requests of its shard, and many targets of all shards
 // may refuse some of their requests at the same time.
--- a/entryd/pkg/cataloger/warmup_test.go
+++ b/entryd/pkg/cataloger/warmup_test.go
@@ -67,6 +67,8 @@
 	// daemons run on its side.
 	known map[string]bool
 	hears time.Time
+	// frozen is true while the daemon does not run.
+	frozen bool
 }
 
 func newColdFleet(t *rapid.T, n int, pace float64, owned bool) *coldFleet {
@@ -90,6 +92,7 @@
 // start starts daemons, or starts them again. They do not know the others yet.
 func (f *coldFleet) start(daemons []*coldDaemon) {
 	for _, d := range daemons {
+		d.frozen = false
 		d.catalogs = New(Options{
 			Clock:     f.clock,
 			Tolerance: tolerance,
@@ -111,6 +114,25 @@
 	}
 }
 
+// freeze freezes daemons.
+func (f *coldFleet) freeze(daemons []*coldDaemon) {
+	for _, d := range daemons {
+		d.frozen = true
+	}
+	f.spread(2000, 5000)
+}
+
+// wake ends the freezes. A daemon that was frozen knows the fleet from before at first.
+func (f *coldFleet) wake() {
+	for _, d := range f.daemons {
+		if d.frozen {
+			d.frozen = false
+			d.catalogs.Resume()
+		}
+	}
+	f.spread(0, 1500)
+}
+
 func (f *coldFleet) delay(least, most int) time.Duration {
 	return time.Duration(rapid.IntRange(least, most).Draw(f.t, "delay")) * time.Millisecond
 }
@@ -145,7 +167,7 @@
 func (f *coldFleet) live(side int) []assigner.Daemon {
 	var out []assigner.Daemon
 	for _, d := range f.daemons {
-		if d.catalogs != nil && d.side == side {
+		if d.catalogs != nil && !d.frozen && d.side == side {
 			out = append(out, d.Daemon)
 		}
 	}
@@ -158,7 +180,7 @@
 	for end := f.clock.Now().Add(d); f.clock.Now().Before(end); f.clock.Advance(step) {
 		now := f.clock.Now()
 		for _, d := range f.daemons {
-			if d.catalogs == nil {
+			if d.catalogs == nil || d.frozen {
 				continue
 			}
 			if !d.hears.IsZero() && !now.Before(d.hears) {
@@ -192,7 +214,7 @@
 }
 
 // TestColdRateHoldsOverFleet answers 84 daemons with more requests than a cold target takes,
-// of which some start late and together, restart, and are cut off from each other without
+// of which some start late and together, restart, freeze, and are cut off from each other without
 // being cut off from the target. It guards against a sum of the daemons' shares beyond the
 // rate that the target survives.
 func TestColdRateHoldsOverFleet(t *testing.T) {
@@ -205,7 +227,12 @@
 		f.press(f.delay(0, 9000))
 		f.start(f.daemons[first:])
 		for range rapid.IntRange(1, 4).Draw(t, "events") {
-			switch rapid.IntRange(0, 2).Draw(t, "event") {
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 3:
+				n := rapid.IntRange(0, daemons-1).Draw(t, "frozen")
+				f.freeze(f.daemons[n : n+rapid.IntRange(1, daemons-n).Draw(t, "freezes")])
+			case 4:
+				f.wake()
 			case 0:
 				n := rapid.IntRange(0, daemons-1).Draw(t, "restarted")
 				f.start(f.daemons[n : n+rapid.IntRange(1, daemons-n).Draw(t, "restarts")])
