Give a daemon that leaves no share of a limit that others divide

Seen, by a test: three daemons that leave use a share of a cold target's rate that the three that stay have divided among themselves, 120 of 60 in all.

Test: TestLeavingDaemonsHaveNoShare (before: shares of 120 of 60).

--- a/entryd/pkg/sharer/fairshare_test.go
+++ b/entryd/pkg/sharer/fairshare_test.go
@@ -49,3 +49,27 @@
 		}
 	}
 }
+
+// TestLeavingDaemonsHaveNoShare guards against daemons that leave the fleet and go on to use a share of
+// a limit which those that stay have divided among themselves.
+func TestLeavingDaemonsHaveNoShare(t *testing.T) {
+	const limit = 60
+	split := &Split{
+		FleetBurst: 12,
+	}
+	staying := []string{"daemon-0", "daemon-1", "daemon-2"}
+	sum := 0.0
+	for _, self := range append([]string{"daemon-3", "daemon-4", "daemon-5"}, staying...) {
+		rate, _ := Position{
+			Target: "target",
+			Members: &Members{
+				Self: self,
+				IDs:  staying,
+			},
+		}.Share(limit, split)
+		sum += rate
+	}
+	if sum > limit {
+		t.Errorf("shares of three daemons and of three that leave add up to %g of %d", sum, limit)
+	}
+}
--- a/entryd/pkg/sharer/position.go
+++ b/entryd/pkg/sharer/position.go
@@ -1,6 +1,10 @@
 package sharer
 
-import "plantaincleat/tier/pkg/hasher"
+import (
+	"slices"
+
+	"plantaincleat/tier/pkg/hasher"
+)
 
 // Members are the daemons among which limits are divided. It is immutable.
 type Members struct {
@@ -53,8 +57,12 @@
 }
 
 // equalShare divides a limit evenly among the daemons, or among so many of them that each
-// may save one request.
+// may save one request. A daemon that is none of them, since it leaves the fleet, has no share:
+// the others have divided its own.
 func (p Position) equalShare(limit float64, s *Split) (rate, burst float64) {
+	if p.Members != nil && len(p.Members.IDs) > 0 && !slices.Contains(p.Members.IDs, p.Members.Self) {
+		return 0, 0
+	}
 	burst = s.FleetBurst + s.FleetBurstTime*limit
 	senders := 1
 	if p.Members != nil {
