Pass on no refusal of a target that may have executed the request

Cause: a target states by a header, or by status 421, that it has not executed a request; its status alone says nothing. Callers go by the status. Any answer without the header was passed on to a request that is not idempotent.

Evidence: the test's 503s bear the target's signature and body, and the target has counted the execution; the daemon's own refusals have neither.

Change: a target's 408, 421, 429 or 503 without its word is a failure that is not returned; the caller gets 502. Relays and the daemons that ask them both look. Why this works: the status that a caller sees is a promise only where the daemon or the target has made it.

--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -60,7 +60,8 @@
 	answers partials
 	// single is the answer to a request on a route without shards.
 	single *httpsender.Answer
-	// failure is an error response of a target. It is returned if no attempt succeeds.
+	// failure is an error response of a target. If it is returnable, it is returned if no
+	// attempt succeeds.
 	failure  *httpsender.Answer
 	attempts []*attempt
 	// streams holds the answers of which a part has not been read yet, and finished is true
--- a/entryd/pkg/scatterer/relay.go
+++ b/entryd/pkg/scatterer/relay.go
@@ -160,13 +160,13 @@
 }
 
 // storeRelayed stores the answer of a target that a relay has passed on, and returns the units
-// that it covers.
+// that it covers. A relay of an earlier build may pass on one that is not returnable.
 func (j *job) storeRelayed(a *attempt, e event) []int {
 	if !j.query.Pending(a.nonce) {
 		return nil
 	}
-	if e.reply.GetAnswer().GetFailed() && j.route.GetIdempotent() {
-		j.failure = e.answer
+	if e.reply.GetAnswer().GetFailed() && j.route.GetIdempotent() || claimsNotExecuted(e.answer.Status) {
+		j.keepFailure(e.answer)
 		return nil
 	}
 	j.storeAnswer(a.units[0], e.answer)
@@ -178,10 +178,7 @@
 	if c.route.Scattered() {
 		return nil
 	}
-	if c.single != nil {
-		return c.single
-	}
-	return c.failure
+	return c.returnable()
 }
 
 // sendAnswer sends the last reply with the answer of one target, and its body in pieces if it
--- a/entryd/pkg/scatterer/relay_test.go
+++ b/entryd/pkg/scatterer/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -149,6 +150,12 @@
 		reply.Lacks[0].Executions = 1
 		return reply
 	}
+	answering := func(status uint32) *peer.ScatterReply {
+		return &peer.ScatterReply{
+			Last:   true,
+			Answer: &peer.Answer{Status: status},
+		}
+	}
 	tests := []struct {
 		name  string
 		reply *peer.ScatterReply
@@ -161,6 +168,8 @@
 		{name: "failed at the target", reply: lacking(peer.Reason_REASON_FAILED, false), want: Failed},
 		{name: "target that leaves hides one that failed", reply: executed(lacking(peer.Reason_REASON_LEAVING, false)), want: Failed},
 		{name: "daemon of a build before relays", reply: &peer.ScatterReply{Last: true}, want: Failed},
+		{name: "answer of a target", reply: answering(http.StatusInternalServerError), want: Answered},
+		{name: "refusal of a target that has executed it", reply: answering(http.StatusServiceUnavailable), want: Failed},
 		{name: "link to the relay lost", err: errors.New("link lost"), want: Failed},
 		{name: "nothing was sent", err: httpsender.ErrNotSent, again: true, want: Refused},
 	}
@@ -180,6 +189,7 @@
 			j.attempts = append(j.attempts, a)
 			j.handle(event{
 				attempt: a,
+				answer:  newPeerCall(t.Context(), j.request.Deadline).decodeAnswer(test.reply, nil),
 				reply:   test.reply,
 				err:     test.err,
 				last:    true,
--- a/entryd/pkg/scatterer/result.go
+++ b/entryd/pkg/scatterer/result.go
@@ -63,11 +63,7 @@
 
 // fillSingle fills in the result of a request on a route without shards.
 func (j *job) fillSingle(res *Result) {
-	answer := j.single
-	if answer == nil {
-		answer = j.failure
-	}
-	if answer != nil {
+	if answer := j.returnable(); answer != nil {
 		res.Outcome = Answered
 		res.Answer = answer
 		return
--- a/standin/pkg/httpresponder/endless.go
+++ b/standin/pkg/httpresponder/endless.go
@@ -12,7 +12,8 @@
 	// Head is sent once. The first %s in it stands for the id of the request, and the second
 	// for the target's signature.
 	Head string
-	// Repeated is sent again and again.
+	// Repeated is sent again and again. If it is empty, nothing follows the head, and the
+	// connection stays open.
 	Repeated string
 }
 
@@ -49,6 +50,11 @@
 	if _, err := io.WriteString(conn, head); err != nil {
 		return
 	}
+	if s.Repeated == "" {
+		// Returns once the caller has closed the connection.
+		_, _ = io.Copy(io.Discard, conn)
+		return
+	}
 	part := strings.Repeat(s.Repeated, endlessSize/len(s.Repeated)+1)
 	for !r.ended.Load() {
 		if _, err := io.WriteString(conn, part); err != nil {
