Take a status that HTTP does not define for no answer

What callers saw (a report of other operators, MIXED; shown here by tests): an answer with status 600 or 999, or a write that waits until its deadline for the answer after one with status 000 or 099.

Cause: of a status, only whether it is below 200 was looked at.

Change: a head whose status is not from 100 to 599 is no response, as other malformed bytes. The answer of a probe is the first that is not an interim one. An answer that a relay passes on must have a final status.

--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -25,6 +25,8 @@
 	// maxStrayAnswers is the number of interim responses and responses to other requests
 	// after which the connection is given up.
 	maxStrayAnswers = 4
+	// maxStatus is the greatest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 )
 
 // conn is one connection to a target.
@@ -176,12 +178,11 @@
 func (c *conn) readAnswer(cl *Client, r *Request, sentAt time.Time) (*Answer, error) {
 	for range maxStrayAnswers {
 		c.limiter.left = headLimit
-		//nolint:bodyclose // The body is read to its end, or the connection is closed.
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		resp, err := readHead(c.reader, r.Method)
 		if err != nil {
 			return nil, fmt.Errorf("target %s: read response head: %w: %w", cl.address, ErrIncomplete, err)
 		}
-		if resp.StatusCode < http.StatusOK {
+		if !IsFinal(resp.StatusCode) {
 			continue
 		}
 		// Chunks and a trailer may be longer than the body.
@@ -197,6 +198,25 @@
 	return nil, fmt.Errorf("target %s: %w: %w", cl.address, ErrIncomplete, errStrayAnswers)
 }
 
+// errInvalidStatus reports bytes that are no response: they have a status that HTTP does not define.
+var errInvalidStatus = errors.New("invalid status")
+
+// readHead reads the head of the next response, which may be an interim one. The body has to be
+// read to its end, or the connection closed.
+func readHead(reader *bufio.Reader, method string) (*http.Response, error) {
+	resp, err := http.ReadResponse(reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus {
+		return nil, fmt.Errorf("%w: %q", errInvalidStatus, resp.Status)
+	}
+	return resp, nil
+}
+
+// IsFinal reports whether a status is that of a response, and not of an interim one.
+func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // skipBody reads the body of a response to another request to its end.
 func skipBody(resp *http.Response) error {
 	switch _, err := io.CopyN(io.Discard, resp.Body, bodyLimit); {
--- a/entryd/pkg/httpsender/probe.go
+++ b/entryd/pkg/httpsender/probe.go
@@ -34,13 +34,19 @@
 		Reader: nc,
 		left:   headLimit,
 	}
-	//nolint:bodyclose // The connection is closed.
-	resp, err := http.ReadResponse(bufio.NewReaderSize(limited, readBufferSize), nil)
-	if err != nil {
-		return nil, fmt.Errorf("target %s: probe: read answer: %w", cl.address, err)
+	reader := bufio.NewReaderSize(limited, readBufferSize)
+	for range maxStrayAnswers {
+		//nolint:bodyclose // The connection is closed.
+		resp, err := readHead(reader, http.MethodGet)
+		if err != nil {
+			return nil, fmt.Errorf("target %s: probe: read answer: %w", cl.address, err)
+		}
+		if IsFinal(resp.StatusCode) {
+			return &Answer{
+				Status: resp.StatusCode,
+				Header: resp.Header,
+			}, nil
+		}
 	}
-	return &Answer{
-		Status: resp.StatusCode,
-		Header: resp.Header,
-	}, nil
+	return nil, fmt.Errorf("target %s: probe: %w", cl.address, errStrayAnswers)
 }
--- a/entryd/pkg/scatterer/relay.go
+++ b/entryd/pkg/scatterer/relay.go
@@ -105,10 +105,11 @@
 }
 
 // decodeAnswer returns the answer of a target in a reply, or nil. If its body is passed on in
-// pieces, closing Answer.Rest ends the call.
+// pieces, closing Answer.Rest ends the call. What a relay of an earlier build has taken for an
+// answer, but has the status of none, is left out.
 func (c *peerCall) decodeAnswer(reply *peer.ScatterReply, stream peer.Peer_ScatterClient) *httpsender.Answer {
 	in := reply.GetAnswer()
-	if in == nil {
+	if in == nil || !httpsender.IsFinal(int(in.GetStatus())) {
 		return nil
 	}
 	answer := &httpsender.Answer{
--- a/entryd/pkg/scatterer/relay_test.go
+++ b/entryd/pkg/scatterer/relay_test.go
@@ -170,6 +170,8 @@
 		{name: "daemon of a build before relays", reply: &peer.ScatterReply{Last: true}, want: Failed},
 		{name: "answer of a target", reply: answering(http.StatusInternalServerError), want: Answered},
 		{name: "refusal of a target that has executed it", reply: answering(http.StatusServiceUnavailable), want: Failed},
+		{name: "bytes that are no answer, status 0", reply: answering(0), want: Failed},
+		{name: "bytes that are no answer, status 600", reply: answering(600), want: Failed},
 		{name: "link to the relay lost", err: errors.New("link lost"), want: Failed},
 		{name: "nothing was sent", err: httpsender.ErrNotSent, again: true, want: Refused},
 	}
