--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -229,7 +229,7 @@
 		return
 	}
 	if e.answer != nil && e.answer.Rest != nil {
-		j.streams = append(j.streams, e.answer)
+		j.keepStream(e.answer)
 	}
 	if e.last {
 		delete(j.open, a.nonce)
--- a/entryd/pkg/scatterer/streams.go
+++ b/entryd/pkg/scatterer/streams.go
@@ -2,6 +2,16 @@
 
 import "plantaincleat/entryd/pkg/httpsender"
 
+// keepStream keeps an answer of which a part has not been read yet. On a route over shards it is
+// no part of the answer, and its stream is closed at once.
+func (j *job) keepStream(answer *httpsender.Answer) {
+	if j.route.Scattered() {
+		_ = answer.Rest.Close()
+		return
+	}
+	j.streams = append(j.streams, answer)
+}
+
 // finish closes the streams of all answers but one, which may be nil, those that come later
 // included. A target may send bytes without end until its connection is closed.
 func (j *job) finish(used *httpsender.Answer) {
--- a/prover/pkg/deployer/process.go
+++ b/prover/pkg/deployer/process.go
@@ -72,6 +72,9 @@
 	return p, nil
 }
 
+// ID returns the id of the process.
+func (p *Process) ID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal. It does nothing if the process has ended.
 func (p *Process) Signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
 
