Carry what callers and targets send between daemons as bytes

What callers saw (KNOWN-RED, TestBytesThatAreNotUTF8): 502 for a request over shards with bytes that are not UTF-8 in its path or a header, at daemons that send it to owners.

Cause: these fields had the type string, in which protobuf allows only UTF-8. The message could not be encoded, which also counted against the owner. Signatures of targets were the same: one odd signature lost all parts of an owner's reply.

Change: the fields have the type bytes, with the same encoding.

--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
@@ -107,10 +106,10 @@
 func (s *Scatterer) newCollector(in *peer.ScatterRequest, catalog *cataloger.Catalog, route *cataloger.Route, plan crashtracker.Plan) *collector {
 	now := s.Clock.Now()
 	r := &Request{
-		ID:       in.GetId(),
-		Method:   in.GetMethod(),
-		Path:     in.GetPath(),
-		Host:     in.GetHost(),
+		ID:       string(in.GetId()),
+		Method:   string(in.GetMethod()),
+		Path:     string(in.GetPath()),
+		Host:     string(in.GetHost()),
 		Header:   decodeHeaders(in.GetHeaders()),
 		Body:     in.GetBody(),
 		Received: now,
@@ -159,7 +158,7 @@
 	ctx := stream.Context()
 	if c.in.GetTrace() != "" {
 		var span trace.Span
-		ctx, span = tracer.StartSpan(tracer.Extract(ctx, c.in.GetTrace()), "scatter", attribute.String("id", c.in.GetId()))
+		ctx, span = tracer.StartSpan(tracer.Extract(ctx, c.in.GetTrace()), "scatter", idAttribute(c.request.ID))
 		defer span.End()
 	}
 	c.startAll(ctx)
@@ -299,7 +298,7 @@
 		}
 		c.sent[u] = true
 		out.Covered = append(out.Covered, uint32(u))
-		out.Signatures = append(out.Signatures, p.signatures...)
+		out.Signatures = append(out.Signatures, encodeSignatures(p.signatures)...)
 		records = append(records, p.records)
 	}
 	for u := range c.pools {
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -124,10 +124,10 @@
 // the owner may make only one attempt per unit.
 func (j *job) encode(a *attempt, now time.Time) *peer.ScatterRequest {
 	in := &peer.ScatterRequest{
-		Id:        j.request.ID,
-		Method:    j.request.Method,
-		Path:      j.request.Path,
-		Host:      j.request.Host,
+		Id:        []byte(j.request.ID),
+		Method:    []byte(j.request.Method),
+		Path:      []byte(j.request.Path),
+		Host:      []byte(j.request.Host),
 		Body:      j.request.Body,
 		Route:     j.route.GetName(),
 		Top:       j.route.GetTop(),
--- a/entryd/pkg/scatterer/headers.go
+++ b/entryd/pkg/scatterer/headers.go
@@ -12,8 +12,8 @@
 	for name, values := range header {
 		for _, v := range values {
 			out = append(out, &peer.Header{
-				Name:  name,
-				Value: v,
+				Name:  []byte(name),
+				Value: []byte(v),
 			})
 		}
 	}
@@ -24,7 +24,25 @@
 func decodeHeaders(headers []*peer.Header) http.Header {
 	out := make(http.Header, len(headers))
 	for _, h := range headers {
-		out.Add(h.GetName(), h.GetValue())
+		out.Add(string(h.GetName()), string(h.GetValue()))
+	}
+	return out
+}
+
+// encodeSignatures returns the signatures of targets for another daemon.
+func encodeSignatures(signatures []string) [][]byte {
+	var out [][]byte
+	for _, s := range signatures {
+		out = append(out, []byte(s))
+	}
+	return out
+}
+
+// decodeSignatures returns the signatures that another daemon has sent.
+func decodeSignatures(signatures [][]byte) []string {
+	var out []string
+	for _, s := range signatures {
+		out = append(out, string(s))
 	}
 	return out
 }
--- a/entryd/pkg/scatterer/reply.go
+++ b/entryd/pkg/scatterer/reply.go
@@ -69,7 +69,7 @@
 		return nil
 	}
 	p := &partial{
-		signatures: reply.GetSignatures(),
+		signatures: decodeSignatures(reply.GetSignatures()),
 		records:    reply.GetRecords(),
 	}
 	for _, index := range reply.GetCovered() {
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -219,7 +220,7 @@
 		return res
 	}
 	ctx, span := tracer.StartSpan(tracer.Extract(ctx, r.Header.Get("Traceparent")), "request",
-		attribute.String("id", r.ID), attribute.String("route", route.GetName()))
+		idAttribute(r.ID), attribute.String("route", route.GetName()))
 	defer span.End()
 	j := newRoot(s, r, route, plan.Plan)
 	j.arbiter = plan.arbiter
@@ -234,6 +235,11 @@
 	return res
 }
 
+// idAttribute returns the id of a request for a trace span, which has to be UTF-8.
+func idAttribute(id string) attribute.KeyValue {
+	return attribute.String("id", strings.ToValidUTF8(id, "\uFFFD"))
+}
+
 // notExecuted reports whether an attempt that ended with err was certainly not
 // executed.
 func notExecuted(err error) bool {
