Tell the end of a freeze as one time

Change: the first call after a freeze decides its end, and what the machine notices later is the same end.

--- a/entryd/pkg/gossiper/runner.go
+++ b/entryd/pkg/gossiper/runner.go
@@ -27,6 +27,8 @@
 
 	mu      sync.Mutex
 	machine *Machine
+	// machineSince is what the machine said last of since when this daemon runs.
+	machineSince time.Time
 
 	wake      chan struct{}
 	calls     sync.WaitGroup
@@ -35,6 +37,7 @@
 	synced    atomic.Bool
 	lastInput atomic.Pointer[time.Time]
 	since     atomic.Pointer[time.Time]
+	awakening atomic.Pointer[awakening]
 	leaving   atomic.Bool
 
 	subscribers struct {
@@ -46,6 +49,12 @@
 	failures  atomic.Uint64
 }
 
+// awakening is the end of a freeze as Since has seen it first, after the input lastInput.
+type awakening struct {
+	lastInput *time.Time
+	at        time.Time
+}
+
 // NewRunner returns a Runner that has not been started.
 func NewRunner(cfg Config, clock clockwork.Clock, transport Transport) *Runner {
 	cfg = cfg.withDefaults()
@@ -70,8 +79,7 @@
 	before := r.machine.Next()
 	r.machine.detectFreeze(now)
 	actions := f(now)
-	since := r.machine.Since()
-	r.since.Store(&since)
+	r.storeSince()
 	r.lastInput.Store(&now)
 	r.synced.Store(r.machine.Synced())
 	r.publish(r.machine.Changes())
@@ -81,6 +89,29 @@
 	return actions
 }
 
+// storeSince stores since when this daemon runs, if the machine has noticed the end of a freeze. The
+// end of each freeze is told as one time. r.mu is held.
+func (r *Runner) storeSince() {
+	since := r.machine.Since()
+	if since.Equal(r.machineSince) {
+		return
+	}
+	r.machineSince = since
+	since = r.awake(r.lastInput.Load(), since)
+	r.since.Store(&since)
+}
+
+// awake returns the end of the freeze after an input: the first time that it is called with.
+func (r *Runner) awake(lastInput *time.Time, at time.Time) time.Time {
+	if before := r.awakening.Load(); before == nil || before.lastInput != lastInput {
+		r.awakening.CompareAndSwap(before, &awakening{
+			lastInput: lastInput,
+			at:        at,
+		})
+	}
+	return r.awakening.Load().at
+}
+
 // publish stores the changed parts and signals the subscribers.
 func (r *Runner) publish(c Change) {
 	if c == 0 {
@@ -254,14 +285,14 @@
 
 // Since returns since when this daemon has run without a gap: its start or the end of its last
 // freeze. A daemon that acts for the fleet by its view of it, as a lender does, has to begin
-// anew then: another daemon may have taken its place. Right after a freeze, before the machine
-// has processed an input, it is the present.
+// anew then: another daemon may have taken its place. It tells of a freeze at once, before the
+// machine has processed an input.
 func (r *Runner) Since() time.Time {
-	now := r.clock.Now()
-	if wasFrozen(*r.lastInput.Load(), now, r.suspicionTimeout) {
-		return now
+	now, last := r.clock.Now(), r.lastInput.Load()
+	if !wasFrozen(*last, now, r.suspicionTimeout) {
+		return *r.since.Load()
 	}
-	return *r.since.Load()
+	return r.awake(last, now)
 }
 
 // Leaving reports whether Leave was called. From then on, the other daemons give what this one
--- a/entryd/pkg/gossiper/runner_test.go
+++ b/entryd/pkg/gossiper/runner_test.go
@@ -231,3 +231,33 @@
 		t.Error(err)
 	}
 }
+
+// TestSinceTellsOneEndOfAFreeze guards against a freeze whose end is told as several times, by each
+// of which a daemon would begin anew what it does for the fleet.
+func TestSinceTellsOneEndOfAFreeze(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	r := NewRunner(runnerConfig(0), clock, &localTransport{})
+	start := r.Since()
+	clock.Advance(DefaultSuspicionTimeout / 2)
+	r.SetRevision(1)
+	if got := r.Since(); !got.Equal(start) {
+		t.Errorf("runs since %v without a freeze, want its start at %v", got, start)
+	}
+	for range 2 {
+		clock.Advance(2 * DefaultSuspicionTimeout)
+		end := clock.Now()
+		for range 3 {
+			if got := r.Since(); !got.Equal(end) {
+				t.Errorf("runs since %v before an input, want the end of the freeze at %v", got, end)
+			}
+			clock.Advance(time.Millisecond)
+		}
+		for range 2 {
+			r.SetRevision(2)
+			if got := r.Since(); !got.Equal(end) {
+				t.Errorf("runs since %v after an input, want the end of the freeze at %v", got, end)
+			}
+			clock.Advance(time.Millisecond)
+		}
+	}
+}
