--- a/entryd/pkg/lender/borrow.go
+++ b/entryd/pkg/lender/borrow.go
@@ -49,7 +49,7 @@
 		list := r.waiting[institution]
 		batch := list[:min(len(list), maxWanted)]
 		r.waiting[institution] = list[len(batch):]
-		now := r.now()
+		now := r.begin()
 		since := r.since
 		ask := r.stock.Ask(now, institution, len(batch))
 		order := r.stock.Arrange(now, r.fleet.View().Order(institution))
@@ -61,7 +61,7 @@
 			grant, from, err = r.askAll(order, ask)
 		}
 		r.mu.Lock()
-		if r.now(); r.since != since {
+		if r.begin(); r.since != since {
 			// The tokens were granted before the freeze.
 			grant, err = sharer.Grant{}, errFrozen
 		}
@@ -135,7 +135,7 @@
 	if id == r.ID {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return r.lender.Lend(r.now(), ask)
+		return r.lender.Lend(r.begin(), ask)
 	}
 	type result struct {
 		grant sharer.Grant
@@ -187,7 +187,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
+	now := r.begin()
 	r.stock.Answered(id)
 	if r.limits[institution].Rate > 0 && !r.since.After(begin) {
 		r.stock.Add(now, institution, g, g.Granted)
--- a/entryd/pkg/lender/lender.go
+++ b/entryd/pkg/lender/lender.go
@@ -108,9 +108,9 @@
 	return r
 }
 
-// now returns the time, after it has made sure that this daemon does not act on what it was to
-// the fleet before a freeze, or before it left. All decisions begin with it. r.mu is held.
-func (r *Runner) now() time.Time {
+// begin begins a decision and returns the time. It makes sure that this daemon does not act on what
+// it was to the fleet before a freeze, or before it left. r.mu is held.
+func (r *Runner) begin() time.Time {
 	now := r.Clock.Now()
 	if r.Membership == nil {
 		return now
@@ -162,7 +162,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.addresses = addresses
-	now := r.now()
+	now := r.begin()
 	if r.fleet.Observe(now, daemons) {
 		r.lender.SetView(now, r.fleet.View())
 	}
@@ -172,7 +172,7 @@
 // counts it. It waits for the lender if this daemon holds no token.
 func (r *Runner) Admit(ctx context.Context, institution, request string) Admission {
 	r.mu.Lock()
-	now := r.now()
+	now := r.begin()
 	verdict := r.stock.Take(now, institution)
 	if verdict != sharer.Pending {
 		defer r.mu.Unlock()
@@ -239,7 +239,7 @@
 func (r *Runner) Lend(_ context.Context, in *peer.LendRequest) (*peer.LendReply, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	g, err := r.lender.Lend(r.now(), sharer.Ask{
+	g, err := r.lender.Lend(r.begin(), sharer.Ask{
 		Institution: in.GetInstitution(),
 		Wanted:      int(min(in.GetWanted(), maxWanted)),
 		Spare:       int(min(in.GetSpare(), maxWanted)),
--- a/entryd/pkg/lender/usage.go
+++ b/entryd/pkg/lender/usage.go
@@ -47,7 +47,7 @@
 func (r *Runner) Usages() []Usage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
+	now := r.begin()
 	var out []Usage
 	for _, name := range slices.Sorted(maps.Keys(r.limits)) {
 		if r.limits[name].Rate <= 0 {
