Close endless parts that an owner has put aside

Seen, by a test: an owner that is never told that it is accepted keeps the connection of a target which sends bytes without end, and its slot, for good.

Cause: failed attempts wait for the word of the daemon that asked. If it never comes, the request ends without a look at them, and the stream in the event is dropped unclosed.

Change: the stream is recorded when the event arrives, and closed at once on a route over shards. Closing twice does no harm.

Test: TestEndlessPartIsClosedWithoutAcceptance (before: the connection is still open 3 s after the deadline).

--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -299,10 +300,11 @@
 	io.ReadCloser
 	conn   *conn
 	client *Client
+	once   sync.Once
 }
 
-// Close closes the connection, which is not reused.
+// Close closes the connection, which is not reused. Only the first call has an effect.
 func (r *streamedBody) Close() error {
-	r.client.discard(r.conn)
+	r.once.Do(func() { r.client.discard(r.conn) })
 	return nil
 }
--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -203,6 +203,8 @@
 		case e == nil:
 			c.apply(c.query.Tick(c.Clock.Now()))
 		case !c.confirmed && !c.succeeded(*e):
+			// It may never be handled.
+			c.keepStream(e.answer)
 			c.pendingFailures = append(c.pendingFailures, *e)
 		default:
 			c.handle(*e)
--- a/entryd/pkg/scatterer/job.go
+++ b/entryd/pkg/scatterer/job.go
@@ -228,9 +228,7 @@
 		j.acceptOwner(a)
 		return
 	}
-	if e.answer != nil && e.answer.Rest != nil {
-		j.keepStream(e.answer)
-	}
+	j.keepStream(e.answer)
 	if e.last {
 		delete(j.open, a.nonce)
 		a.log.Took = e.took
--- a/entryd/pkg/scatterer/streams.go
+++ b/entryd/pkg/scatterer/streams.go
@@ -2,14 +2,16 @@
 
 import "plantaincleat/entryd/pkg/httpsender"
 
-// keepStream keeps an answer of which a part has not been read yet. On a route over shards it is
-// no part of the answer, and its stream is closed at once.
+// keepStream keeps an answer, which may be nil, if a part of it has not been read yet. On a route
+// over shards such an answer is of no use, and its stream is closed at once.
 func (j *job) keepStream(answer *httpsender.Answer) {
-	if j.route.Scattered() {
+	switch {
+	case answer == nil || answer.Rest == nil:
+	case j.route.Scattered():
 		_ = answer.Rest.Close()
-		return
+	default:
+		j.streams = append(j.streams, answer)
 	}
-	j.streams = append(j.streams, answer)
 }
 
 // finish closes the streams of all answers but one, which may be nil, those that come later
