--- a/entryd/pkg/httpsender/conn.go
+++ b/entryd/pkg/httpsender/conn.go
@@ -179,6 +179,7 @@
 func (c *conn) readAnswer(cl *Client, r *Request, sentAt time.Time) (*Answer, error) {
 	for range maxStrayAnswers {
 		c.limiter.left = headLimit
+		//nolint:bodyclose // The body is read to its end, or the connection is closed.
 		resp, err := readHead(c.reader, r.Method)
 		if err != nil {
 			return nil, fmt.Errorf("target %s: read response head: %w: %w", cl.address, ErrIncomplete, err)
