--- a/prover/pkg/soaker/endless_test.go
+++ b/prover/pkg/soaker/endless_test.go
@@ -20,9 +20,10 @@
 	// maxMemory is the memory of the smallest host that daemons run on, in bytes.
 	maxMemory = 184 << 20
 	// endlessTime is the time for which targets send bytes without end, and endlessGap the
-	// pause between two requests.
+	// pause between two requests. Each opens dozens of connections, and the ports of a host
+	// are few.
 	endlessTime = 3 * time.Second
-	endlessGap  = 5 * time.Millisecond
+	endlessGap  = 25 * time.Millisecond
 )
 
 // peakMemory returns the most memory that a process has had resident, in bytes.
