--- a/prover/pkg/soaker/fleet.go
+++ b/prover/pkg/soaker/fleet.go
@@ -225,16 +225,23 @@
   "seeds": [%s],
   "grace": "%ds",
   "security": {"insecure": true},
-  "extra": {"ratio": %g, "slack": %g, "window": "10s"},
-  "quota": {"window": %q, "overage": %g, "slack": %g}
+  "extra": {"ratio": %g, "slack": %g, "window": "10s"}%s
 }
 `, d.number, dataCentres[d.number%len(dataCentres)],
 		f.daemonAddress(d, portHTTP), f.daemonAddress(d, portPeer), f.daemonAddress(d, portAdmin), f.daemonAddress(d, portMetrics),
-		seeds[d.number], d.ip, store, strings.Join(seeds, ", "), int(grace.Seconds()), extraRatio, extraSlack,
-		quotaWindow, quotaOverage, quotaSlack)
+		seeds[d.number], d.ip, store, strings.Join(seeds, ", "), int(grace.Seconds()), extraRatio, extraSlack, f.quotaSetting())
 	return eris.Wrap(os.WriteFile(f.settingsFile(d), []byte(text), fileMode), "write settings")
 }
 
+// quotaSetting returns the setting of the tolerance of limits of institutions, after a comma. An
+// earlier build knows none and refuses it.
+func (f *fleet) quotaSetting() string {
+	if f.earlier != "" {
+		return ""
+	}
+	return fmt.Sprintf(",\n  \"quota\": {\"window\": %q, \"overage\": %g, \"slack\": %g}", quotaWindow, quotaOverage, quotaSlack)
+}
+
 // startDaemon starts a process of the daemon.
 func (f *fleet) startDaemon(d *daemon) error {
 	program := f.program
