--- a/prover/pkg/soaker/limit_test.go
+++ b/prover/pkg/soaker/limit_test.go
@@ -170,7 +170,7 @@
 				ended: make(chan struct{}),
 				rate:  limitedRate,
 			}
-			go load.run()
+			load.wg.Go(load.run)
 			// A daemon lends at its full rate once it has run for a window and a little longer.
 			time.Sleep(2*quotaWindow + 2*time.Second)
 			test.disrupt(t, s, func() { load.setRate(hotFactor * limitedRate) })
