--- a/prover/pkg/soaker/crash_test.go
+++ b/prover/pkg/soaker/crash_test.go
@@ -246,18 +246,7 @@
 	s := startCrashFleet(t, buildDaemon(t))
 	s.awaitReady(t)
 	client := &http.Client{Timeout: callerDeadline}
-	send := func(id string, d *daemon) {
-		req, err := http.NewRequest(http.MethodGet, "http://"+d.callerAddress+path, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		req.Host = platformsimulator.RouteHost
-		req.Header.Set("Request-Id", id)
-		req.Header.Set("Request-Deadline", fmt.Sprint(callerDeadline.Milliseconds()))
-		if resp, err := client.Do(req); err == nil {
-			_ = resp.Body.Close()
-		}
-	}
+	send := func(id string, d *daemon) { drop(client, http.MethodGet, "http://"+d.callerAddress+path, id, "") }
 	send("first", s.fleet.daemons[0])
 	if n := s.fleet.platform.Executions("first"); n == 0 {
 		t.Fatal("the request has reached no target")
--- a/prover/pkg/soaker/endless_test.go
+++ b/prover/pkg/soaker/endless_test.go
@@ -60,15 +60,15 @@
 			if route == routeWrite {
 				method = http.MethodPost
 			}
-			s.drop(client, method, "http://"+to.callerAddress+route+"x", fmt.Sprintf("endless-%d-%d", end.UnixNano(), i))
+			drop(client, method, "http://"+to.callerAddress+route+"x", fmt.Sprintf("endless-%d-%d", end.UnixNano(), i), "")
 		})
 		time.Sleep(endlessGap)
 	}
 	wg.Wait()
 }
 
-// drop sends a request and drops the body of the answer.
-func (s *Soak) drop(client *http.Client, method, url, id string) {
+// drop sends a request, with a key unless that is empty, and drops the answer.
+func drop(client *http.Client, method, url, id, key string) {
 	req, err := http.NewRequest(method, url, nil)
 	if err != nil {
 		return
@@ -76,6 +76,9 @@
 	req.Host = platformsimulator.RouteHost
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Request-Deadline", fmt.Sprint(callerDeadline.Milliseconds()))
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		return
--- a/prover/pkg/soaker/limit_test.go
+++ b/prover/pkg/soaker/limit_test.go
@@ -78,21 +78,8 @@
 		case <-time.After(gap):
 		}
 		d := l.soak.fleet.daemons[i%len(l.soak.fleet.daemons)]
-		l.wg.Go(func() { l.call(client, d, i) })
-	}
-}
-
-func (l *limitedLoad) call(client *http.Client, d *daemon, i int) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+d.callerAddress+routeOne+"x"+platformsimulator.KeyQuery(limitedKey), nil)
-	if err != nil {
-		return
-	}
-	req.Host = platformsimulator.RouteHost
-	req.Header.Set("Request-Id", fmt.Sprintf("limited-%d", i))
-	req.Header.Set("Request-Deadline", fmt.Sprint(callerDeadline.Milliseconds()))
-	req.Header.Set("Authorization", "Bearer "+limitedKey)
-	if resp, err := client.Do(req); err == nil {
-		_ = resp.Body.Close()
+		url := "http://" + d.callerAddress + routeOne + "x" + platformsimulator.KeyQuery(limitedKey)
+		l.wg.Go(func() { drop(client, http.MethodGet, url, fmt.Sprintf("limited-%d", i), limitedKey) })
 	}
 }
 
