--- /dev/null
+++ b/prover/pkg/crowder/watch.go
@@ -0,0 +1,76 @@
+package crowder
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"plantaincleat/prover/pkg/deployer"
+)
+
+// sampleInterval is the time between two counts of a process's descriptors.
+const sampleInterval = 20 * time.Millisecond
+
+// Watch measures what a process holds.
+type Watch struct {
+	process *deployer.Process
+	// descriptors is the greatest number of open descriptors that was counted.
+	descriptors atomic.Int64
+	ended       chan struct{}
+}
+
+// NewWatch watches a process until Close.
+func NewWatch(p *deployer.Process) *Watch {
+	w := &Watch{
+		process: p,
+		ended:   make(chan struct{}),
+	}
+	go w.sample()
+	return w
+}
+
+// Close ends the watch.
+func (w *Watch) Close() { close(w.ended) }
+
+// Ended reports whether the process has ended.
+func (w *Watch) Ended() bool { return w.process.Ended() }
+
+// sample counts the descriptors of the process until Close.
+func (w *Watch) sample() {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.process.ID()))
+		if n := int64(len(entries)); err == nil && n > w.descriptors.Load() {
+			w.descriptors.Store(n)
+		}
+		select {
+		case <-w.ended:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Descriptors returns the greatest number of descriptors that the process has had open.
+func (w *Watch) Descriptors() int64 { return w.descriptors.Load() }
+
+// Memory returns the most memory that the process has had resident, in bytes.
+func (w *Watch) Memory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.process.ID()))
+	if err != nil {
+		return 0, eris.Wrap(err, "read the memory of a daemon")
+	}
+	for line := range strings.Lines(string(status)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
+			return kb << 10, err
+		}
+	}
+	return 0, eris.New("read the memory of a daemon: no peak in the status of the process")
+}
--- a/prover/pkg/deployer/deployer.go
+++ b/prover/pkg/deployer/deployer.go
@@ -52,6 +52,8 @@
 	// EditConfig changes a generated configuration before it is used. It may be
 	// nil.
 	EditConfig func(*config.Config)
+	// EditSettings changes the settings of each daemon before it starts. It may be nil.
+	EditSettings func(*settings.Entryd)
 	// WithoutConfig keeps New from applying the first configuration and from
 	// waiting until the daemons are ready.
 	WithoutConfig bool
@@ -187,6 +189,10 @@
 			d.get("http://"+d.localAddress(relayAdminPort)+"/links", nil) == nil
 	})
 	for _, s := range d.plan.Settings() {
+		if d.options.EditSettings != nil {
+			d.options.EditSettings(s)
+			d.writeJSON(s.GetId()+".json", s)
+		}
 		daemon := &Daemon{
 			Settings:   s,
 			deployment: d,
--- a/standin/pkg/platformsimulator/platform.go
+++ b/standin/pkg/platformsimulator/platform.go
@@ -1,6 +1,7 @@
 package platformsimulator
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -26,6 +27,7 @@
 	crashOn           func(r *http.Request) bool
 	crashed           func(id string)
 	crashDelay        time.Duration
+	records           int
 	clock             clockwork.Clock
 
 	// mu guards the following fields. AddService may run concurrently with readers.
@@ -105,6 +107,9 @@
 	// id and the address that it listens on. If nil, targets are registered with
 	// the address that they listen on.
 	RegisteredAddress func(id, address string) string
+	// Records is the number of records in the answers of a target, of 16 bytes each. Zero means
+	// recordsPerTarget.
+	Records int
 	// CrashOn selects the requests that crash each target that executes them. It may
 	// be nil.
 	CrashOn func(r *http.Request) bool
@@ -118,7 +123,7 @@
 const (
 	// slotsPerTarget is the number of requests that a target executes at once.
 	slotsPerTarget = 4
-	// recordsPerTarget is the number of records in the answers of a target.
+	// recordsPerTarget is the usual number of records in the answers of a target.
 	recordsPerTarget = 25
 	// maxConnections is the connection limit of each service in the configuration.
 	maxConnections = 40
@@ -136,6 +141,7 @@
 		crashOn:           o.CrashOn,
 		crashed:           o.Crashed,
 		crashDelay:        o.CrashDelay,
+		records:           cmp.Or(o.Records, recordsPerTarget),
 		clock:             clockwork.NewRealClock(),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/standin/pkg/platformsimulator/target.go
+++ b/standin/pkg/platformsimulator/target.go
@@ -72,7 +72,7 @@
 	if t.process++; t.process > 1 {
 		id = fmt.Sprintf("%s-process-%d", t.name, t.process)
 	}
-	r, err := httpresponder.New(id, slotsPerTarget, recordsPerTarget)
+	r, err := httpresponder.New(id, slotsPerTarget, p.records)
 	if err != nil {
 		return err
 	}
--- a/tier/pkg/checker/settings.go
+++ b/tier/pkg/checker/settings.go
@@ -12,6 +12,14 @@
 // maxCores is the greatest capacity in cores that settings may state.
 const maxCores = 4096
 
+// maxMemory is the greatest memory in MB that settings may state, minMemory the least memory of a
+// host, and minDescriptors the least number of its descriptors.
+const (
+	maxMemory      = 1 << 20
+	minMemory      = 64
+	minDescriptors = 128
+)
+
 // levels contains the names of the log levels. Empty means the default.
 var levels = map[string]bool{
 	"":      true,
@@ -40,9 +48,32 @@
 	if s.GetCapacity() < 0 || math.IsNaN(s.GetCapacity()) || s.GetCapacity() > maxCores {
 		r.add("capacity", "%v is not a number of cores from 0 to %d", s.GetCapacity(), maxCores)
 	}
+	r.checkHost(s.GetHost())
+	r.checkCallers(s.GetCallers())
 	return r.problems
 }
 
+// checkHost checks what the daemon may use of its host. Zero means the default.
+func (r *report) checkHost(h *settings.Host) {
+	r.checkMemory("host.memory", h.GetMemory(), minMemory)
+	if n := h.GetDescriptors(); n != 0 && n < minDescriptors {
+		r.add("host.descriptors", "%d is less than %d", n, minDescriptors)
+	}
+}
+
+// checkCallers checks the limits of what callers may make the daemon hold.
+func (r *report) checkCallers(c *settings.Callers) {
+	r.checkMemory("callers.memory", c.GetMemory(), 1)
+	r.checkDuration("callers.answer", c.GetAnswer(), true)
+}
+
+// checkMemory checks a number of MB that is zero or at least least.
+func (r *report) checkMemory(field string, mb, least float64) {
+	if mb != 0 && !(mb >= least && mb <= maxMemory) {
+		r.add(field, "%v is not a number of MB from %v to %d", mb, least, maxMemory)
+	}
+}
+
 // checkExtra checks the limit of extra sub-requests.
 func (r *report) checkExtra(e *settings.Extra) {
 	r.checkFraction("extra.ratio", e.GetRatio())
