Keep what callers make a daemon hold within its host

Bodies are read into pooled blocks of 16 KB and joined once; io.ReadAll held twice the body and more as garbage. A body that is not read to its end closes the connection, after a bounded drain, so that neither net/http nor the caller keeps it.

No daemon uses it yet.

--- /dev/null
+++ b/entryd/pkg/gatekeeper/body.go
@@ -0,0 +1,314 @@
+package gatekeeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"plantaincleat/entryd/pkg/accountant"
+)
+
+// Errors of ReadBody. Nothing of the request was passed on.
+var (
+	// ErrTooLarge reports that the body is longer than allowed.
+	ErrTooLarge = errors.New("request body is too large")
+	// ErrLate reports that the body did not arrive in time.
+	ErrLate = errors.New("request body did not arrive in time")
+	// ErrNoRoom reports that the daemon has no room for the request.
+	ErrNoRoom = errors.New("no room for the request")
+)
+
+const (
+	// blockSize is the size of the blocks that bodies are read into, in bytes.
+	blockSize = 16 << 10
+	// drainBytes and drainTime bound what is read of the rest of a body that nobody wants, so that
+	// its connection can be used again.
+	drainBytes = 16 << 10
+	drainTime  = 20 * time.Millisecond
+)
+
+// connKey is the context key of a connection.
+type connKey struct{}
+
+// ConnContext stores the connection in the context of its requests. It must be called by the
+// ConnContext hook of the http.Server.
+func ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	if c := unwrap(nc); c != nil {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// connOf returns the connection of a request, or nil.
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// Handler returns a handler that follows the requests which next handles. An answer to a request whose
+// body next has not read to its end closes the connection, unless little of it is missing.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := connOf(r.Context())
+		if c == nil {
+			next.ServeHTTP(w, r)
+			return
+		}
+		defer c.keeper.releaseAll(c, accountant.Answering)
+		if r.ContentLength == 0 {
+			c.requestEnded()
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &watchedBody{
+			ReadCloser: r.Body,
+		}
+		r.Body = body
+		next.ServeHTTP(&bodyWriter{
+			ResponseWriter: w,
+			request:        r,
+			body:           body,
+		}, r)
+		if !body.ended {
+			// The server would read the rest of the body, for however long that takes.
+			c.answeredEarly.Store(true)
+			_ = c.SetReadDeadline(past)
+		}
+	})
+}
+
+// watchedBody is the body of a request.
+type watchedBody struct {
+	io.ReadCloser
+	// ended is true once it was read to its end.
+	ended bool
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err == io.EOF
+	return n, err
+}
+
+// bodyWriter writes the answer to a request with a body.
+type bodyWriter struct {
+	http.ResponseWriter
+	request *http.Request
+	body    *watchedBody
+	begun   bool
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (w *bodyWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *bodyWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *bodyWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+// begin closes the connection with the answer if the body is not read to its end.
+func (w *bodyWriter) begin() {
+	if w.begun {
+		return
+	}
+	w.begun = true
+	if !w.body.ended && !w.drain() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// drain reads what is missing of a short body that has arrived already. It reports whether the body is
+// read to its end.
+func (w *bodyWriter) drain() bool {
+	if w.request.ContentLength > drainBytes || w.request.Header.Get("Expect") != "" {
+		return false
+	}
+	control := http.NewResponseController(w.ResponseWriter)
+	_ = control.SetReadDeadline(time.Now().Add(drainTime))
+	_, _ = io.CopyN(io.Discard, w.body, drainBytes+1)
+	if w.body.ended {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return w.body.ended
+}
+
+// blocks holds blocks of blockSize bytes that are not in use.
+var blocks = sync.Pool{
+	New: func() any { return new([blockSize]byte) },
+}
+
+// ReadBody returns the body of a request, which has to arrive by end. What arrives is charged to the
+// connection before it is read.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, fmt.Errorf("%w: it exceeds %d bytes", ErrTooLarge, limit)
+	}
+	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	control := http.NewResponseController(w)
+	// An error means that the server has no deadlines, as in a test without connections.
+	_ = control.SetReadDeadline(end)
+	in := &bodyReader{
+		conn:  connOf(r.Context()),
+		body:  r.Body,
+		limit: limit,
+	}
+	body, err := in.readAll(r.ContentLength)
+	if err != nil {
+		return nil, in.explain(err, r.Context())
+	}
+	// The server keeps reading while the request is handled, to detect that the caller has closed the
+	// connection. That read must have no deadline.
+	_ = control.SetReadDeadline(time.Time{})
+	if in.conn != nil {
+		in.conn.requestEnded()
+	}
+	return body, nil
+}
+
+// bodyReader reads the body of one request.
+type bodyReader struct {
+	// conn is nil without a keeper.
+	conn  *conn
+	body  io.Reader
+	limit int64
+	full  []*[blockSize]byte
+}
+
+// charge charges n bytes.
+func (b *bodyReader) charge(n int64) error {
+	if b.conn != nil && !b.conn.keeper.charge(b.conn, n) {
+		return ErrNoRoom
+	}
+	return nil
+}
+
+// release gives back n bytes.
+func (b *bodyReader) release(n int64) {
+	if b.conn != nil {
+		b.conn.keeper.release(b.conn, n)
+	}
+}
+
+// readAll reads the body, whose length is declared, or negative. A body that fits into one block is
+// read at once, others block by block, so that no more is held than has arrived.
+func (b *bodyReader) readAll(length int64) ([]byte, error) {
+	if 0 < length && length <= blockSize {
+		return b.readShort(length)
+	}
+	defer b.freeBlocks()
+	for {
+		if err := b.charge(blockSize); err != nil {
+			return nil, err
+		}
+		block := blocks.Get().(*[blockSize]byte)
+		b.full = append(b.full, block)
+		n, err := b.fill(block[:])
+		size := int64(len(b.full)-1)*blockSize + int64(n)
+		switch {
+		case size > b.limit:
+			return nil, fmt.Errorf("%w: it exceeds %d bytes", ErrTooLarge, b.limit)
+		case err == io.EOF:
+			return b.join(size)
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// readShort reads a body of a short length to its end.
+func (b *bodyReader) readShort(length int64) ([]byte, error) {
+	if err := b.charge(length); err != nil {
+		return nil, err
+	}
+	body := make([]byte, length)
+	n, err := b.fill(body)
+	if err == nil {
+		// The end of the body lets the server watch the connection.
+		_, err = b.fill(make([]byte, 1))
+	}
+	if err != io.EOF {
+		b.release(length)
+		return nil, err
+	}
+	return body[:n], nil
+}
+
+// fill reads until p is full or the body ends.
+func (b *bodyReader) fill(p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		m, err := b.body.Read(p[n:])
+		n += m
+		if b.conn != nil {
+			b.conn.work.use(m)
+		}
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// join returns the body in one piece.
+func (b *bodyReader) join(size int64) ([]byte, error) {
+	if err := b.charge(size); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, size)
+	for _, block := range b.full {
+		body = append(body, block[:min(int64(blockSize), size-int64(len(body)))]...)
+	}
+	return body, nil
+}
+
+// freeBlocks gives the blocks back.
+func (b *bodyReader) freeBlocks() {
+	for _, block := range b.full {
+		blocks.Put(block)
+	}
+	b.release(int64(len(b.full)) * blockSize)
+	b.full = nil
+}
+
+// explain returns the error for a body that was not read to its end.
+func (b *bodyReader) explain(err error, ctx context.Context) error {
+	if b.conn == nil {
+		return err
+	}
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		b.conn.keeper.count(func(c *Counts) { c.Oversized++ })
+		return err
+	case errors.Is(err, ErrNoRoom) || b.conn.isEvicted():
+		return fmt.Errorf("read request body: %w", ErrNoRoom)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		b.conn.keeper.count(func(c *Counts) { c.Late++ })
+		return fmt.Errorf("read request body: %w", ErrLate)
+	}
+	return fmt.Errorf("read request body: %w", errors.Join(err, ctx.Err()))
+}
+
+// ChargeAnswer charges n bytes of an answer to a request, until it was written. It returns ErrNoRoom if
+// there is no room.
+func ChargeAnswer(ctx context.Context, n int64) error {
+	if c := connOf(ctx); n > 0 && c != nil && !c.keeper.chargeAnswer(c, n) {
+		return ErrNoRoom
+	}
+	return nil
+}
--- /dev/null
+++ b/entryd/pkg/gatekeeper/gatekeeper.go
@@ -0,0 +1,355 @@
+// Package gatekeeper keeps what callers make a daemon hold within the limits of its host. It counts
+// the connections of a listener, charges what arrives on them before it is kept, and closes those that
+// make way. The package accountant decides; this package reads and closes.
+package gatekeeper
+
+import (
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rotisserie/eris"
+
+	"plantaincleat/entryd/pkg/accountant"
+)
+
+const (
+	// DefaultAnswerTimeout is the default of Options.AnswerTimeout.
+	DefaultAnswerTimeout = 10 * time.Second
+	// DefaultHeadLimit is the greatest head of a request in bytes if Options.HeadLimit sets none.
+	DefaultHeadLimit = 64 << 10
+	// logInterval is the least time between two log lines of a keeper.
+	logInterval = time.Second
+	// socketBuffer is the size of the buffers of a connection in the kernel, in bytes. They would
+	// grow to megabytes for a caller that does not read its answers.
+	socketBuffer = 64 << 10
+	// maxRoomWait bounds the time for which a request waits until those that make way have released
+	// what they hold, and maxAnswerWait that for which an answer waits until others have been read
+	// or have made way.
+	maxRoomWait   = 200 * time.Millisecond
+	maxAnswerWait = time.Second
+	// roomChecks is the number of times that a request asks for room in that time, whatever is
+	// released.
+	roomChecks = 5
+)
+
+// Options configure a Keeper.
+type Options struct {
+	// Name is that of the listener, for the log.
+	Name   string
+	Limits accountant.Limits
+	Clock  clockwork.Clock
+	// AnswerTimeout bounds the time for which a caller takes nothing of an answer. Zero means
+	// DefaultAnswerTimeout.
+	AnswerTimeout time.Duration
+	// HeadLimit returns the greatest head of a request in bytes, or zero for DefaultHeadLimit. It may
+	// be nil.
+	HeadLimit func() int
+	// Opaque is true if the listener's protocol is not HTTP/1. Only its connections are counted.
+	Opaque bool
+	// Encrypted is true if the connections carry TLS, whose content the keeper cannot read.
+	Encrypted bool
+}
+
+// Counts are what a keeper has counted since it was created, but for Connections and Bytes, which are
+// the present ones.
+type Counts struct {
+	Connections int
+	Bytes       int64
+	// Closed are the connections that were closed for new ones, and Turned the new ones that were
+	// closed because there was none to close.
+	Closed, Turned uint64
+	// Evicted are the requests that made way, unfinished, for others, and Refused those for which
+	// there was no room.
+	Evicted, Refused uint64
+	// Late are the requests whose body did not arrive in time, and Oversized those with a longer head
+	// or body than allowed.
+	Late, Oversized uint64
+	// Slowed are the requests whose framing was read more slowly because it is out of proportion to
+	// the content, or because they came in tiny pieces.
+	Slowed uint64
+}
+
+// Keeper guards one listener. It must be created with New. It is safe for concurrent use.
+type Keeper struct {
+	Options
+	pacer pacer
+
+	mu      sync.Mutex
+	account *accountant.Account
+	conns   map[accountant.ID]*conn
+	counts  Counts
+	// released is closed, and replaced, when bytes are released.
+	released chan struct{}
+	lastLog  time.Time
+}
+
+// New returns a keeper.
+func New(o Options) *Keeper {
+	if o.AnswerTimeout <= 0 {
+		o.AnswerTimeout = DefaultAnswerTimeout
+	}
+	return &Keeper{
+		Options:  o,
+		account:  accountant.New(o.Limits),
+		conns:    make(map[accountant.ID]*conn),
+		released: make(chan struct{}),
+	}
+}
+
+// Counts returns the counts.
+func (k *Keeper) Counts() Counts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.counts
+	c.Connections, c.Bytes = k.account.Connections(), k.account.Bytes()
+	return c
+}
+
+// count changes the counts. It writes them to the log unless it has done so a short time ago.
+func (k *Keeper) count(change func(c *Counts)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.countLocked(change)
+}
+
+// countLocked is like count. The caller holds k.mu.
+func (k *Keeper) countLocked(change func(c *Counts)) {
+	change(&k.counts)
+	now := k.Clock.Now()
+	if now.Sub(k.lastLog) < logInterval {
+		return
+	}
+	k.lastLog = now
+	c := k.counts
+	slog.Warn("callers are refused or closed because of what they make the daemon hold", "listener", k.Name,
+		"connections", k.account.Connections(), "bytes", k.account.Bytes(), "closed", c.Closed, "turned", c.Turned,
+		"evicted", c.Evicted, "refused", c.Refused, "late", c.Late, "oversized", c.Oversized, "slowed", c.Slowed)
+}
+
+// headLimit returns the greatest head of a request in bytes.
+func (k *Keeper) headLimit() int {
+	if k.HeadLimit != nil {
+		if n := k.HeadLimit(); n > 0 {
+			return n
+		}
+	}
+	return DefaultHeadLimit
+}
+
+// Listen opens a listener at address whose connections are counted. It closes others, or the new one,
+// if there are too many. field is the setting with the address, for errors.
+func (k *Keeper) Listen(field, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(err, field)
+	}
+	return &listener{
+		Listener: l,
+		keeper:   k,
+	}, nil
+}
+
+type listener struct {
+	net.Listener
+	keeper *Keeper
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.keeper.open(raw); c != nil {
+			limitBuffers(raw)
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// limitBuffers limits the buffers of a connection in the kernel. Without success they have their
+// usual sizes.
+func limitBuffers(nc net.Conn) {
+	if c, ok := nc.(*net.TCPConn); ok {
+		_ = c.SetReadBuffer(socketBuffer)
+		_ = c.SetWriteBuffer(socketBuffer)
+	}
+}
+
+// open records a new connection and closes the one that makes way for it. It returns nil if there is
+// no room.
+func (k *Keeper) open(raw net.Conn) *conn {
+	k.mu.Lock()
+	id, victim, ok := k.account.Open(k.Clock.Now())
+	if !ok {
+		k.countLocked(func(c *Counts) { c.Turned++ })
+		k.mu.Unlock()
+		return nil
+	}
+	closed := k.conns[victim]
+	delete(k.conns, victim)
+	if closed != nil {
+		k.countLocked(func(c *Counts) { c.Closed++ })
+	}
+	c := &conn{
+		Conn:    raw,
+		keeper:  k,
+		id:      id,
+		evicted: make(chan struct{}),
+	}
+	k.conns[id] = c
+	k.mu.Unlock()
+	if closed != nil {
+		closed.evict()
+		_ = closed.Conn.Close()
+	}
+	return c
+}
+
+// closeConn records that a connection is closed.
+func (k *Keeper) closeConn(c *conn) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.conns, c.id)
+	k.account.Close(c.id)
+}
+
+// enter records the phase of a connection.
+func (k *Keeper) enter(c *conn, phase accountant.Phase) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.Enter(c.id, phase, k.Clock.Now())
+}
+
+// release gives back n bytes of a connection.
+func (k *Keeper) release(c *conn, n int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.Release(c.id, n)
+	k.wakeLocked()
+}
+
+// releaseAll gives back all bytes of a connection, which enters a phase.
+func (k *Keeper) releaseAll(c *conn, phase accountant.Phase) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account.Enter(c.id, phase, k.Clock.Now())
+	k.account.ReleaseAll(c.id)
+	k.wakeLocked()
+}
+
+// wakeLocked wakes the requests that wait for room. The caller holds k.mu.
+func (k *Keeper) wakeLocked() {
+	close(k.released)
+	k.released = make(chan struct{})
+}
+
+// Reserve charges n bytes for a request that comes on no connection of the keeper's listener. It does
+// not wait. It reports whether there is room; release then gives it back.
+func (k *Keeper) Reserve(n int64) (release func(), ok bool) {
+	k.mu.Lock()
+	id := k.account.Join()
+	k.mu.Unlock()
+	verdict, _ := k.tryCharge(id, n)
+	release = func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.account.ReleaseAll(id)
+		k.wakeLocked()
+	}
+	if verdict != accountant.Granted {
+		release()
+		return nil, false
+	}
+	return release, true
+}
+
+// charge charges n bytes to a connection, once there is room. It reports whether there is.
+func (k *Keeper) charge(c *conn, n int64) bool {
+	verdict, released := k.tryCharge(c.id, n)
+	if verdict == accountant.Deferred {
+		return k.chargeLater(c, n, released, maxRoomWait)
+	}
+	return verdict == accountant.Granted
+}
+
+// chargeAnswer is like charge for an answer. It also waits for others that may have been read by then.
+func (k *Keeper) chargeAnswer(c *conn, n int64) bool {
+	verdict, released := k.tryCharge(c.id, n)
+	return verdict == accountant.Granted || k.chargeLater(c, n, released, maxAnswerWait)
+}
+
+// chargeLater charges n bytes to a connection as soon as there is room. It reports whether there is
+// within a time. released is closed when something is released.
+func (k *Keeper) chargeLater(c *conn, n int64, released <-chan struct{}, limit time.Duration) bool {
+	timeout := k.Clock.NewTimer(limit)
+	defer timeout.Stop()
+	// What has become old enough to make way is not told.
+	again := k.Clock.NewTicker(limit / roomChecks)
+	defer again.Stop()
+	for {
+		select {
+		case <-released:
+		case <-again.Chan():
+		case <-c.evicted:
+			return false
+		case <-timeout.Chan():
+			return false
+		}
+		var verdict accountant.Verdict
+		if verdict, released = k.tryCharge(c.id, n); verdict == accountant.Granted {
+			return true
+		}
+	}
+}
+
+// tryCharge asks the account once and evicts the connection that makes way. It returns a channel that
+// is closed when bytes are released.
+func (k *Keeper) tryCharge(id accountant.ID, n int64) (accountant.Verdict, <-chan struct{}) {
+	k.mu.Lock()
+	verdict, victim := k.account.Charge(id, n, k.Clock.Now())
+	evicted, released := k.conns[victim], k.released
+	switch {
+	case evicted != nil:
+		k.countLocked(func(c *Counts) { c.Evicted++ })
+	case verdict == accountant.Refused:
+		k.countLocked(func(c *Counts) { c.Refused++ })
+	}
+	k.mu.Unlock()
+	if evicted != nil {
+		evicted.evict()
+	}
+	return verdict, released
+}
+
+// ObserveConnState follows the requests of a connection. It must be called by the ConnState hook of
+// the http.Server.
+func (k *Keeper) ObserveConnState(nc net.Conn, state http.ConnState) {
+	c := unwrap(nc)
+	if c == nil {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.headEnded()
+	case http.StateIdle:
+		c.becomeIdle()
+	case http.StateClosed, http.StateHijacked:
+		k.releaseAll(c, accountant.Idle)
+	}
+}
+
+// unwrap returns the connection of a keeper below nc, which may be one with TLS, or nil.
+func unwrap(nc net.Conn) *conn {
+	if outer, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = outer.NetConn()
+	}
+	c, _ := nc.(*conn)
+	return c
+}
