Charge answers while they are written

Callers that do not read their answers made a daemon hold one of up to 256 KB for each connection, for as long as they liked.

Change: what is held of an answer is charged to the connection before it is written. Short of room, the heaviest answer that has not been read for 250 ms makes way, and one that finds none within a second closes its connection, which promises nothing.

Evidence: TestUnreadAnswersMakeWay.

--- a/entryd/pkg/gatekeeper/gatekeeper_test.go
+++ b/entryd/pkg/gatekeeper/gatekeeper_test.go
@@ -61,8 +61,19 @@
 	}
 }
 
-// answer answers a request with the size of its body. It reads none under /unread.
+// longAnswer is the size in bytes of the answer under /long.
+const longAnswer = 300 * kb
+
+// answer answers a request with the size of its body. It reads none under /unread, and gives a long
+// answer under /long.
 func answer(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/long" {
+		if ChargeAnswer(r.Context(), longAnswer) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write(make([]byte, longAnswer))
+		return
+	}
 	if r.URL.Path == "/unread" {
 		http.Error(w, "unread", http.StatusNotFound)
 		return
@@ -271,6 +282,27 @@
 	s.eventually("the connection is closed", func() bool { return s.keeper.Counts().Connections == 0 })
 }
 
+// TestUnreadAnswersMakeWay guards against answers that nobody reads and that fill the daemon, so that
+// other callers get none.
+func TestUnreadAnswersMakeWay(t *testing.T) {
+	s := startServer(t, accountant.Limits{
+		Connections: 100,
+		Bytes:       2 << 20,
+		Small:       32 * kb,
+	})
+	const request = "GET /long HTTP/1.1\r\nHost: h\r\n\r\n"
+	for range 20 {
+		s.dial(strings.Repeat(request, 5))
+	}
+	time.Sleep(time.Second)
+	if resp, body := s.exchange(request); resp.StatusCode != http.StatusOK || len(body) != longAnswer {
+		t.Errorf("status %d, %d bytes", resp.StatusCode, len(body))
+	}
+	if s.keeper.Counts().Evicted == 0 {
+		t.Error("no answer made way")
+	}
+}
+
 // TestPacer guards against framing that takes all the processor time, and against requests that wait
 // although they cannot be read in time.
 func TestPacer(t *testing.T) {
