--- a/entryd/pkg/peerserver/recovery.go
+++ b/entryd/pkg/peerserver/recovery.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"time"
 
 	"github.com/grpc-ecosystem/go-grpc-middleware/v2/interceptors/recovery"
 	"google.golang.org/grpc"
@@ -12,6 +13,9 @@
 	"google.golang.org/grpc/status"
 )
 
+// handshakeTimeout bounds the time in which a connection becomes one of gRPC.
+const handshakeTimeout = 5 * time.Second
+
 // maxStackBytes bounds the stack in the log line of a panic.
 const maxStackBytes = 2 << 10
 
@@ -20,6 +24,7 @@
 func NewServer(options ...grpc.ServerOption) *grpc.Server {
 	handler := recovery.WithRecoveryHandlerContext(endCall)
 	return grpc.NewServer(append(options,
+		grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ChainUnaryInterceptor(recovery.UnaryServerInterceptor(handler)),
 		grpc.ChainStreamInterceptor(recovery.StreamServerInterceptor(handler)),
 	)...)
