Keep connections to targets within the descriptors that callers leave

What was seen: callers with a query over 30 shards each make a daemon open 480 connections to targets besides their own: 752 descriptors, its host has 512. A daemon that cannot open a file or dial is worse than one that refuses.

Cause: a daemon opens up to two connections for each slot of each target, whatever its host has.

Change: the clients of all targets count their connections together.

Evidence, alone on the machine: the last case of TestCrowdOfConnections, 752 descriptors before, passes after it; TestSharedConnections.

--- a/entryd/pkg/cataloger/cataloger.go
+++ b/entryd/pkg/cataloger/cataloger.go
@@ -38,6 +38,8 @@
 	Headers *httpsender.Headers
 	// ExtraLimit bounds the extra requests of the fleet to each pool.
 	ExtraLimit ExtraLimit
+	// Connections counts the connections to all targets, and bounds them. It may be nil.
+	Connections *httpsender.Connections
 	// Tolerance is what the rates of cold targets tolerate.
 	Tolerance withholder.Tolerance
 }
@@ -300,6 +302,9 @@
 			}),
 			client: httpsender.NewClient(t.GetAddress(), c.options.Headers, c.options.Dial, c.options.Clock),
 		}
+		if c.options.Connections != nil {
+			known.client.Share(c.options.Connections)
+		}
 		now := c.options.Clock.Now()
 		known.state = c.withholder.Use(now, known.Process())
 		known.startedUntil = c.startedUntil(now, t, p.warmup)
--- a/entryd/pkg/httpsender/client.go
+++ b/entryd/pkg/httpsender/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -30,6 +31,21 @@
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+// Connections counts the connections of the clients that share it, and bounds them. The zero value
+// sets no bound.
+type Connections struct {
+	// Max is the number of connections from which a client opens no second one to its target. Zero
+	// means that there is no bound.
+	Max  int
+	open atomic.Int64
+}
+
+// Open returns the number of connections that are open or being opened.
+func (c *Connections) Open() int { return int(c.open.Load()) }
+
+// full reports whether a client may open only its first connection.
+func (c *Connections) full() bool { return c.Max > 0 && c.Open() >= c.Max }
+
 // Client sends requests to one target and manages the connections to it. It is safe
 // for concurrent use.
 type Client struct {
@@ -45,8 +61,10 @@
 	open int
 	// maxOpen is the maximum of open.
 	maxOpen int
-	closed  bool
-	queue   queue
+	// shared counts the open connections of all clients of the daemon.
+	shared *Connections
+	closed bool
+	queue  queue
 	// connectTime is how long it took to open the last connection.
 	connectTime time.Duration
 	// lastAnswer is when the target last answered a request in full.
@@ -68,9 +86,19 @@
 		dial:    dial,
 		clock:   clock,
 		maxOpen: 1,
+		shared:  &Connections{},
 	}
 }
 
+// Share makes the client count its connections in c. It must be called before the first request.
+func (cl *Client) Share(c *Connections) { cl.shared = c }
+
+// addOpen changes the number of open connections. The caller holds cl.mu.
+func (cl *Client) addOpen(n int) {
+	cl.open += n
+	cl.shared.open.Add(int64(n))
+}
+
 // SetMaxConnections sets the maximum number of open connections. Values below one
 // count as one.
 func (cl *Client) SetMaxConnections(n int) {
@@ -123,7 +151,7 @@
 	cl.mu.Lock()
 	idle := cl.idle
 	cl.idle = nil
-	cl.open -= len(idle)
+	cl.addOpen(-len(idle))
 	cl.mu.Unlock()
 	for _, c := range idle {
 		c.close()
@@ -144,7 +172,7 @@
 	}
 	clear(cl.idle[len(kept):])
 	cl.idle = kept
-	cl.open -= len(expired)
+	cl.addOpen(-len(expired))
 	cl.mu.Unlock()
 	for _, c := range expired {
 		c.close()
@@ -191,11 +219,11 @@
 		if now.Before(c.expires) {
 			return c, nil, nil
 		}
-		cl.open--
+		cl.addOpen(-1)
 		c.close()
 	}
-	if cl.open < cl.maxOpen {
-		cl.open++
+	if cl.open < cl.maxOpen && (cl.open == 0 || !cl.shared.full()) {
+		cl.addOpen(1)
 		return nil, nil, nil
 	}
 	cl.queue.MaxLen, cl.queue.MaxBytes = waitersPerConnection*cl.maxOpen, maxWaitingBytes
@@ -254,7 +282,7 @@
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if cl.closed || cl.open > cl.maxOpen {
-		cl.open--
+		cl.addOpen(-1)
 		c.close()
 		return
 	}
@@ -281,7 +309,7 @@
 			return
 		}
 	}
-	cl.open--
+	cl.addOpen(-1)
 }
 
 // errStrayAnswers reports that maxStrayAnswers interim responses and responses to other
