Charge the copies of requests at owners and relays, and those made for them

Cause: an owner keeps the body of each request of another daemon until it has ended, and a root keeps a copy for each owner while it is sent. The account of a root bounds its own callers; an owner gets from all roots, so that its sum grew with the fleet.

Change: both are charged to the account of the callers. An owner without room replies that nothing was sent, as one that is full; the root goes elsewhere. A root without room takes the owner for busy and does not hold that against it.

--- a/entryd/pkg/scatterer/collect.go
+++ b/entryd/pkg/scatterer/collect.go
@@ -41,6 +41,11 @@
 	if s.mayNotSend() {
 		return errStopping
 	}
+	release, ok := s.reserveReceived(in)
+	if !ok {
+		return stream.Send(rejectAll(in, peer.Reason_REASON_SHED))
+	}
+	defer release()
 	catalog := s.Catalogs.Catalog()
 	route := catalog.Route(in.GetRoute())
 	if route == nil {
--- a/entryd/pkg/scatterer/delegate.go
+++ b/entryd/pkg/scatterer/delegate.go
@@ -35,6 +35,12 @@
 	o := a.dest.owner
 	ackTimer := time.AfterFunc(o.ackTimeout(), func() { o.recordLateAck(j.Clock.Now()) })
 	defer ackTimer.Stop()
+	release, err := j.reserveCopy(j.request.Body)
+	if err != nil {
+		j.ownerFailed(ctx, a, err, begin)
+		return
+	}
+	defer release()
 	stream, err := j.openStream(call.ctx, a, begin)
 	if err == nil {
 		err = awaitHeader(stream)
@@ -158,7 +164,7 @@
 	if !a.acknowledged {
 		a.dest.owner.ackEstimator.Drop()
 	}
-	if ctx.Err() == nil && !errors.Is(err, errQuarantined) {
+	if ctx.Err() == nil && !errors.Is(err, errQuarantined) && !errors.Is(err, errNoRoom) {
 		a.dest.owner.recordLateAck(j.Clock.Now())
 	}
 	j.sendEvent(event{
--- a/entryd/pkg/scatterer/scatterer.go
+++ b/entryd/pkg/scatterer/scatterer.go
@@ -64,6 +64,8 @@
 	// Membership is this daemon's own part in the fleet. If it is nil, the daemon neither leaves
 	// nor freezes.
 	Membership Membership
+	// Account is where copies of requests are charged. If it is nil, there is room for all.
+	Account Account
 	// Cores is the number of processor cores that the daemon may use, which can be a
 	// fraction. Zero means one.
 	Cores float64
@@ -90,6 +92,12 @@
 	Leaving() bool
 }
 
+// Account accounts for what requests hold.
+type Account interface {
+	// Reserve charges n bytes, which release gives back. It reports whether there is room.
+	Reserve(n int64) (release func(), ok bool)
+}
+
 // Dial returns a connection to a daemon, which need not be ready yet.
 type Dial func(address string) (grpc.ClientConnInterface, error)
 
