Guard the listeners of entryd

What was seen: 700 connections take entryd to 722 to 1,666 descriptors (its host has 512), heads within the limit to 222 MB, bodies to 96 MB (128 allowed).

Bodies had a limit and a time here already; the connections and the sum had none.

Change: the listeners for callers, other daemons and operators have keepers with the same bounds; a body without room is refused as overload, not run, with a retry-after time. The counts are in /debug/vars, and the garbage collector's limit follows from the host.

--- a/entryd/pkg/entrydcommander/entrydcommander.go
+++ b/entryd/pkg/entrydcommander/entrydcommander.go
@@ -8,11 +8,13 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/spf13/cobra"
 
+	"plantaincleat/entryd/pkg/gatekeeper"
 	"plantaincleat/entryd/pkg/starter"
 	"plantaincleat/tier/gen/settings"
 	"plantaincleat/tier/pkg/commandrunner"
@@ -60,6 +62,7 @@
 // serve runs a daemon until a signal stops it. It returns
 // commandrunner.ErrRequestsAborted if requests were aborted.
 func serve(cfg *settings.Entryd, stderr io.Writer) error {
+	debug.SetMemoryLimit(gatekeeper.HostOf(cfg).CollectorLimit())
 	err := logger.Configure(stderr, cfg.GetLog().GetLevel(), slog.String("daemon", cfg.GetId()), slog.String("datacentre", cfg.GetDatacentre()))
 	if err != nil {
 		return err
--- a/entryd/pkg/httphandler/parse.go
+++ b/entryd/pkg/httphandler/parse.go
@@ -6,12 +6,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"plantaincleat/entryd/pkg/authenticator"
+	"plantaincleat/entryd/pkg/gatekeeper"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/pkg/indexer"
 )
@@ -45,6 +45,8 @@
 	// unreadyRetryAfter is the retry-after time of a daemon without a
 	// configuration.
 	unreadyRetryAfter = time.Second
+	// noRoomRetryAfter is the retry-after time of a daemon that has no room for a request.
+	noRoomRetryAfter = time.Second
 	// readTimeout bounds the time within which a caller must send a body.
 	readTimeout = 10 * time.Second
 	// writeTimeout bounds the time within which a caller must read an answer.
@@ -62,29 +64,30 @@
 }
 
 // readBody returns the body of a request. It refuses a body that is longer than
-// maxBodyBytes or does not arrive within readTimeout.
+// maxBodyBytes, does not arrive within readTimeout, or finds no room.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(h.Clock.Now().Add(readTimeout))
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
+	raw, err := gatekeeper.ReadBody(w, r, maxBodyBytes, h.Clock.Now().Add(readTimeout))
 	switch {
-	case errors.As(err, &tooLarge):
+	case err == nil:
+		return raw, nil
+	case errors.Is(err, gatekeeper.ErrTooLarge):
 		return nil, &Refusal{
 			Kind:      KindOversized,
 			Field:     "body",
 			Message:   "is longer than " + strconv.Itoa(maxBodyBytes) + " bytes",
 			Execution: NotExecuted,
 		}
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, gatekeeper.ErrLate):
 		return nil, malformed("body", "was not sent within "+readTimeout.String())
-	case err != nil:
-		return nil, malformed("body", err.Error())
+	case errors.Is(err, gatekeeper.ErrNoRoom):
+		return nil, &Refusal{
+			Kind:       KindOverload,
+			Message:    "the daemon has no room for the request",
+			Execution:  NotExecuted,
+			RetryAfter: noRoomRetryAfter,
+		}
 	}
-	// The server keeps reading while the request is handled, to detect that the
-	// caller has closed the connection. That read must have no deadline.
-	_ = c.SetReadDeadline(time.Time{})
-	return raw, nil
+	return nil, malformed("body", err.Error())
 }
 
 // decodeBody reads a JSON body into a value. It refuses unknown fields, trailing data
--- a/entryd/pkg/starter/http_test.go
+++ b/entryd/pkg/starter/http_test.go
@@ -14,8 +14,10 @@
 	"github.com/jonboulle/clockwork"
 
 	"plantaincleat/entryd/pkg/adminserver"
+	"plantaincleat/entryd/pkg/gatekeeper"
 	"plantaincleat/entryd/pkg/httphandler"
 	"plantaincleat/tier/gen/config"
+	"plantaincleat/tier/gen/settings"
 	"plantaincleat/tier/pkg/indexer"
 )
 
@@ -59,7 +61,7 @@
 func serve(t *testing.T, h http.Handler, f func(t *testing.T, s *http.Server, l *pipeListener)) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newPipeListener()
-		s := newHTTPServer(h)
+		s := newHTTPServer(h, gatekeeper.ForCallers(&settings.Entryd{}, clockwork.NewRealClock(), nil))
 		go func() { _ = s.Serve(l) }()
 		f(t, s, l)
 		_ = s.Close()
--- a/entryd/pkg/starter/starter.go
+++ b/entryd/pkg/starter/starter.go
@@ -6,7 +6,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -26,6 +25,7 @@
 	"plantaincleat/entryd/pkg/dispatcher"
 	"plantaincleat/entryd/pkg/draintracker"
 	"plantaincleat/entryd/pkg/explanationkeeper"
+	"plantaincleat/entryd/pkg/gatekeeper"
 	"plantaincleat/entryd/pkg/gatherer"
 	"plantaincleat/entryd/pkg/gossiper"
 	"plantaincleat/entryd/pkg/httphandler"
@@ -85,17 +85,29 @@
 	callerServer *http.Server
 	adminServer  *http.Server
 
+	keepers keepers
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
+// keepers guard the listeners of a daemon.
+type keepers struct {
+	callers, peers, admin *gatekeeper.Keeper
+}
+
 // New assembles a daemon from its settings. It starts to work with Start.
 func New(cfg *settings.Entryd, clock clockwork.Clock) (*Daemon, error) {
 	d := &Daemon{
 		cfg:     cfg,
 		clock:   clock,
 		configs: newConfigs(clock.Now),
+		keepers: keepers{
+			callers: gatekeeper.ForCallers(cfg, clock, nil),
+			peers:   gatekeeper.ForPeers(cfg, clock),
+			admin:   gatekeeper.ForOperators(cfg, clock),
+		},
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	var err error
@@ -217,19 +229,19 @@
 		Claimer:  d.bucketWriter,
 		Mutator:  d.gatherer,
 	})
-	d.callerServer = newHTTPServer(d.closeWhileStopping(d.handler))
-	d.adminServer = newHTTPServer(d.requireClientCertificate(d.adminHandler))
-	peerL, err := net.Listen("tcp", d.cfg.GetListen().GetPeer())
+	d.callerServer = newHTTPServer(d.closeWhileStopping(d.handler), d.keepers.callers)
+	d.adminServer = newHTTPServer(d.requireClientCertificate(d.adminHandler), d.keepers.admin)
+	peerL, err := d.keepers.peers.Listen("listen.peer", d.cfg.GetListen().GetPeer())
 	if err != nil {
-		return eris.Wrap(err, "listen.peer")
+		return err
 	}
-	callerL, err := net.Listen("tcp", d.cfg.GetListen().GetHttp())
+	callerL, err := d.keepers.callers.Listen("listen.http", d.cfg.GetListen().GetHttp())
 	if err != nil {
-		return eris.Wrap(err, "listen.http")
+		return err
 	}
-	adminL, err := net.Listen("tcp", d.cfg.GetListen().GetAdmin())
+	adminL, err := d.keepers.admin.Listen("listen.admin", d.cfg.GetListen().GetAdmin())
 	if err != nil {
-		return eris.Wrap(err, "listen.admin")
+		return err
 	}
 	d.publishMetrics()
 	d.wg.Go(func() { d.logUnexpectedStop("peer listener", d.peerServer.Serve(d.peerBytes.WrapListener(peerL))) })
@@ -254,13 +266,16 @@
 	return nil
 }
 
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{
+// newHTTPServer returns a server behind a keeper.
+func newHTTPServer(h http.Handler, keeper *gatekeeper.Keeper) *http.Server {
+	s := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	keeper.Guard(s)
+	return s
 }
 
 // logUnexpectedStop logs the error with which a server has ended, unless it was closed.
--- a/entryd/pkg/starter/status.go
+++ b/entryd/pkg/starter/status.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"plantaincleat/entryd/pkg/adminserver"
+	"plantaincleat/entryd/pkg/gatekeeper"
 )
 
 // neverConfirmed is the reported staleness of a configuration that was never confirmed
@@ -80,6 +81,17 @@
 	for _, i := range ints {
 		expvar.Publish(i.name, expvar.Func(func() any { return i.v.Load() }))
 	}
+	keepers := []struct {
+		name string
+		k    *gatekeeper.Keeper
+	}{
+		{"callers", d.keepers.callers},
+		{"callers_peers", d.keepers.peers},
+		{"callers_operators", d.keepers.admin},
+	}
+	for _, i := range keepers {
+		expvar.Publish(i.name, expvar.Func(func() any { return i.k.Counts() }))
+	}
 	expvar.Publish("refusals", &d.handler.Counts().Refusals)
 	expvar.Publish("answers", &d.handler.Counts().Answers)
 	expvar.Publish("claims", d.bucketWriter.Counts())
