Pass on no request whose connection has been chosen to make way

Found on a second reading: a connection is chosen while its request is incomplete, and the request may be whole before its read is made to fail. It was then passed on, and cancelled by the end of its connection: a whole request that made way.

Change: the account refuses the phase of a request that runs to a connection that is closed or makes way, and the request gets 503; nothing of it was passed on. TestRequestsThatMakeWay and TestConnectionsThatMakeWay have the case.

From the same reading: a head at its limit with the beginning of a body behind it in one read was too long for the slack (8 KB now); lines behind the end of a head are not charged to it; connections of other daemons keep the TCP_USER_TIMEOUT that gRPC sets on connections of its own; the counts have lower-case names; nothing is allocated for requests that do not wait.

--- a/entryd/pkg/accountant/accountant.go
+++ b/entryd/pkg/accountant/accountant.go
@@ -144,13 +144,17 @@
 	}
 }
 
-// Enter records the phase of a connection.
-func (a *Account) Enter(id ID, phase Phase, now time.Time) {
+// Enter records the phase of a connection. It reports false, and does nothing, if the connection is
+// closed or makes way.
+func (a *Account) Enter(id ID, phase Phase, now time.Time) bool {
 	h := a.holders[id]
-	if h == nil || h.phase == phase {
-		return
+	if h == nil || h.leaving || h.closed {
+		return false
+	}
+	if h.phase != phase {
+		h.phase, h.since = phase, now
 	}
-	h.phase, h.since = phase, now
+	return true
 }
 
 // Charge charges n bytes to a connection. If there is no room, it may return a connection that makes
--- a/entryd/pkg/accountant/accountant_test.go
+++ b/entryd/pkg/accountant/accountant_test.go
@@ -71,6 +71,9 @@
 			if a.Connections() != len(test.list) || ok && id == victim {
 				t.Errorf("%d connections after it, want %d", a.Connections(), len(test.list))
 			}
+			if victim != 0 && a.Enter(victim, Running, now) {
+				t.Error("a request on the closed connection may run")
+			}
 		})
 	}
 }
@@ -110,6 +113,9 @@
 			if v, again := a.Charge(asking, test.wanted, now); v != Deferred || again != 0 {
 				t.Errorf("before the release: verdict %d, connection %d makes way, want %d and none", v, again, Deferred)
 			}
+			if a.Enter(victim, Running, now) {
+				t.Error("the request that makes way may run")
+			}
 			a.ReleaseAll(victim)
 			if v, _ := a.Charge(asking, test.wanted, now); v != Granted {
 				t.Errorf("after the release: verdict %d, want %d", v, Granted)
--- a/entryd/pkg/gatekeeper/body.go
+++ b/entryd/pkg/gatekeeper/body.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -62,7 +63,10 @@
 		}
 		defer c.keeper.releaseAll(c, accountant.Answering)
 		if r.ContentLength == 0 {
-			c.requestEnded()
+			if !c.requestEnded() {
+				refuse(w)
+				return
+			}
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -83,6 +87,13 @@
 	})
 }
 
+// refuse answers a request that makes way before it is passed on.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // watchedBody is the body of a request.
 type watchedBody struct {
 	io.ReadCloser
@@ -175,8 +186,8 @@
 	// The server keeps reading while the request is handled, to detect that the caller has closed the
 	// connection. That read must have no deadline.
 	_ = control.SetReadDeadline(time.Time{})
-	if in.conn != nil {
-		in.conn.requestEnded()
+	if in.conn != nil && !in.conn.requestEnded() {
+		return nil, in.explain(ErrNoRoom, r.Context())
 	}
 	return body, nil
 }
--- a/entryd/pkg/gatekeeper/conn.go
+++ b/entryd/pkg/gatekeeper/conn.go
@@ -17,9 +17,9 @@
 	// lineBytes is what a header line costs besides its own bytes, in bytes: its entries in the
 	// header and in the copy of the header that is forwarded.
 	lineBytes = 400
-	// headSlack is the number of bytes by which the bytes of a head may exceed its limit, for the
-	// request line and white space.
-	headSlack = 4 << 10
+	// headSlack is the number of bytes by which what was read in a head may exceed its limit: for the
+	// request line, white space and the beginning of the body in the buffer of the server.
+	headSlack = 8 << 10
 	// waitDeadlines is the number of read deadlines that http.Server sets before it waits for the
 	// first bytes of the next request. It sets more before it waits for the rest of a head of which
 	// it has the beginning in its buffer.
@@ -209,14 +209,12 @@
 		c.beginHead()
 	}
 	c.work.received(len(p))
-	var lines int64
-	if !c.keeper.Encrypted {
-		lines = int64(bytes.Count(p, []byte{'\n'}))
-	}
-	c.lastLines.Store(lines)
+	c.lastLines.Store(c.countLines(p))
 	if !c.at(inHead) {
 		return ""
 	}
+	head, _, _ := bytes.Cut(p, []byte("\r\n\r\n"))
+	lines := c.countLines(head)
 	c.head += len(p)
 	c.work.use(len(p))
 	if c.head > c.keeper.headLimit()+headSlack {
@@ -229,6 +227,14 @@
 	return ""
 }
 
+// countLines returns the number of lines in what was read, or zero if that is encrypted.
+func (c *conn) countLines(p []byte) int64 {
+	if c.keeper.Encrypted {
+		return 0
+	}
+	return int64(bytes.Count(p, []byte{'\n'}))
+}
+
 // beginHead begins a request.
 func (c *conn) beginHead() {
 	c.stage.Store(int32(inHead))
@@ -301,16 +307,21 @@
 	}
 }
 
-// requestEnded records that a whole request has been read.
-func (c *conn) requestEnded() {
+// requestEnded records that a whole request has been read. It reports false if the connection makes
+// way; the request must not be passed on then. Otherwise it does not make way before its answer.
+func (c *conn) requestEnded() bool {
+	if !c.keeper.enter(c, accountant.Running) {
+		return false
+	}
 	c.written.Store(false)
 	c.stage.Store(int32(ended))
-	c.keeper.enter(c, accountant.Running)
+	return true
 }
 
 // becomeIdle records that an answer was written.
 func (c *conn) becomeIdle() {
 	c.deadlines.Store(0)
+	c.work.reset()
 	c.stage.Store(int32(between))
 	c.keeper.releaseAll(c, accountant.Idle)
 }
--- a/entryd/pkg/gatekeeper/gatekeeper.go
+++ b/entryd/pkg/gatekeeper/gatekeeper.go
@@ -12,6 +12,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"plantaincleat/entryd/pkg/accountant"
 )
@@ -26,6 +27,9 @@
 	// socketBuffer is the size of the buffers of a connection in the kernel, in bytes. They would
 	// grow to megabytes for a caller that does not read its answers.
 	socketBuffer = 64 << 10
+	// userTimeout is the time that gRPC gives the bytes that it sends to be acknowledged. It sets it
+	// only on connections that it accepts itself.
+	userTimeout = 20 * time.Second
 	// maxRoomWait bounds the time for which a request waits until those that make way have released
 	// what they hold, and maxAnswerWait that for which an answer waits until others have been read
 	// or have made way.
@@ -57,20 +61,23 @@
 // Counts are what a keeper has counted since it was created, but for Connections and Bytes, which are
 // the present ones.
 type Counts struct {
-	Connections int
-	Bytes       int64
+	Connections int   `json:"connections"`
+	Bytes       int64 `json:"bytes"`
 	// Closed are the connections that were closed for new ones, and Turned the new ones that were
 	// closed because there was none to close.
-	Closed, Turned uint64
+	Closed uint64 `json:"closed"`
+	Turned uint64 `json:"turned"`
 	// Evicted are the requests that made way, unfinished, for others, and Refused those for which
 	// there was no room.
-	Evicted, Refused uint64
+	Evicted uint64 `json:"evicted"`
+	Refused uint64 `json:"refused"`
 	// Late are the requests whose body did not arrive in time, and Oversized those with a longer head
 	// or body than allowed.
-	Late, Oversized uint64
+	Late      uint64 `json:"late"`
+	Oversized uint64 `json:"oversized"`
 	// Slowed are the requests whose framing was read more slowly because it is out of proportion to
 	// the content, or because they came in tiny pieces.
-	Slowed uint64
+	Slowed uint64 `json:"slowed"`
 }
 
 // Keeper guards one listener. It must be created with New. It is safe for concurrent use.
@@ -82,7 +89,7 @@
 	account *accountant.Account
 	conns   map[accountant.ID]*conn
 	counts  Counts
-	// released is closed, and replaced, when bytes are released.
+	// released is closed when bytes are released. It is nil unless a request waits for that.
 	released chan struct{}
 	lastLog  time.Time
 }
@@ -93,10 +100,9 @@
 		o.AnswerTimeout = DefaultAnswerTimeout
 	}
 	return &Keeper{
-		Options:  o,
-		account:  accountant.New(o.Limits),
-		conns:    make(map[accountant.ID]*conn),
-		released: make(chan struct{}),
+		Options: o,
+		account: accountant.New(o.Limits),
+		conns:   make(map[accountant.ID]*conn),
 	}
 }
 
@@ -166,20 +172,37 @@
 			return nil, err
 		}
 		if c := l.keeper.open(raw); c != nil {
-			limitBuffers(raw)
+			l.keeper.prepare(raw)
 			return c, nil
 		}
 		_ = raw.Close()
 	}
 }
 
-// limitBuffers limits the buffers of a connection in the kernel. Without success they have their
-// usual sizes.
-func limitBuffers(nc net.Conn) {
-	if c, ok := nc.(*net.TCPConn); ok {
-		_ = c.SetReadBuffer(socketBuffer)
-		_ = c.SetWriteBuffer(socketBuffer)
+// prepare sets the options of a new connection. Without success it has the usual ones.
+func (k *Keeper) prepare(nc net.Conn) {
+	c, ok := nc.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	if k.Opaque {
+		setUserTimeout(c, userTimeout)
+		return
 	}
+	_ = c.SetReadBuffer(socketBuffer)
+	_ = c.SetWriteBuffer(socketBuffer)
+}
+
+// setUserTimeout sets the time after which a connection breaks on which sent bytes are not
+// acknowledged.
+func setUserTimeout(c *net.TCPConn, d time.Duration) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
 }
 
 // open records a new connection and closes the one that makes way for it. It returns nil if there is
@@ -220,11 +243,11 @@
 	k.account.Close(c.id)
 }
 
-// enter records the phase of a connection.
-func (k *Keeper) enter(c *conn, phase accountant.Phase) {
+// enter records the phase of a connection. It reports false if the connection makes way.
+func (k *Keeper) enter(c *conn, phase accountant.Phase) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.account.Enter(c.id, phase, k.Clock.Now())
+	return k.account.Enter(c.id, phase, k.Clock.Now())
 }
 
 // release gives back n bytes of a connection.
@@ -246,8 +269,10 @@
 
 // wakeLocked wakes the requests that wait for room. The caller holds k.mu.
 func (k *Keeper) wakeLocked() {
-	close(k.released)
-	k.released = make(chan struct{})
+	if k.released != nil {
+		close(k.released)
+		k.released = nil
+	}
 }
 
 // Reserve charges n bytes for a request that comes on no connection of the keeper's listener. It does
@@ -282,7 +307,10 @@
 // chargeAnswer is like charge for an answer. It also waits for others that may have been read by then.
 func (k *Keeper) chargeAnswer(c *conn, n int64) bool {
 	verdict, released := k.tryCharge(c.id, n)
-	return verdict == accountant.Granted || k.chargeLater(c, n, released, maxAnswerWait)
+	if verdict == accountant.Granted {
+		return true
+	}
+	return k.chargeLater(c, n, released, maxAnswerWait)
 }
 
 // chargeLater charges n bytes to a connection as soon as there is room. It reports whether there is
@@ -309,11 +337,14 @@
 	}
 }
 
-// tryCharge asks the account once and evicts the connection that makes way. It returns a channel that
-// is closed when bytes are released.
+// tryCharge asks the account once and evicts the connection that makes way. Unless the bytes are
+// charged, it returns a channel that is closed when some are released.
 func (k *Keeper) tryCharge(id accountant.ID, n int64) (accountant.Verdict, <-chan struct{}) {
 	k.mu.Lock()
 	verdict, victim := k.account.Charge(id, n, k.Clock.Now())
+	if verdict != accountant.Granted && k.released == nil {
+		k.released = make(chan struct{})
+	}
 	evicted, released := k.conns[victim], k.released
 	switch {
 	case evicted != nil:
--- a/prover/pkg/crowder/crowd_test.go
+++ b/prover/pkg/crowder/crowd_test.go
@@ -236,8 +236,10 @@
 	// shards is the number of shards, four if zero, and records that of the records in the answers of
 	// targets, the usual one if zero.
 	shards, records int
-	port            int
-	client          func(id string) Client
+	// work is the time that targets need for a request.
+	work   time.Duration
+	port   int
+	client func(id string) Client
 }
 
 func (c crowdTest) run(t *testing.T) {
@@ -246,6 +248,9 @@
 		Shards:  cmp.Or(c.shards, 4),
 		Records: c.records,
 	})
+	for _, target := range f.Platform.AllTargets() {
+		target.SetExecutionTime(c.work)
+	}
 	var crowds []*Crowd
 	for i, d := range f.Daemons {
 		if i > 0 && !c.everywhere {
@@ -319,6 +324,7 @@
 		{name: "callers, silent", port: portHTTP, client: silent},
 		{name: "callers, a request each", port: portHTTP, client: func(id string) Client { return whole([]byte(head("GET", "/one/x", id) + "\r\n")) }},
 		{name: "callers, a query over many shards each", shards: 30, client: func(id string) Client { return whole([]byte(head("GET", "/all/x", id) + "\r\n")) }},
+		{name: "callers, a query over many shards each, slow targets", shards: 30, work: 300 * time.Millisecond, client: func(id string) Client { return whole([]byte(head("GET", "/all/x", id) + "\r\n")) }},
 		{name: "peers, silent", port: portPeer, client: silent},
 		{name: "peers, preface", port: portPeer, client: func(string) Client {
 			return whole([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"))
