Let connections make way by their age, whatever they wait for

Cause: connections without a request made way first. All of the crowd had sent something, so that the only ones without a request were those that had just been opened, the ordinary caller's among them.

Change: that one makes way which has been idle, incomplete or unread for longest. A connection that was opened a moment ago comes last. The case "incomplete for longer than new ones are idle" fails before it.

--- a/entryd/pkg/accountant/accountant.go
+++ b/entryd/pkg/accountant/accountant.go
@@ -249,27 +249,22 @@
 	return unread
 }
 
-// chooseConnection returns the connection that makes way for a new one: that which has been idle for
-// longest, else that whose request has been incomplete for longest, else that whose answer has not
-// been read for longest. It returns zero if there is none.
+// chooseConnection returns the connection that makes way for a new one: that which has been idle, whose
+// request has been incomplete or whose answer has not been read for longest. It returns zero if there
+// is none.
 func (a *Account) chooseConnection(now time.Time) ID {
-	var chosen [Answering + 1]ID
-	var ages [Answering + 1]float64
+	var chosen ID
+	var longest float64
 	for id, h := range a.holders {
 		age := now.Sub(h.since)
 		if h.closed || h.phase == Running || h.phase == Answering && age < slowAnswer {
 			continue
 		}
-		if before(id, age.Seconds(), chosen[h.phase], ages[h.phase]) {
-			chosen[h.phase], ages[h.phase] = id, age.Seconds()
+		if before(id, age.Seconds(), chosen, longest) {
+			chosen, longest = id, age.Seconds()
 		}
 	}
-	for _, phase := range []Phase{Idle, Receiving, Answering} {
-		if chosen[phase] != 0 {
-			return chosen[phase]
-		}
-	}
-	return 0
+	return chosen
 }
 
 // before reports whether a connection makes way before another one, which may be zero, given what
