--- a/entryd/pkg/gatekeeper/gatekeeper.go
+++ b/entryd/pkg/gatekeeper/gatekeeper.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -35,6 +36,8 @@
 	// or have made way.
 	maxRoomWait   = 200 * time.Millisecond
 	maxAnswerWait = time.Second
+	// waitingPart is the part of the bytes of the account that may wait so, as a divisor.
+	waitingPart = 4
 	// roomChecks is the number of times that a request asks for room in that time, whatever is
 	// released.
 	roomChecks = 5
@@ -84,6 +87,8 @@
 type Keeper struct {
 	Options
 	pacer pacer
+	// waiting is the sum of the bytes of answers that wait for room.
+	waiting atomic.Int64
 
 	mu      sync.Mutex
 	account *accountant.Account
@@ -304,12 +309,17 @@
 	return verdict == accountant.Granted
 }
 
-// chargeAnswer is like charge for an answer. It also waits for others that may have been read by then.
+// chargeAnswer is like charge for an answer, which is held already. It also waits for others that may
+// have been read by then, unless too many bytes wait.
 func (k *Keeper) chargeAnswer(c *conn, n int64) bool {
 	verdict, released := k.tryCharge(c.id, n)
 	if verdict == accountant.Granted {
 		return true
 	}
+	defer k.waiting.Add(-n)
+	if k.waiting.Add(n) > k.Limits.Bytes/waitingPart {
+		return false
+	}
 	return k.chargeLater(c, n, released, maxAnswerWait)
 }
 
--- a/entryd/pkg/gatekeeper/gatekeeper_test.go
+++ b/entryd/pkg/gatekeeper/gatekeeper_test.go
@@ -68,7 +68,8 @@
 // answer under /long.
 func answer(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/long" {
-		if ChargeAnswer(r.Context(), longAnswer) != nil {
+		a, err := ReserveAnswer(r.Context(), kb)
+		if err != nil || a.Resize(longAnswer) != nil {
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = w.Write(make([]byte, longAnswer))
