--- a/entryd/pkg/accountant/host.go
+++ b/entryd/pkg/accountant/host.go
@@ -1,10 +1,10 @@
 package accountant
 
 const (
-	// DefaultMemory is the memory of a host in bytes, and DefaultDescriptors the number of its
+	// defaultMemory is the memory of a host in bytes, and defaultDescriptors the number of its
 	// descriptors, if the settings state none.
-	DefaultMemory      = 284 << 20
-	DefaultDescriptors = 4100
+	defaultMemory      = 284 << 20
+	defaultDescriptors = 4100
 
 	// connectionBytes is what a connection costs without a request, in bytes: its buffers, its stack
 	// and its state.
@@ -45,7 +45,7 @@
 // memory returns the memory, or the default.
 func (h Host) memory() int64 {
 	if h.Memory <= 0 {
-		return DefaultMemory
+		return defaultMemory
 	}
 	return h.Memory
 }
@@ -53,7 +53,7 @@
 // descriptors returns the number of descriptors, or the default.
 func (h Host) descriptors() int {
 	if h.Descriptors <= 0 {
-		return DefaultDescriptors
+		return defaultDescriptors
 	}
 	return h.Descriptors
 }
--- a/entryd/pkg/gatekeeper/body.go
+++ b/entryd/pkg/gatekeeper/body.go
@@ -181,13 +181,13 @@
 	}
 	body, err := in.readAll(r.ContentLength)
 	if err != nil {
-		return nil, in.explain(err, r.Context())
+		return nil, in.explain(r.Context(), err)
 	}
 	// The server keeps reading while the request is handled, to detect that the caller has closed the
 	// connection. That read must have no deadline.
 	_ = control.SetReadDeadline(time.Time{})
 	if in.conn != nil && !in.conn.requestEnded() {
-		return nil, in.explain(ErrNoRoom, r.Context())
+		return nil, in.explain(r.Context(), ErrNoRoom)
 	}
 	return body, nil
 }
@@ -234,7 +234,7 @@
 		switch {
 		case size > b.limit:
 			return nil, fmt.Errorf("%w: it exceeds %d bytes", ErrTooLarge, b.limit)
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return b.join(size)
 		case err != nil:
 			return nil, err
@@ -253,7 +253,7 @@
 		// The end of the body lets the server watch the connection.
 		_, err = b.fill(make([]byte, 1))
 	}
-	if err != io.EOF {
+	if !errors.Is(err, io.EOF) {
 		b.release(length)
 		return nil, err
 	}
@@ -298,7 +298,7 @@
 }
 
 // explain returns the error for a body that was not read to its end.
-func (b *bodyReader) explain(err error, ctx context.Context) error {
+func (b *bodyReader) explain(ctx context.Context, err error) error {
 	if b.conn == nil {
 		return err
 	}
--- a/entryd/pkg/gatekeeper/gatekeeper_test.go
+++ b/entryd/pkg/gatekeeper/gatekeeper_test.go
@@ -116,8 +116,15 @@
 	return c
 }
 
-// exchange sends text on a new connection and returns the answer and its body.
-func (s *testServer) exchange(text string) (*http.Response, string) {
+// reply is an answer with its body.
+type reply struct {
+	status int
+	closes bool
+	body   string
+}
+
+// exchange sends text on a new connection and returns the answer.
+func (s *testServer) exchange(text string) reply {
 	s.t.Helper()
 	resp, err := http.ReadResponse(bufio.NewReader(s.dial(text)), nil)
 	if err != nil {
@@ -128,7 +135,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	return resp, string(body)
+	return reply{
+		status: resp.StatusCode,
+		closes: resp.Close,
+		body:   string(body),
+	}
 }
 
 // eventually waits until condition holds.
@@ -194,9 +205,13 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			s := startServer(t, roomy)
-			resp, body := s.exchange(test.text)
-			if resp.StatusCode != test.want || body != test.body || resp.Close != test.closes {
-				t.Errorf("status %d, body %q, closes %v, want %d, %q and %v", resp.StatusCode, body, resp.Close, test.want, test.body, test.closes)
+			want := reply{
+				status: test.want,
+				closes: test.closes,
+				body:   test.body,
+			}
+			if got := s.exchange(test.text); got != want {
+				t.Errorf("reply %+v, want %+v", got, want)
 			}
 			s.eventually("all bytes are given back", func() bool { return s.keeper.Counts().Bytes == 0 })
 		})
@@ -246,8 +261,8 @@
 			}
 			s.eventually("some make way", func() bool { c := s.keeper.Counts(); return c.Evicted+c.Refused > 0 })
 			for _, size := range []int{0, 10, 20 * kb} {
-				if resp, body := s.exchange(post("/", size, size)); resp.StatusCode != http.StatusOK || body != fmt.Sprint(size) {
-					t.Errorf("request of %d bytes: status %d, body %q", size, resp.StatusCode, body)
+				if got := s.exchange(post("/", size, size)); got.status != http.StatusOK || got.body != fmt.Sprint(size) {
+					t.Errorf("request of %d bytes: %+v", size, got)
 				}
 			}
 		})
@@ -260,8 +275,8 @@
 	for range 5 * roomy.Connections {
 		s.dial("")
 	}
-	if resp, _ := s.exchange(post("/", 1, 1)); resp.StatusCode != http.StatusOK {
-		t.Errorf("status %d", resp.StatusCode)
+	if got := s.exchange(post("/", 1, 1)); got.status != http.StatusOK {
+		t.Errorf("status %d", got.status)
 	}
 	if n := s.keeper.Counts().Connections; n > roomy.Connections {
 		t.Errorf("%d connections, want at most %d", n, roomy.Connections)
@@ -296,8 +311,8 @@
 		s.dial(strings.Repeat(request, 5))
 	}
 	time.Sleep(time.Second)
-	if resp, body := s.exchange(request); resp.StatusCode != http.StatusOK || len(body) != longAnswer {
-		t.Errorf("status %d, %d bytes", resp.StatusCode, len(body))
+	if got := s.exchange(request); got.status != http.StatusOK || len(got.body) != longAnswer {
+		t.Errorf("status %d, %d bytes", got.status, len(got.body))
 	}
 	if s.keeper.Counts().Evicted == 0 {
 		t.Error("no answer made way")
