--- a/entryd/pkg/gatekeeper/gatekeeper.go
+++ b/entryd/pkg/gatekeeper/gatekeeper.go
@@ -94,9 +94,11 @@
 	account *accountant.Account
 	conns   map[accountant.ID]*conn
 	counts  Counts
+	// told holds the counts that were written to the log last, at lastLog.
+	told    Counts
+	lastLog time.Time
 	// released is closed when bytes are released. It is nil unless a request waits for that.
 	released chan struct{}
-	lastLog  time.Time
 }
 
 // New returns a keeper.
@@ -120,24 +122,29 @@
 	return c
 }
 
-// count changes the counts. It writes them to the log unless it has done so a short time ago.
+// count changes the counts, and tells of them.
 func (k *Keeper) count(change func(c *Counts)) {
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.countLocked(change)
+	change(&k.counts)
+	k.mu.Unlock()
+	k.tell()
 }
 
-// countLocked is like count. The caller holds k.mu.
-func (k *Keeper) countLocked(change func(c *Counts)) {
-	change(&k.counts)
+// tell writes the counts to the log if they have changed, unless it has done so a short time ago.
+func (k *Keeper) tell() {
+	k.mu.Lock()
 	now := k.Clock.Now()
-	if now.Sub(k.lastLog) < logInterval {
+	due := k.counts != k.told && now.Sub(k.lastLog) >= logInterval
+	if due {
+		k.told, k.lastLog = k.counts, now
+	}
+	k.mu.Unlock()
+	if !due {
 		return
 	}
-	k.lastLog = now
-	c := k.counts
+	c := k.Counts()
 	slog.Warn("callers are refused or closed because of what they make the daemon hold", "listener", k.Name,
-		"connections", k.account.Connections(), "bytes", k.account.Bytes(), "closed", c.Closed, "turned", c.Turned,
+		"connections", c.Connections, "bytes", c.Bytes, "closed", c.Closed, "turned", c.Turned,
 		"evicted", c.Evicted, "refused", c.Refused, "late", c.Late, "oversized", c.Oversized, "slowed", c.Slowed)
 }
 
@@ -216,14 +223,15 @@
 	k.mu.Lock()
 	id, victim, ok := k.account.Open(k.Clock.Now())
 	if !ok {
-		k.countLocked(func(c *Counts) { c.Turned++ })
+		k.counts.Turned++
 		k.mu.Unlock()
+		k.tell()
 		return nil
 	}
 	closed := k.conns[victim]
 	delete(k.conns, victim)
 	if closed != nil {
-		k.countLocked(func(c *Counts) { c.Closed++ })
+		k.counts.Closed++
 	}
 	c := &conn{
 		Conn:    raw,
@@ -236,6 +244,7 @@
 	if closed != nil {
 		closed.evict()
 		_ = closed.Conn.Close()
+		k.tell()
 	}
 	return c
 }
@@ -358,14 +367,17 @@
 	evicted, released := k.conns[victim], k.released
 	switch {
 	case evicted != nil:
-		k.countLocked(func(c *Counts) { c.Evicted++ })
+		k.counts.Evicted++
 	case verdict == accountant.Refused:
-		k.countLocked(func(c *Counts) { c.Refused++ })
+		k.counts.Refused++
 	}
 	k.mu.Unlock()
 	if evicted != nil {
 		evicted.evict()
 	}
+	if verdict != accountant.Granted {
+		k.tell()
+	}
 	return verdict, released
 }
 
