Split the keeper, the cataloger and the client of targets by what they hold

Moves only: the listener, charges, the handler and answers of the keeper, the division of targets' connections and limits, and the connections that clients share have files of their own. The peak memory of a process is read in one place, for the soak's test of endless bytes and for the crowds.

--- a/entryd/pkg/gatekeeper/gatekeeper.go
+++ b/entryd/pkg/gatekeeper/gatekeeper.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/rotisserie/eris"
-	"golang.org/x/sys/unix"
 
 	"plantaincleat/entryd/pkg/accountant"
 )
@@ -25,22 +23,6 @@
 	DefaultHeadLimit = 64 << 10
 	// logInterval is the least time between two log lines of a keeper.
 	logInterval = time.Second
-	// socketBuffer is the size of the buffers of a connection in the kernel, in bytes. They would
-	// grow to megabytes for a caller that does not read its answers.
-	socketBuffer = 64 << 10
-	// userTimeout is the time that gRPC gives the bytes that it sends to be acknowledged. It sets it
-	// only on connections that it accepts itself.
-	userTimeout = 20 * time.Second
-	// maxRoomWait bounds the time for which a request waits until those that make way have released
-	// what they hold, and maxAnswerWait that for which an answer waits until others have been read
-	// or have made way.
-	maxRoomWait   = 200 * time.Millisecond
-	maxAnswerWait = time.Second
-	// waitingPart is the part of the bytes of the account that may wait so, as a divisor.
-	waitingPart = 4
-	// roomChecks is the number of times that a request asks for room in that time, whatever is
-	// released.
-	roomChecks = 5
 )
 
 // Options configure a Keeper.
@@ -158,97 +140,6 @@
 	return DefaultHeadLimit
 }
 
-// Listen opens a listener at address whose connections are counted. It closes others, or the new one,
-// if there are too many. field is the setting with the address, for errors.
-func (k *Keeper) Listen(field, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrap(err, field)
-	}
-	return &listener{
-		Listener: l,
-		keeper:   k,
-	}, nil
-}
-
-type listener struct {
-	net.Listener
-	keeper *Keeper
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		raw, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c := l.keeper.open(raw); c != nil {
-			l.keeper.prepare(raw)
-			return c, nil
-		}
-		_ = raw.Close()
-	}
-}
-
-// prepare sets the options of a new connection. Without success it has the usual ones.
-func (k *Keeper) prepare(nc net.Conn) {
-	c, ok := nc.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	if k.Opaque {
-		setUserTimeout(c, userTimeout)
-		return
-	}
-	_ = c.SetReadBuffer(socketBuffer)
-	_ = c.SetWriteBuffer(socketBuffer)
-}
-
-// setUserTimeout sets the time after which a connection breaks on which sent bytes are not
-// acknowledged.
-func setUserTimeout(c *net.TCPConn, d time.Duration) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
-	})
-}
-
-// open records a new connection and closes the one that makes way for it. It returns nil if there is
-// no room.
-func (k *Keeper) open(raw net.Conn) *conn {
-	k.mu.Lock()
-	id, victim, ok := k.account.Open(k.Clock.Now())
-	if !ok {
-		k.counts.Turned++
-		k.mu.Unlock()
-		k.tell()
-		return nil
-	}
-	closed := k.conns[victim]
-	delete(k.conns, victim)
-	if closed != nil {
-		k.counts.Closed++
-	}
-	c := &conn{
-		Conn:    raw,
-		keeper:  k,
-		id:      id,
-		evicted: make(chan struct{}),
-	}
-	k.conns[id] = c
-	k.mu.Unlock()
-	if closed != nil {
-		closed.evict()
-		_ = closed.Conn.Close()
-		k.tell()
-	}
-	return c
-}
-
 // closeConn records that a connection is closed.
 func (k *Keeper) closeConn(c *conn) {
 	k.mu.Lock()
@@ -264,123 +155,6 @@
 	return k.account.Enter(c.id, phase, k.Clock.Now())
 }
 
-// release gives back n bytes of a connection.
-func (k *Keeper) release(c *conn, n int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.account.Release(c.id, n)
-	k.wakeLocked()
-}
-
-// releaseAll gives back all bytes of a connection, which enters a phase.
-func (k *Keeper) releaseAll(c *conn, phase accountant.Phase) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.account.Enter(c.id, phase, k.Clock.Now())
-	k.account.ReleaseAll(c.id)
-	k.wakeLocked()
-}
-
-// wakeLocked wakes the requests that wait for room. The caller holds k.mu.
-func (k *Keeper) wakeLocked() {
-	if k.released != nil {
-		close(k.released)
-		k.released = nil
-	}
-}
-
-// Reserve charges n bytes for a request that comes on no connection of the keeper's listener. It does
-// not wait. It reports whether there is room; release then gives it back.
-func (k *Keeper) Reserve(n int64) (release func(), ok bool) {
-	k.mu.Lock()
-	id := k.account.Join()
-	k.mu.Unlock()
-	verdict, _ := k.tryCharge(id, n)
-	release = func() {
-		k.mu.Lock()
-		defer k.mu.Unlock()
-		k.account.ReleaseAll(id)
-		k.wakeLocked()
-	}
-	if verdict != accountant.Granted {
-		release()
-		return nil, false
-	}
-	return release, true
-}
-
-// charge charges n bytes to a connection, once there is room. It reports whether there is.
-func (k *Keeper) charge(c *conn, n int64) bool {
-	verdict, released := k.tryCharge(c.id, n)
-	if verdict == accountant.Deferred {
-		return k.chargeLater(c, n, released, maxRoomWait)
-	}
-	return verdict == accountant.Granted
-}
-
-// chargeAnswer is like charge for an answer, which is held already. It also waits for others that may
-// have been read by then, unless too many bytes wait.
-func (k *Keeper) chargeAnswer(c *conn, n int64) bool {
-	verdict, released := k.tryCharge(c.id, n)
-	if verdict == accountant.Granted {
-		return true
-	}
-	defer k.waiting.Add(-n)
-	if k.waiting.Add(n) > k.Limits.Bytes/waitingPart {
-		return false
-	}
-	return k.chargeLater(c, n, released, maxAnswerWait)
-}
-
-// chargeLater charges n bytes to a connection as soon as there is room. It reports whether there is
-// within a time. released is closed when something is released.
-func (k *Keeper) chargeLater(c *conn, n int64, released <-chan struct{}, limit time.Duration) bool {
-	timeout := k.Clock.NewTimer(limit)
-	defer timeout.Stop()
-	// What has become old enough to make way is not told.
-	again := k.Clock.NewTicker(limit / roomChecks)
-	defer again.Stop()
-	for {
-		select {
-		case <-released:
-		case <-again.Chan():
-		case <-c.evicted:
-			return false
-		case <-timeout.Chan():
-			return false
-		}
-		var verdict accountant.Verdict
-		if verdict, released = k.tryCharge(c.id, n); verdict == accountant.Granted {
-			return true
-		}
-	}
-}
-
-// tryCharge asks the account once and evicts the connection that makes way. Unless the bytes are
-// charged, it returns a channel that is closed when some are released.
-func (k *Keeper) tryCharge(id accountant.ID, n int64) (accountant.Verdict, <-chan struct{}) {
-	k.mu.Lock()
-	verdict, victim := k.account.Charge(id, n, k.Clock.Now())
-	if verdict != accountant.Granted && k.released == nil {
-		k.released = make(chan struct{})
-	}
-	evicted, released := k.conns[victim], k.released
-	switch {
-	case evicted != nil:
-		k.counts.Evicted++
-	case verdict == accountant.Refused:
-		k.counts.Refused++
-	}
-	k.mu.Unlock()
-	if evicted != nil {
-		evicted.evict()
-	}
-	if verdict != accountant.Granted {
-		k.tell()
-	}
-	return verdict, released
-}
-
 // ObserveConnState follows the requests of a connection. It must be called by the ConnState hook of
 // the http.Server.
 func (k *Keeper) ObserveConnState(nc net.Conn, state http.ConnState) {
--- a/entryd/pkg/httpsender/client.go
+++ b/entryd/pkg/httpsender/client.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -31,21 +30,6 @@
 // Dial opens a connection to an address.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Connections counts the connections of the clients that share it, and bounds them. The zero value
-// sets no bound.
-type Connections struct {
-	// Max is the number of connections from which a client opens no second one to its target. Zero
-	// means that there is no bound.
-	Max  int
-	open atomic.Int64
-}
-
-// Open returns the number of connections that are open or being opened.
-func (c *Connections) Open() int { return int(c.open.Load()) }
-
-// full reports whether a client may open only its first connection.
-func (c *Connections) full() bool { return c.Max > 0 && c.Open() >= c.Max }
-
 // Client sends requests to one target and manages the connections to it. It is safe
 // for concurrent use.
 type Client struct {
@@ -90,15 +74,6 @@
 	}
 }
 
-// Share makes the client count its connections in c. It must be called before the first request.
-func (cl *Client) Share(c *Connections) { cl.shared = c }
-
-// addOpen changes the number of open connections. The caller holds cl.mu.
-func (cl *Client) addOpen(n int) {
-	cl.open += n
-	cl.shared.open.Add(int64(n))
-}
-
 // SetMaxConnections sets the maximum number of open connections. Values below one
 // count as one.
 func (cl *Client) SetMaxConnections(n int) {
--- a/prover/pkg/crowder/watch.go
+++ b/prover/pkg/crowder/watch.go
@@ -3,13 +3,9 @@
 import (
 	"fmt"
 	"os"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"plantaincleat/prover/pkg/deployer"
 )
 
@@ -61,16 +57,4 @@
 func (w *Watch) Descriptors() int64 { return w.descriptors.Load() }
 
 // Memory returns the most memory that the process has had resident, in bytes.
-func (w *Watch) Memory() (int64, error) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", w.process.ID()))
-	if err != nil {
-		return 0, eris.Wrap(err, "read the memory of a daemon")
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
-			return kb << 10, err
-		}
-	}
-	return 0, eris.New("read the memory of a daemon: no peak in the status of the process")
-}
+func (w *Watch) Memory() (int64, error) { return w.process.PeakMemory() }
--- a/prover/pkg/deployer/process.go
+++ b/prover/pkg/deployer/process.go
@@ -1,9 +1,12 @@
 package deployer
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -75,6 +78,21 @@
 // ID returns the id of the process.
 func (p *Process) ID() int { return p.cmd.Process.Pid }
 
+// PeakMemory returns the most memory that the process has had resident, in bytes.
+func (p *Process) PeakMemory() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.ID()))
+	if err != nil {
+		return 0, eris.Wrapf(err, "read the memory of %s", p.name)
+	}
+	for line := range strings.Lines(string(status)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kb, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
+			return kb << 10, eris.Wrapf(err, "read the memory of %s", p.name)
+		}
+	}
+	return 0, eris.Errorf("read the memory of %s: no peak in the status of the process", p.name)
+}
+
 // Signal sends a signal. It does nothing if the process has ended.
 func (p *Process) Signal(s os.Signal) { _ = p.cmd.Process.Signal(s) }
 
--- a/prover/pkg/soaker/endless_test.go
+++ b/prover/pkg/soaker/endless_test.go
@@ -4,9 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -26,26 +23,6 @@
 	endlessGap  = 25 * time.Millisecond
 )
 
-// peakMemory returns the most memory that a process has had resident, in bytes.
-func peakMemory(t *testing.T, pid int) int64 {
-	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-			kb, err := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
-			if err != nil {
-				t.Fatal(err)
-			}
-			return kb << 10
-		}
-	}
-	t.Fatal("no peak memory in the status of the process")
-	return 0
-}
-
 // callAll sends requests to all daemons in turn for a time, on each route, and drops the bodies of
 // the answers.
 func (s *Soak) callAll(routes []string, d time.Duration) {
@@ -121,7 +98,11 @@
 				if p.Ended() {
 					t.Fatalf("daemon %d has ended", d.number)
 				}
-				if peak := peakMemory(t, p.ID()); peak > maxMemory {
+				peak, err := p.PeakMemory()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if peak > maxMemory {
 					t.Errorf("daemon %d took up to %d MB, a host has %d", d.number, peak>>20, maxMemory>>20)
 				} else {
 					t.Logf("daemon %d took up to %d MB", d.number, peak>>20)
