--- a/entryd/pkg/gatekeeper/body.go
+++ b/entryd/pkg/gatekeeper/body.go
@@ -9,7 +9,6 @@
 	"os"
 	"sync"
 	"time"
-
 )
 
 // Errors of ReadBody. Nothing of the request was passed on.
