Count connections that a check of a target has opened

The sum drifted below zero, so that the bound meant less with each check.

TestConnectionsAreCounted fails before it (0 and then -1 are counted, 1 and 0 are open) and passes after it.

--- a/entryd/pkg/httpsender/connections_test.go
+++ b/entryd/pkg/httpsender/connections_test.go
@@ -1,6 +1,7 @@
 package httpsender
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"testing"
@@ -40,3 +41,32 @@
 		t.Errorf("%d connections were opened, %d are counted, want at most %d", total, shared.Open(), limit)
 	}
 }
+
+// TestConnectionsAreCounted guards against a count of connections that drifts, so that the bound means
+// nothing: connections that a check of the target has opened count too, and none counts once closed.
+func TestConnectionsAreCounted(t *testing.T) {
+	s := newTarget(t, func(_ int, r *http.Request) (string, bool) {
+		return response(r.Header.Get("Request-Id"), "", "x"), false
+	})
+	var shared Connections
+	c := s.client(2)
+	c.Share(&shared)
+	check := func(step string, want int) {
+		t.Helper()
+		if shared.Open() != want || c.Open() != want {
+			t.Errorf("%s: %d connections are counted, the client has %d, want %d", step, shared.Open(), c.Open(), want)
+		}
+	}
+	nc, err := c.dial(context.Background(), "tcp", c.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.keep(nc)
+	check("after a check", 1)
+	if _, err := do(c, request("a")); err != nil {
+		t.Fatal(err)
+	}
+	check("after a request", 1)
+	c.Close()
+	check("after the end of the client", 0)
+}
--- a/entryd/pkg/httpsender/endcheck.go
+++ b/entryd/pkg/httpsender/endcheck.go
@@ -191,7 +191,7 @@
 // It closes the connection if no more connections may be open.
 func (cl *Client) keep(nc net.Conn) {
 	cl.mu.Lock()
-	cl.open++
+	cl.addOpen(1)
 	cl.mu.Unlock()
 	cl.recycle(cl.newConn(nc))
 }
