Wake few of the requests that wait for room at once

Found on a second reading: each release woke all requests that wait, and each of them looks through all connections for one that makes way. With hundreds waiting, a release cost tens of milliseconds of processor time that ordinary callers need. A request that was told to wait also went on waiting when nothing was left that makes way.

--- a/entryd/pkg/gatekeeper/gatekeeper.go
+++ b/entryd/pkg/gatekeeper/gatekeeper.go
@@ -79,8 +79,9 @@
 	// told holds the counts that were written to the log last, at lastLog.
 	told    Counts
 	lastLog time.Time
-	// released is closed when bytes are released. It is nil unless a request waits for that.
-	released chan struct{}
+	// waiters holds a channel for each request that has found no room and waits, in their order. It is
+	// closed when bytes are released. The request may have stopped waiting.
+	waiters []chan struct{}
 }
 
 // New returns a keeper.
--- a/entryd/pkg/gatekeeper/gatekeeper_test.go
+++ b/entryd/pkg/gatekeeper/gatekeeper_test.go
@@ -22,8 +22,8 @@
 	// bodyLimit is the greatest body in the tests, and bodyTime the time in which it has to arrive.
 	bodyLimit = 256 * kb
 	bodyTime  = 3 * time.Second
-	// patience bounds what a test waits for.
-	patience = 10 * time.Second
+	// testTimeout bounds what a test waits for.
+	testTimeout = 10 * time.Second
 )
 
 // testServer is a server behind a keeper. It answers with the size of the body.
@@ -109,7 +109,7 @@
 		s.t.Fatal(err)
 	}
 	s.t.Cleanup(func() { _ = c.Close() })
-	_ = c.SetDeadline(time.Now().Add(patience))
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
 	if _, err := c.Write([]byte(text)); err != nil {
 		s.t.Fatal(err)
 	}
@@ -145,7 +145,7 @@
 // eventually waits until condition holds.
 func (s *testServer) eventually(what string, condition func() bool) {
 	s.t.Helper()
-	for end := time.Now().Add(patience); !condition(); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(testTimeout); !condition(); time.Sleep(5 * time.Millisecond) {
 		if time.Now().After(end) {
 			s.t.Fatalf("condition not met: %s; counts %+v", what, s.keeper.Counts())
 		}
@@ -289,7 +289,7 @@
 	s.keeper.AnswerTimeout = 100 * time.Millisecond
 	c := s.dial("")
 	request := []byte("GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 100) + "\r\n\r\n")
-	_ = c.SetWriteDeadline(time.Now().Add(patience))
+	_ = c.SetWriteDeadline(time.Now().Add(testTimeout))
 	for {
 		if _, err := c.Write(bytes.Repeat(request, 1000)); err != nil {
 			break
