--- a/review/stand3/daemon.go
+++ b/review/stand3/daemon.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand"
 	"net"
 	"net/http"
 	"os"
@@ -25,6 +26,8 @@
 	log                       *os.File
 	cmd                       *exec.Cmd
 	done                      chan struct{}
+	// held holds the ports until the first start.
+	held []net.Listener
 }
 
 // started holds the processes that were started.
@@ -48,14 +51,24 @@
 	}
 }
 
-// freeAddress returns a loopback address with a port that is free now.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+const (
+	// firstPort and ports bound the ports of daemons. They lie below those of outgoing connections.
+	firstPort = 20000
+	ports     = 10000
+	// portTries is the number of ports that are tried.
+	portTries = 200
+)
+
+// holdAddress returns a loopback address with a free port, which is held until the listener is closed.
+func holdAddress() (string, net.Listener, error) {
+	var err error
+	for range portTries {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.Intn(ports))); err == nil {
+			return l.Addr().String(), l, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", nil, err
 }
 
 // fleet is the daemons of a small deployment.
@@ -81,10 +94,11 @@
 			zone: zone,
 		}
 		for _, a := range []*string{&d.front, &d.peer, &d.admin, &d.meter} {
-			var err error
-			if *a, err = freeAddress(); err != nil {
+			address, l, err := holdAddress()
+			if err != nil {
 				return nil, err
 			}
+			*a, d.held = address, append(d.held, l)
 		}
 		f.daemons = append(f.daemons, d)
 		if len(seeds) < 3 {
@@ -131,6 +145,10 @@
 	d.cmd = exec.Command(f.program)
 	d.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PLANTAINCLEAT_SETTINGS=" + d.settings}
 	d.cmd.Stdout, d.cmd.Stderr = log, log
+	for _, l := range d.held {
+		_ = l.Close()
+	}
+	d.held = nil
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
