Show that two daemons lend a tenant's tokens when the lender is cut off

A daemon that is cut off from all others believes the last words of its zone's representatives, finds the members of its zone dead one after the other, and then gives the other zones the whole outage timeout again. Up to 8 s it lends at nearly the full rate, while another daemon lends in its place from 3.5 s on, and from 6 s on at the full rate.

--- a/review/stand3/daemon.go
+++ b/review/stand3/daemon.go
@@ -26,6 +26,9 @@
 	log                       *os.File
 	cmd                       *exec.Cmd
 	done                      chan struct{}
+	// advertised and source are the address at which other daemons reach this one, and the one from
+	// which it opens connections, if they differ from the usual.
+	advertised, source string
 	// held holds the ports until the first start.
 	held []net.Listener
 }
@@ -77,6 +80,7 @@
 	store           *store
 	seeds           []string
 	daemons         []*daemon
+	cuts            *cuts
 }
 
 // newFleet prepares daemons, one in each of the zones. Their settings are those that the template of
@@ -126,6 +130,10 @@
 		"hold":     "1s", "grace": "6s",
 		"security": map[string]any{"insecure": true},
 		"extra":    map[string]any{"ratio": 0.2, "slack": 52, "window": "10s"},
+		"quota":    map[string]any{"window": quotaWindow.String(), "overage": quotaOverage, "slack": quotaSlack},
+	}
+	if d.advertised != "" {
+		settings["advertise"], settings["source"] = d.advertised, d.source
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]func(s *stage) (broken bool, err error){
 	"cut":   playCut,
 	"power": playPower,
+	"quota": playQuota,
 }
 
 // errUsage reports wrong arguments.
