--- a/review/stand3/quota.go
+++ b/review/stand3/quota.go
@@ -134,9 +134,12 @@
 			}
 			defer c.close()
 			time.Sleep(time.Until(begin.Add(hotBegins)))
-			for i := 0; time.Since(begin) < hotBegins+hotTime; i++ {
+			for i := 0; ; i++ {
 				pause := time.Second * hotCallers / hotRate
 				time.Sleep(pause/2 + time.Duration(rng.Int63n(int64(pause))))
+				if time.Since(begin) >= hotBegins+hotTime {
+					return
+				}
 				r := &request{
 					id: fmt.Sprintf("%s-%d-%d", d.id, n, i), method: http.MethodGet, host: host, path: fmt.Sprintf("/moved/%d-%d", n, i), limit: time.Second, header: []string{key},
 				}
