Let every daemon read the store if nobody confirms the configuration

Cause: only the readers and the next in rank could read the store (takeOver, rank < 2 * Readers), and ranks follow from the daemons that are taken for alive. After a loss of many, those are gone and nobody knows it for 3.5 s and more.

Now a daemon reads the store once if it has heard of no confirmation for LookAfter, whatever its rank. A look comes once in TakeoverAfter at most.

The scripts of a follower and of a takeover change in what is asked: a peer whose call hangs or that knows of no confirmation is followed by the next in rank, and a look without an answer makes no reader.

--- a/entryd/pkg/adopter/adopter.go
+++ b/entryd/pkg/adopter/adopter.go
@@ -7,7 +7,13 @@
 // number of calls to it grows with the number of data centres and not with the
 // number of daemons. The other daemons learn of a new revision by gossip, pull
 // it from a daemon that has adopted it, and ask the readers when the
-// configuration was last confirmed.
+// configuration was last confirmed. A daemon that hears of no confirmation for
+// LookAfter looks into the store itself, whatever its rank and whomever it takes
+// for alive.
+//
+// An accepted change is therefore in force at each daemon that reaches the store
+// after one sum at most, whatever becomes of the other daemons: LookAfter, the
+// time until the next step of the machine, and the read of the store.
 //
 // Runner drives a Machine with a clock, a store and the fleet, and publishes
 // the configuration to callers without a lock.
@@ -26,8 +32,9 @@
 type Config struct {
 	ID         string
 	DataCentre string
-	// Readers is the number of daemons per data centre that read the store. It
-	// is doubled while they fail to confirm the configuration.
+	// Readers is the number of daemons per data centre that read the store. The
+	// next takeoverRanks in rank join them one after the other while nobody
+	// confirms the configuration.
 	Readers int
 	// CheckInterval is the time between two checks of the store by a reader,
 	// and between two requests that ask a reader when the configuration was last
@@ -40,9 +47,13 @@
 	// pulled from another peer. After a failed pull a peer is avoided for twice
 	// this time.
 	PullHedgeDelay time.Duration
-	// TakeoverAfter is the staleness above which further daemons become
-	// readers.
+	// TakeoverAfter is the staleness above which the first daemon after the
+	// readers looks into the store, and the least time between two looks of a
+	// daemon.
 	TakeoverAfter time.Duration
+	// LookAfter is the staleness above which every daemon looks into the store.
+	// The daemons of the takeoverRanks do so between TakeoverAfter and this time.
+	LookAfter time.Duration
 	// StartDelay is how long after its start a daemon without known peers waits
 	// before it reads the store. Until then it may hear of peers that have the
 	// configuration or are the readers. Zero means no delay.
@@ -56,11 +67,16 @@
 	DefaultRetryInterval  = 500 * time.Millisecond
 	DefaultPullHedgeDelay = time.Second
 	DefaultTakeoverAfter  = 5 * time.Second
+	DefaultLookAfter      = 7 * time.Second
 )
 
-// takeoverFactor times TakeoverAfter is how long a further reader remains a
-// reader.
-const takeoverFactor = 6
+const (
+	// takeoverRanks is the number of daemons per data centre, next in rank after the
+	// readers, that become readers if the store answers their look.
+	takeoverRanks = 4
+	// takeoverFactor times TakeoverAfter is how long such a daemon remains a reader.
+	takeoverFactor = 6
+)
 
 func (c Config) withDefaults() Config {
 	setDefault(&c.Readers, DefaultReaders)
@@ -68,9 +84,14 @@
 	setDefault(&c.RetryInterval, DefaultRetryInterval)
 	setDefault(&c.PullHedgeDelay, DefaultPullHedgeDelay)
 	setDefault(&c.TakeoverAfter, DefaultTakeoverAfter)
+	setDefault(&c.LookAfter, DefaultLookAfter)
 	return c
 }
 
+// lookStep is the time between the looks of two daemons of the takeoverRanks that follow each
+// other.
+func (c Config) lookStep() time.Duration { return (c.LookAfter - c.TakeoverAfter) / takeoverRanks }
+
 func setDefault[T comparable](v *T, value T) {
 	var zero T
 	if *v == zero {
@@ -104,6 +125,9 @@
 	Conflicting uint64
 	// Failures counts failed checks and reads of the store and failed pulls.
 	Failures uint64
+	// Looks counts the checks of the store out of turn, because nobody had confirmed
+	// the configuration.
+	Looks uint64
 }
 
 // Machine holds the configuration state of one daemon. It is not safe for
@@ -124,6 +148,10 @@
 
 	fleet         fleet
 	takeoverUntil time.Time
+	// looking is true from the begin of a look until the store has failed to answer
+	// it or what it has shown is in force.
+	looking  bool
+	nextLook time.Time
 
 	checking  callState
 	reading   callState
@@ -135,10 +163,13 @@
 	watchFrom int64
 
 	// pulls holds the start times of the running pulls, and avoidUntil the
-	// times until which a peer is not asked again after a failure. Both are
-	// keyed by peer id.
+	// times until which a peer is not asked again after a failure. These and
+	// staleUntil are keyed by peer id.
 	pulls      map[string]time.Time
 	avoidUntil map[string]time.Time
+	// staleUntil holds the times until which a peer is not asked again for a
+	// confirmation after its answer has left this daemon without a recent one.
+	staleUntil map[string]time.Time
 	nextAsk    time.Time
 	askCount   int
 
@@ -165,6 +196,7 @@
 		started:    now,
 		pulls:      map[string]time.Time{},
 		avoidUntil: map[string]time.Time{},
+		staleUntil: map[string]time.Time{},
 	}
 	m.fleet = newFleet(m.cfg, nil)
 	return m
@@ -186,18 +218,20 @@
 // have been the newest in the store. It returns the zero time if there is none.
 func (m *Machine) Confirmed() time.Time { return m.confirmed }
 
-// Reader reports whether this daemon reads the store. A daemon that has no configuration
+// Reader reports whether this daemon reads the store regularly.
+func (m *Machine) Reader(now time.Time) bool {
+	return m.mayRead(now) && (m.fleet.rank < m.cfg.Readers || now.Before(m.takeoverUntil))
+}
+
+// mayRead reports whether this daemon may read the store. One that has no configuration
 // yet leaves that to its peers while it may get theirs, which can be later than what the
 // store holds after its return from a copy.
-func (m *Machine) Reader(now time.Time) bool {
+func (m *Machine) mayRead(now time.Time) bool {
 	age := now.Sub(m.started)
 	if len(m.fleet.peers) == 0 && age < m.cfg.StartDelay {
 		return false
 	}
-	if m.current == nil && m.fleet.highest > 0 && age < m.cfg.PullHedgeDelay {
-		return false
-	}
-	return m.fleet.rank < m.cfg.Readers || now.Before(m.takeoverUntil)
+	return m.current != nil || m.fleet.highest == 0 || age >= m.cfg.PullHedgeDelay
 }
 
 // Counters returns the counters since the start.
@@ -209,13 +243,16 @@
 	switch e := event.(type) {
 	case MembersChanged:
 		m.fleet = newFleet(m.cfg, e.Live)
-		maps.DeleteFunc(m.avoidUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+		over := func(_ string, until time.Time) bool { return !now.Before(until) }
+		maps.DeleteFunc(m.avoidUntil, over)
+		maps.DeleteFunc(m.staleUntil, over)
 	case HeadRead:
-		m.handleHeadRead(e)
+		m.handleHeadRead(e, now)
 	case HeadChanged:
 		m.observe(e.Head, now)
 	case StoreRead:
 		m.reading.running = false
+		m.looking = false
 		actions = m.offer(e.Accepted)
 		m.observe(e.Accepted.GetHead(), m.reading.since)
 		m.nextRead = now.Add(m.cfg.RetryInterval)
@@ -224,6 +261,7 @@
 		m.watchFrom = 0
 	case CheckFailed:
 		m.checking.running = false
+		m.looking = false
 		m.counters.Failures++
 	case ReadFailed:
 		m.reading.running = false
@@ -240,14 +278,17 @@
 }
 
 // handleHeadRead handles the answer to a check.
-func (m *Machine) handleHeadRead(e HeadRead) {
+func (m *Machine) handleHeadRead(e HeadRead, now time.Time) {
 	m.checking.running = false
 	m.watchFrom = e.StoreRevision
 	if e.Head.GetRevision() < m.Revision() {
 		m.counters.Lower++
-		return
+	} else {
+		m.observe(e.Head, m.checking.since)
+	}
+	if m.looking {
+		m.endLook(now)
 	}
-	m.observe(e.Head, m.checking.since)
 }
 
 // handlePeerAnswer handles the answer of a peer to a pull.
@@ -262,10 +303,16 @@
 		m.avoidUntil[e.Peer] = now.Add(2 * m.cfg.PullHedgeDelay)
 		return actions
 	}
-	if e.Accepted != nil && e.Accepted.Age != nil && !pullStart.IsZero() {
+	if pullStart.IsZero() {
+		return actions
+	}
+	if e.Accepted != nil && e.Accepted.Age != nil {
 		age := time.Duration(max(0, e.Accepted.GetAge())) * time.Millisecond
 		m.observe(e.Accepted.GetHead(), pullStart.Add(-age))
 	}
+	if m.staleness(now) > m.cfg.TakeoverAfter-m.cfg.CheckInterval {
+		m.staleUntil[e.Peer] = now.Add(m.staleTime(now))
+	}
 	return actions
 }
 
--- a/entryd/pkg/adopter/decide.go
+++ b/entryd/pkg/adopter/decide.go
@@ -6,11 +6,13 @@
 
 // decide returns the actions that are due at now.
 func (m *Machine) decide(now time.Time) []Action {
-	m.takeOver(now)
+	m.look(now)
+	reader := m.Reader(now)
 	var actions []Action
-	if m.Reader(now) {
+	if reader || m.looking {
 		actions = m.storeActions(now)
-	} else if m.watching {
+	}
+	if !reader && m.watching {
 		m.watching = false
 		actions = append(actions, StopWatch{})
 	}
@@ -23,16 +25,40 @@
 	return actions
 }
 
-// takeOver makes this daemon a reader for a while if the readers do not confirm
-// the configuration and this daemon is among the next in rank.
-func (m *Machine) takeOver(now time.Time) {
-	next := m.fleet.rank >= m.cfg.Readers && m.fleet.rank < 2*m.cfg.Readers
-	if next && m.staleness(now) > m.cfg.TakeoverAfter && !now.Before(m.takeoverUntil) {
+// look makes a check of the store due if nobody has confirmed the configuration for long,
+// neither the readers nor anyone else. It depends on no belief about the other daemons but
+// the rank, which only tells who of them looks a little sooner.
+func (m *Machine) look(now time.Time) {
+	if m.checking.running || now.Before(m.nextLook) || !m.mayRead(now) {
+		return
+	}
+	if m.staleness(now) <= m.lookAfter() {
+		return
+	}
+	m.looking = true
+	m.nextLook = now.Add(m.cfg.TakeoverAfter)
+	m.nextCheck = now
+	m.counters.Looks++
+}
+
+// lookAfter returns the staleness above which this daemon looks into the store.
+func (m *Machine) lookAfter() time.Duration {
+	turn := max(0, m.fleet.rank-m.cfg.Readers)
+	return m.cfg.TakeoverAfter + m.cfg.lookStep()*time.Duration(min(turn, takeoverRanks))
+}
+
+// endLook ends a look that the store has answered, unless a newer revision is to be read. The
+// daemon becomes a reader for a while if it is among the next in rank. Others leave that to
+// them, so that a large data centre does not get many readers.
+func (m *Machine) endLook(now time.Time) {
+	m.looking = m.evidence.revision > m.Revision()
+	if m.fleet.rank >= m.cfg.Readers && m.fleet.rank < m.cfg.Readers+takeoverRanks {
 		m.takeoverUntil = now.Add(takeoverFactor * m.cfg.TakeoverAfter)
 	}
 }
 
-// storeActions returns the calls to the store that a reader has to start.
+// storeActions returns the calls to the store that a reader, or a daemon that looks, has to
+// start.
 func (m *Machine) storeActions(now time.Time) []Action {
 	var actions []Action
 	if !m.checking.running && !now.Before(m.nextCheck) {
@@ -41,9 +67,9 @@
 			since:   now,
 		}
 		m.nextCheck = now.Add(m.cfg.CheckInterval)
-		actions = append(actions, CheckHead{})
+		actions = append(actions, CheckHead{Look: m.looking})
 	}
-	if !m.watching && m.watchFrom > 0 {
+	if m.Reader(now) && !m.watching && m.watchFrom > 0 {
 		m.watching = true
 		actions = append(actions, StartWatch{After: m.watchFrom})
 	}
@@ -80,31 +106,64 @@
 	return Pull{}, false
 }
 
-// askFreshness returns a call to a reader that may have confirmed the
-// configuration, and false if none is due. A reader asks the readers of remote
-// data centres, and only if its own checks do not confirm the configuration.
+// askFreshness returns a call to a peer that may have confirmed the configuration, and false
+// if none is due. A reader asks only if its own checks do not confirm the configuration.
+// Readers are asked by turns, and then the next in rank.
 func (m *Machine) askFreshness(now time.Time) (Pull, bool) {
 	if now.Before(m.nextAsk) {
 		return Pull{}, false
 	}
-	readers := m.fleet.localReaders
-	if m.Reader(now) {
-		if m.staleness(now) <= 2*m.cfg.CheckInterval {
-			return Pull{}, false
-		}
-		readers = m.fleet.remoteReaders
+	peers, inTurn := m.fleet.confirmers, m.cfg.Readers
+	if m.asksRemote(now) {
+		peers, inTurn = m.fleet.remoteReaders, len(m.fleet.remoteReaders)
+	}
+	if m.Reader(now) && m.staleness(now) <= 2*m.cfg.CheckInterval {
+		return Pull{}, false
 	}
-	for range readers {
-		m.askCount++
-		peer := readers[m.askCount%len(readers)]
-		if m.available(now, peer) {
-			m.nextAsk = now.Add(m.cfg.CheckInterval)
+	inTurn = min(inTurn, len(peers))
+	for i, peer := range peers {
+		if i < inTurn {
+			m.askCount++
+			peer = peers[m.askCount%inTurn]
+		}
+		if m.available(now, peer) && !now.Before(m.staleUntil[peer.ID]) {
+			m.nextAsk = now.Add(m.askInterval(now))
 			return m.startPull(now, peer), true
 		}
 	}
 	return Pull{}, false
 }
 
+// asksRemote reports whether this daemon asks the readers of remote data centres and not those
+// of its own: if it is a reader, or one of the takeoverRanks whose look has confirmed nothing.
+func (m *Machine) asksRemote(now time.Time) bool {
+	if m.Reader(now) {
+		return true
+	}
+	return m.fleet.rank < m.cfg.Readers+takeoverRanks && m.staleness(now) > m.cfg.LookAfter
+}
+
+// askInterval returns the time until the next question for a confirmation. It is short while
+// the daemons of the takeoverRanks look into the store one after the other, so that the rest
+// of the data centre hears from them before LookAfter.
+func (m *Machine) askInterval(now time.Time) time.Duration {
+	stale := m.staleness(now)
+	if stale > m.cfg.TakeoverAfter && stale <= m.cfg.LookAfter {
+		return m.cfg.lookStep()
+	}
+	return m.cfg.CheckInterval
+}
+
+// staleTime returns how long a peer is not asked again that knows of no recent confirmation
+// either. It ends once that peer may have looked into the store.
+func (m *Machine) staleTime(now time.Time) time.Duration {
+	looked := m.cfg.TakeoverAfter + m.cfg.lookStep() - m.staleness(now)
+	if m.staleness(now) > m.cfg.LookAfter {
+		return 2 * m.cfg.CheckInterval
+	}
+	return max(looked, m.cfg.lookStep())
+}
+
 // available reports whether no pull from the peer is running and none has
 // failed recently.
 func (m *Machine) available(now time.Time, peer Member) bool {
--- a/entryd/pkg/adopter/event.go
+++ b/entryd/pkg/adopter/event.go
@@ -73,7 +73,11 @@
 }
 
 // CheckHead reads the head from the store.
-type CheckHead struct{}
+type CheckHead struct {
+	// Look is true if the check is out of turn, because nobody has confirmed the
+	// configuration.
+	Look bool
+}
 
 // ReadStore reads the whole configuration from the store.
 type ReadStore struct{}
--- /dev/null
+++ b/entryd/pkg/adopter/force_test.go
@@ -0,0 +1,424 @@
+package adopter
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"plantaincleat/tier/gen/config"
+)
+
+const (
+	// applyBound is the time within which an accepted change has to be in force at each daemon that
+	// reaches the store and that nothing was done to.
+	applyBound = 3 * time.Second
+	// orderLength is the time that an order of events takes.
+	orderLength = 24 * time.Second
+	// troubleFrom and troubleUntil bound the times of disturbances and changes.
+	troubleFrom, troubleUntil = 5 * time.Second, 16 * time.Second
+	// simulatedCallTimeout is the time after which a call to the store without an answer fails.
+	simulatedCallTimeout = 1200 * time.Millisecond
+)
+
+// moment is an event of a simulated fleet.
+type moment struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type moments []moment
+
+func (q moments) Len() int { return len(q) }
+func (q moments) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+}
+func (q moments) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *moments) Push(x any)   { *q = append(*q, x.(moment)) }
+func (q *moments) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// span is a time in which something is wrong.
+type span struct {
+	from, until time.Time
+}
+
+func (s span) holds(t time.Time) bool { return !t.Before(s.from) && t.Before(s.until) }
+
+// simulatedDaemon is a Machine with what is wrong with its host and links.
+type simulatedDaemon struct {
+	Member
+	m *Machine
+	// dark is a loss of power, frozen a freeze, unlinked a cut from the store, and lonely a cut from
+	// all other daemons.
+	dark, frozen, unlinked, lonely span
+	// live is what the daemon knows of the others by gossip.
+	live     map[string]Member
+	watching bool
+	checks   int
+}
+
+// untouched reports whether nothing was done to the daemon before t.
+func (d *simulatedDaemon) untouched(t time.Time) bool {
+	for _, s := range []span{d.dark, d.frozen, d.unlinked} {
+		if s.from.Before(t) && s.until.After(s.from) {
+			return false
+		}
+	}
+	return true
+}
+
+// simulatedFleet plays one order of events over Machines, a store and gossip.
+type simulatedFleet struct {
+	rng     *rand.Rand
+	now     time.Time
+	queue   moments
+	order   int
+	daemons []*simulatedDaemon
+	// newest is the content of the store.
+	newest *config.Accepted
+	// late describes the daemons at which a change was not in force in time.
+	late []string
+}
+
+// between returns a random time in a range.
+func (f *simulatedFleet) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(f.rng.Int64N(int64(high-low)))
+}
+
+func (f *simulatedFleet) after(d time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.queue, moment{
+		at:    f.now.Add(d),
+		order: f.order,
+		do:    do,
+	})
+}
+
+// newSimulatedFleet returns a fleet of up to twelve daemons in each of three data centres, all of which have
+// adopted the first configuration.
+func newSimulatedFleet(seed uint64, most int) *simulatedFleet {
+	f := &simulatedFleet{
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		now:    start,
+		newest: accepted(1, 1),
+	}
+	for _, datacentre := range []string{"wlg", "akl", "chc"} {
+		for i := range 1 + f.rng.IntN(most) {
+			d := &simulatedDaemon{
+				Member: Member{
+					ID:         fmt.Sprintf("%s%d", datacentre, i),
+					DataCentre: datacentre,
+					Revision:   1,
+				},
+				live: map[string]Member{},
+			}
+			d.m = New(Config{
+				ID:            d.ID,
+				DataCentre:    datacentre,
+				Readers:       1,
+				CheckInterval: 750 * time.Millisecond,
+				TakeoverAfter: 2 * time.Second,
+				LookAfter:     2400 * time.Millisecond,
+			}, start)
+			f.daemons = append(f.daemons, d)
+		}
+	}
+	for _, d := range f.daemons {
+		for _, other := range f.daemons {
+			d.live[other.ID] = other.Member
+		}
+		f.step(d, f.members(d))
+		f.step(d, StoreRead{Accepted: f.newest})
+		f.after(f.between(0, tickInterval), func() { f.tick(d) })
+	}
+	return f
+}
+
+func (f *simulatedFleet) members(d *simulatedDaemon) MembersChanged {
+	live := make([]Member, 0, len(d.live))
+	for _, m := range d.live {
+		live = append(live, m)
+	}
+	slices.SortFunc(live, func(a, b Member) int { return compareIDs(a, b) })
+	return MembersChanged{Live: live}
+}
+
+func compareIDs(a, b Member) int {
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
+func (f *simulatedFleet) tick(d *simulatedDaemon) {
+	f.step(d, Tick{})
+	f.after(tickInterval, func() { f.tick(d) })
+}
+
+// step passes an event to a daemon and carries out the actions.
+func (f *simulatedFleet) step(d *simulatedDaemon, event Event) {
+	if d.dark.holds(f.now) {
+		return
+	}
+	if d.frozen.holds(f.now) {
+		if _, ok := event.(Tick); !ok {
+			f.after(d.frozen.until.Sub(f.now), func() { f.step(d, event) })
+		}
+		return
+	}
+	for _, a := range d.m.Step(f.now, event) {
+		switch a := a.(type) {
+		case CheckHead:
+			d.checks++
+			f.callStore(d, CheckFailed{}, func() Event {
+				return HeadRead{
+					Head:          f.newest.Head,
+					StoreRevision: int64(f.newest.Head.Revision),
+				}
+			})
+		case ReadStore:
+			f.callStore(d, ReadFailed{}, func() Event { return StoreRead{Accepted: f.newest} })
+		case StartWatch:
+			d.watching = true
+		case StopWatch:
+			d.watching = false
+		case Pull:
+			f.pull(d, a)
+		case Adopt:
+			f.spread(d, a.Accepted.Head.Revision)
+		}
+	}
+}
+
+// callStore answers a call to the store, unless the daemon does not reach it.
+func (f *simulatedFleet) callStore(d *simulatedDaemon, failed Event, answer func() Event) {
+	there, back := f.between(time.Millisecond, 60*time.Millisecond), f.between(time.Millisecond, 60*time.Millisecond)
+	f.after(there, func() {
+		if d.unlinked.holds(f.now) {
+			f.after(simulatedCallTimeout-there, func() { f.step(d, failed) })
+			return
+		}
+		event := answer()
+		f.after(back, func() { f.step(d, event) })
+	})
+}
+
+// pull answers a pull, unless the peer is gone, frozen or cut off.
+func (f *simulatedFleet) pull(d *simulatedDaemon, a Pull) {
+	peer := f.daemon(a.Peer.ID)
+	there, back := f.between(time.Millisecond, 40*time.Millisecond), f.between(time.Millisecond, 40*time.Millisecond)
+	f.after(there, func() {
+		gone := peer.dark.holds(f.now) || peer.frozen.holds(f.now) || peer.lonely.holds(f.now) || d.lonely.holds(f.now)
+		if gone {
+			f.after(pullTimeout-there, func() { f.step(d, PullFailed{Peer: a.Peer.ID}) })
+			return
+		}
+		out := &config.Accepted{Head: peer.m.Current().GetHead()}
+		if peer.m.Revision() > a.Have {
+			out.Config = peer.m.Current().Config
+		}
+		if at := peer.m.Confirmed(); !at.IsZero() {
+			age := f.now.Sub(at).Milliseconds()
+			out.Age = &age
+		}
+		f.after(back, func() {
+			f.step(d, PeerAnswered{
+				Peer:     a.Peer.ID,
+				Accepted: out,
+			})
+		})
+	})
+}
+
+func (f *simulatedFleet) daemon(id string) *simulatedDaemon {
+	return f.daemons[slices.IndexFunc(f.daemons, func(d *simulatedDaemon) bool { return d.ID == id })]
+}
+
+// spread tells the others by gossip of a revision that a daemon has adopted. Some hear of it late.
+func (f *simulatedFleet) spread(d *simulatedDaemon, revision uint64) {
+	for _, other := range f.daemons {
+		f.after(f.between(time.Millisecond, 2*time.Second), func() {
+			known, ok := other.live[d.ID]
+			if !ok || known.Revision >= revision || d.dark.holds(f.now) || d.lonely.holds(f.now) || other.lonely.holds(f.now) {
+				return
+			}
+			known.Revision = revision
+			other.live[d.ID] = known
+			f.step(other, f.members(other))
+		})
+	}
+}
+
+// change accepts a new configuration, which watches report, and looks after applyBound whether it is in force.
+func (f *simulatedFleet) change() {
+	revision := f.newest.Head.Revision + 1
+	f.newest = accepted(revision, uint32(revision))
+	head, accepted := f.newest.Head, f.now
+	for _, d := range f.daemons {
+		if d.watching && !d.unlinked.holds(f.now) {
+			f.after(f.between(time.Millisecond, 60*time.Millisecond), func() { f.step(d, HeadChanged{Head: head}) })
+		}
+	}
+	f.after(applyBound, func() {
+		for _, d := range f.daemons {
+			if d.untouched(f.now) && d.m.Revision() < revision {
+				f.late = append(f.late, fmt.Sprintf("%s has revision %d in force %v after revision %d was accepted at %v, confirmed %v ago, rank %d",
+					d.ID, d.m.Revision(), applyBound, revision, accepted.Sub(start), f.now.Sub(d.m.Confirmed()), d.m.fleet.rank))
+			}
+		}
+	})
+}
+
+// disturb draws what is wrong with the daemons of one order: some lose power at the same moment, and others are
+// frozen, cut off from the store or from all other daemons. The first in rank are hit most often.
+func (f *simulatedFleet) disturb() {
+	dark := start.Add(f.between(troubleFrom, troubleUntil))
+	share := f.rng.Float64()
+	for _, d := range f.daemons {
+		hit := share
+		if d.m.fleet.rank < 3 {
+			hit = max(share, 0.7)
+		}
+		if f.rng.Float64() > hit {
+			continue
+		}
+		from := start.Add(f.between(troubleFrom, troubleUntil))
+		s := span{
+			from:  from,
+			until: from.Add(f.between(time.Second, 8*time.Second)),
+		}
+		switch f.rng.IntN(4) {
+		case 0:
+			d.dark = span{
+				from:  dark,
+				until: start.Add(2 * orderLength),
+			}
+			f.forget(d, dark)
+		case 1:
+			d.frozen = s
+			f.forget(d, from)
+		case 2:
+			d.unlinked = s
+		case 3:
+			d.lonely = s
+			f.forget(d, from)
+		}
+	}
+}
+
+// forget makes gossip declare a daemon dead, at each of the others after another time.
+func (f *simulatedFleet) forget(d *simulatedDaemon, from time.Time) {
+	for _, other := range f.daemons {
+		f.after(from.Sub(f.now)+f.between(3*time.Second, 8*time.Second), func() {
+			if other == d || !d.dark.holds(f.now) && !d.frozen.holds(f.now) && !d.lonely.holds(f.now) {
+				return
+			}
+			delete(other.live, d.ID)
+			f.step(other, f.members(other))
+		})
+	}
+}
+
+// play carries out all events of an order.
+func (f *simulatedFleet) play() {
+	end := start.Add(orderLength)
+	for f.queue.Len() > 0 {
+		next := heap.Pop(&f.queue).(moment)
+		if next.at.After(end) {
+			return
+		}
+		f.now = next.at
+		next.do()
+	}
+}
+
+// TestChangeInForceWhicheverDaemonsAreLost guards against a change that daemons in touch with the store act on
+// too late, since all who read the store for them have lost power, are frozen or are cut off.
+func TestChangeInForceWhicheverDaemonsAreLost(t *testing.T) {
+	const orders = 1000
+	for seed := range uint64(orders) {
+		f := newSimulatedFleet(seed, 8)
+		f.disturb()
+		for range 1 + f.rng.IntN(4) {
+			f.after(f.between(troubleFrom, troubleUntil), f.change)
+		}
+		f.play()
+		for _, late := range f.late {
+			t.Errorf("seed %d: %s", seed, late)
+		}
+		if t.Failed() {
+			t.FailNow()
+		}
+	}
+}
+
+// TestFewDaemonsReadStore guards against calls to the store that grow with the fleet: while nothing is wrong,
+// one daemon of each data centre reads it.
+func TestFewDaemonsReadStore(t *testing.T) {
+	f := newSimulatedFleet(1, 150)
+	f.play()
+	readers := 0
+	for _, d := range f.daemons {
+		if d.m.Counters().Looks > 0 {
+			t.Errorf("%s looked into the store %d times, nothing was wrong", d.ID, d.m.Counters().Looks)
+		}
+		if d.checks > 0 {
+			readers++
+		}
+	}
+	if readers != 3 {
+		t.Errorf("%d of %d daemons read the store, want one of each data centre", readers, len(f.daemons))
+	}
+}
+
+// TestLooksBoundedWithoutReaders guards against daemons that all go on reading the store once the readers are lost.
+// Each looks once, and then leaves it to the few that have taken over. If more are lost than may take over, each looks
+// once in TakeoverAfter until gossip has forgotten the lost ones.
+func TestLooksBoundedWithoutReaders(t *testing.T) {
+	tests := []struct {
+		lost  int
+		looks uint64
+	}{
+		{lost: 1, looks: 1},
+		{lost: 2, looks: 2},
+		{lost: 8, looks: 4},
+	}
+	for _, test := range tests {
+		f := newSimulatedFleet(1, 150)
+		dark := start.Add(troubleFrom)
+		for _, d := range f.daemons {
+			if d.m.fleet.rank < test.lost {
+				d.dark = span{
+					from:  dark,
+					until: start.Add(2 * orderLength),
+				}
+				f.forget(d, dark)
+			}
+		}
+		f.play()
+		readers := map[string]int{}
+		for _, d := range f.daemons {
+			if d.dark.holds(f.now) {
+				continue
+			}
+			if looks := d.m.Counters().Looks; looks > test.looks {
+				t.Errorf("%d lost in each data centre: %s of rank %d has looked %d times, at most %d wanted", test.lost, d.ID, d.m.fleet.rank, looks, test.looks)
+			}
+			if d.m.Reader(f.now) {
+				readers[d.DataCentre]++
+			}
+		}
+		for datacentre, n := range readers {
+			if n > 1+takeoverRanks {
+				t.Errorf("%d lost in each data centre: %d readers in %s, want %d at most", test.lost, n, datacentre, 1+takeoverRanks)
+			}
+		}
+	}
+}
--- a/entryd/pkg/adopter/members.go
+++ b/entryd/pkg/adopter/members.go
@@ -14,9 +14,11 @@
 	// rank is this daemon's position in the order of the readers of its data
 	// centre.
 	rank int
-	// localReaders are the other readers of this data centre, remoteReaders
-	// those of the remote data centres.
-	localReaders, remoteReaders []Member
+	// confirmers are the other daemons of this data centre that may read the store,
+	// in rank: the readers and those of the takeoverRanks.
+	confirmers []Member
+	// remoteReaders are the readers of the remote data centres.
+	remoteReaders []Member
 
 	// peers are the live members without this daemon.
 	peers []Member
@@ -58,12 +60,16 @@
 		if m.DataCentre == cfg.DataCentre && c.before(self) {
 			f.rank++
 		}
-		first[m.DataCentre] = insertSorted(first[m.DataCentre], c, cfg.Readers)
+		limit := cfg.Readers
+		if m.DataCentre == cfg.DataCentre {
+			limit += takeoverRanks
+		}
+		first[m.DataCentre] = insertSorted(first[m.DataCentre], c, limit)
 	}
 	for datacentre, readers := range first {
 		for _, r := range readers {
 			if datacentre == cfg.DataCentre {
-				f.localReaders = append(f.localReaders, r.Member)
+				f.confirmers = append(f.confirmers, r.Member)
 			} else {
 				f.remoteReaders = append(f.remoteReaders, r.Member)
 			}
--- a/entryd/pkg/adopter/runner.go
+++ b/entryd/pkg/adopter/runner.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// tickInterval is the maximum time between two steps of the machine.
-	tickInterval = 250 * time.Millisecond
+	// tickInterval is the maximum time between two steps of the machine. It is part of the
+	// time in which a change is in force, see the package.
+	tickInterval = 100 * time.Millisecond
 	// firstTickInterval is the same until there is a configuration. Callers are refused
 	// until then.
 	firstTickInterval = 20 * time.Millisecond
@@ -216,6 +217,9 @@
 		case Adopt:
 			r.adopt(a.Accepted)
 		case CheckHead:
+			if a.Look && !r.storeDown.Load() {
+				klog.InfoS("nobody has confirmed the configuration; this daemon looks into the store", "revision", r.machine.Revision(), "unconfirmed", r.machine.staleness(now).String(), "rank", r.machine.fleet.rank)
+			}
 			r.call(ctx, storeTimeout, r.checkHead)
 		case ReadStore:
 			r.call(ctx, storeTimeout, r.readStore)
