Confirm the configuration as of the store's answer, not of a copy's

Cause: while a watch counts as running, up to 3.2 s after its last event, a check is answered from the copy, and the adopter took that for a confirmation by the store at the time of the check and passed it on. The time after which others step in began only then. The same held for a read that the copy answers, for a late event of a watch, and for a copy with changes that could not be translated.

Now what a source tells has a time, the begin of the read or of the last poll that was answered, and only that confirms.

TestMirrorTellsAgeOfCopy is red with the copy's answers as of now.

--- a/entryd/pkg/adopter/adopter.go
+++ b/entryd/pkg/adopter/adopter.go
@@ -249,12 +249,12 @@
 	case HeadRead:
 		m.handleHeadRead(e, now)
 	case HeadChanged:
-		m.observe(e.Head, now)
+		m.observe(e.Head, e.At)
 	case StoreRead:
 		m.reading.running = false
 		m.looking = false
 		actions = m.offer(e.Accepted)
-		m.observe(e.Accepted.GetHead(), m.reading.since)
+		m.observe(e.Accepted.GetHead(), e.At)
 		m.nextRead = now.Add(m.cfg.RetryInterval)
 	case WatchEnded:
 		m.watching = false
@@ -284,7 +284,7 @@
 	if e.Head.GetRevision() < m.Revision() {
 		m.counters.Lower++
 	} else {
-		m.observe(e.Head, m.checking.since)
+		m.observe(e.Head, e.At)
 	}
 	if m.looking {
 		m.endLook(now)
--- a/entryd/pkg/adopter/adopter_test.go
+++ b/entryd/pkg/adopter/adopter_test.go
@@ -92,13 +92,22 @@
 		return []Event{MembersChanged{Live: parseMembers(s.t, d.Input)}}
 	case "head":
 		return []Event{HeadRead{
-			Head:          s.content(d, revision).GetHead(),
+			Observation: Observation{
+				Head: s.content(d, revision).GetHead(),
+				At:   s.m.checking.since,
+			},
 			StoreRevision: int64(100 + revision),
 		}}
 	case "changed":
-		return []Event{HeadChanged{Head: s.content(d, revision).GetHead()}}
+		return []Event{HeadChanged{Observation: Observation{
+			Head: s.content(d, revision).GetHead(),
+			At:   s.now,
+		}}}
 	case "read":
-		return []Event{StoreRead{Accepted: s.content(d, revision)}}
+		return []Event{StoreRead{
+			Accepted: s.content(d, revision),
+			At:       s.m.reading.since,
+		}}
 	case "answer":
 		a := s.content(d, revision)
 		if d.HasArg("age") {
@@ -255,8 +264,8 @@
 	events := []Event{
 		StoreRead{Accepted: accepted(5, 5)},
 		StoreRead{Accepted: accepted(4, 4)},
-		HeadRead{Head: accepted(3, 3).Head},
-		HeadChanged{Head: accepted(2, 2).Head},
+		HeadRead{Observation: Observation{Head: accepted(3, 3).Head}},
+		HeadChanged{Observation: Observation{Head: accepted(2, 2).Head}},
 		PeerAnswered{Accepted: accepted(3, 3)},
 		StoreRead{},
 	}
@@ -321,7 +330,7 @@
 		}
 	}
 	m.Step(start, StoreRead{Accepted: withVersion(91, 8, 2)})
-	m.Step(start, HeadChanged{Head: withVersion(92, 8, 2).Head})
+	m.Step(start, HeadChanged{Observation: Observation{Head: withVersion(92, 8, 2).Head}})
 	if m.Revision() != 50 || m.KnownRevision() != 90 {
 		t.Errorf("revision %d in force and %d known, want 50 and 90", m.Revision(), m.KnownRevision())
 	}
--- a/entryd/pkg/adopter/event.go
+++ b/entryd/pkg/adopter/event.go
@@ -1,6 +1,8 @@
 package adopter
 
 import (
+	"time"
+
 	"plantaincleat/tier/gen/config"
 )
 
@@ -19,8 +21,8 @@
 
 // HeadRead is the answer to CheckHead.
 type HeadRead struct {
-	// Head is the head of the configuration in the store, nil if there is none.
-	Head *config.Head
+	// Observation tells the head of the configuration in the store.
+	Observation
 	// StoreRevision is the store revision at which the head was read.
 	StoreRevision int64
 }
@@ -28,9 +30,9 @@
 // CheckFailed reports that CheckHead has failed.
 type CheckFailed struct{}
 
-// HeadChanged reports a new head from the watch.
+// HeadChanged reports a new head from the watch, or the same one at a later time.
 type HeadChanged struct {
-	Head *config.Head
+	Observation
 }
 
 // WatchEnded reports that the watch has ended.
@@ -40,6 +42,8 @@
 // configuration.
 type StoreRead struct {
 	Accepted *config.Accepted
+	// At is the time of the Observation with the configuration's head.
+	At time.Time
 }
 
 // ReadFailed reports that ReadStore has failed.
--- a/entryd/pkg/adopter/force_test.go
+++ b/entryd/pkg/adopter/force_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -19,10 +20,18 @@
 	orderLength = 24 * time.Second
 	// troubleFrom and troubleUntil bound the times of disturbances and changes.
 	troubleFrom, troubleUntil = 5 * time.Second, 16 * time.Second
-	// simulatedCallTimeout is the time after which a call to the store without an answer fails.
+	// simulatedCallTimeout is the time after which a call to the store without an answer fails, a poll of a watch
+	// included.
 	simulatedCallTimeout = 1200 * time.Millisecond
+	// simulatedPollWait is how long the store delays the answer to a poll while nothing changes, and
+	// simulatedPollInterval the least time between two polls.
+	simulatedPollWait     = 400 * time.Millisecond
+	simulatedPollInterval = 600 * time.Millisecond
 )
 
+// orders is the number of random orders of events that are played, each with its own seed.
+var orders = flag.Int("orders", 300, "random orders of events to play over fleets of machines")
+
 // moment is an event of a simulated fleet.
 type moment struct {
 	at    time.Time
@@ -59,9 +68,15 @@
 	// all other daemons.
 	dark, frozen, unlinked, lonely span
 	// live is what the daemon knows of the others by gossip.
-	live     map[string]Member
-	watching bool
-	checks   int
+	live map[string]Member
+	// copied is the daemon's copy of the store, which confirms as of copiedAsOf. While a watch runs and has
+	// reported recently, checks are answered from it.
+	copied     *config.Accepted
+	copiedAsOf time.Time
+	watching   bool
+	watch      int
+	progress   time.Time
+	reads      int
 }
 
 // untouched reports whether nothing was done to the daemon before t.
@@ -81,8 +96,9 @@
 	queue   moments
 	order   int
 	daemons []*simulatedDaemon
-	// newest is the content of the store.
-	newest *config.Accepted
+	// newest is the content of the store, and waiting holds the polls to answer once it changes.
+	newest  *config.Accepted
+	waiting []func()
 	// late describes the daemons at which a change was not in force in time.
 	late []string
 }
@@ -134,8 +150,12 @@
 		for _, other := range f.daemons {
 			d.live[other.ID] = other.Member
 		}
+		d.copied = f.newest
 		f.step(d, f.members(d))
-		f.step(d, StoreRead{Accepted: f.newest})
+		f.step(d, StoreRead{
+			Accepted: f.newest,
+			At:       start,
+		})
 		f.after(f.between(0, tickInterval), func() { f.tick(d) })
 	}
 	return f
@@ -176,17 +196,17 @@
 	for _, a := range d.m.Step(f.now, event) {
 		switch a := a.(type) {
 		case CheckHead:
-			d.checks++
-			f.callStore(d, CheckFailed{}, func() Event {
-				return HeadRead{
-					Head:          f.newest.Head,
-					StoreRevision: int64(f.newest.Head.Revision),
-				}
-			})
+			f.check(d)
 		case ReadStore:
-			f.callStore(d, ReadFailed{}, func() Event { return StoreRead{Accepted: f.newest} })
+			read := StoreRead{
+				Accepted: d.copied,
+				At:       d.copiedAsOf,
+			}
+			f.after(0, func() { f.step(d, read) })
 		case StartWatch:
-			d.watching = true
+			d.watching, d.progress = true, f.now
+			d.watch++
+			f.poll(d, d.watch)
 		case StopWatch:
 			d.watching = false
 		case Pull:
@@ -197,19 +217,98 @@
 	}
 }
 
-// callStore answers a call to the store, unless the daemon does not reach it.
-func (f *simulatedFleet) callStore(d *simulatedDaemon, failed Event, answer func() Event) {
+// check answers a check, from the copy if a watch runs.
+func (f *simulatedFleet) check(d *simulatedDaemon) {
+	if d.watching && f.now.Sub(d.progress) <= simulatedCallTimeout {
+		f.after(0, func() { f.step(d, d.headRead()) })
+		return
+	}
+	d.reads++
+	begun := f.now
+	f.callStore(d, 0, func() { f.step(d, CheckFailed{}) }, func(newest *config.Accepted) {
+		d.copied, d.copiedAsOf = newest, begun
+		f.step(d, d.headRead())
+	})
+}
+
+func (d *simulatedDaemon) headRead() HeadRead {
+	return HeadRead{
+		Observation:   d.observation(),
+		StoreRevision: int64(d.copied.Head.Revision),
+	}
+}
+
+func (d *simulatedDaemon) observation() Observation {
+	return Observation{
+		Head: d.copied.Head,
+		At:   d.copiedAsOf,
+	}
+}
+
+// poll makes the polls of a watch, one after the other.
+func (f *simulatedFleet) poll(d *simulatedDaemon, watch int) {
+	if !d.watching || d.watch != watch || d.dark.holds(f.now) {
+		return
+	}
+	if d.frozen.holds(f.now) {
+		f.after(d.frozen.until.Sub(f.now), func() { f.poll(d, watch) })
+		return
+	}
+	begun := f.now
+	failed := func() {
+		d.watching = false
+		f.step(d, WatchEnded{})
+	}
+	f.callStore(d, simulatedPollWait, failed, func(newest *config.Accepted) {
+		d.copied, d.copiedAsOf, d.progress = newest, begun, f.now
+		f.step(d, HeadChanged{Observation: d.observation()})
+		f.after(max(0, begun.Add(simulatedPollInterval).Sub(f.now)), func() { f.poll(d, watch) })
+	})
+}
+
+// callStore calls the store, which answers after a wait, or sooner if it then holds something else than when it got
+// the call. The call fails after a while if the daemon does not reach the store. A frozen daemon gets either when it
+// wakes.
+func (f *simulatedFleet) callStore(d *simulatedDaemon, wait time.Duration, failed func(), answered func(newest *config.Accepted)) {
 	there, back := f.between(time.Millisecond, 60*time.Millisecond), f.between(time.Millisecond, 60*time.Millisecond)
-	f.after(there, func() {
-		if d.unlinked.holds(f.now) {
-			f.after(simulatedCallTimeout-there, func() { f.step(d, failed) })
+	expired := f.now.Add(simulatedCallTimeout)
+	var awake func(do func())
+	awake = func(do func()) {
+		if d.frozen.holds(f.now) {
+			f.after(d.frozen.until.Sub(f.now), func() { awake(do) })
 			return
 		}
-		event := answer()
-		f.after(back, func() { f.step(d, event) })
+		do()
+	}
+	fail := func() { f.after(expired.Sub(f.now), func() { awake(failed) }) }
+	f.after(there, func() {
+		f.answerLater(f.newest, f.now.Add(wait), func(newest *config.Accepted) {
+			if d.unlinked.holds(f.now) {
+				fail()
+				return
+			}
+			f.after(back, func() { awake(func() { answered(newest) }) })
+		})
 	})
 }
 
+// answerLater gives the content of the store to do at a time, or as soon as it is not known any more.
+func (f *simulatedFleet) answerLater(known *config.Accepted, at time.Time, do func(newest *config.Accepted)) {
+	answered := false
+	answer := func() {
+		if !answered {
+			answered = true
+			do(f.newest)
+		}
+	}
+	if f.newest != known || !f.now.Before(at) {
+		answer()
+		return
+	}
+	f.waiting = append(f.waiting, answer)
+	f.after(at.Sub(f.now), answer)
+}
+
 // pull answers a pull, unless the peer is gone, frozen or cut off.
 func (f *simulatedFleet) pull(d *simulatedDaemon, a Pull) {
 	peer := f.daemon(a.Peer.ID)
@@ -256,15 +355,14 @@
 	}
 }
 
-// change accepts a new configuration, which watches report, and looks after applyBound whether it is in force.
+// change accepts a new configuration and looks after applyBound whether it is in force.
 func (f *simulatedFleet) change() {
 	revision := f.newest.Head.Revision + 1
 	f.newest = accepted(revision, uint32(revision))
-	head, accepted := f.newest.Head, f.now
-	for _, d := range f.daemons {
-		if d.watching && !d.unlinked.holds(f.now) {
-			f.after(f.between(time.Millisecond, 60*time.Millisecond), func() { f.step(d, HeadChanged{Head: head}) })
-		}
+	accepted, waiting := f.now, f.waiting
+	f.waiting = nil
+	for _, answer := range waiting {
+		answer()
 	}
 	f.after(applyBound, func() {
 		for _, d := range f.daemons {
@@ -342,8 +440,7 @@
 // TestChangeInForceWhicheverDaemonsAreLost guards against a change that daemons in touch with the store act on
 // too late, since all who read the store for them have lost power, are frozen or are cut off.
 func TestChangeInForceWhicheverDaemonsAreLost(t *testing.T) {
-	const orders = 1000
-	for seed := range uint64(orders) {
+	for seed := range uint64(*orders) {
 		f := newSimulatedFleet(seed, 8)
 		f.disturb()
 		for range 1 + f.rng.IntN(4) {
@@ -369,7 +466,7 @@
 		if d.m.Counters().Looks > 0 {
 			t.Errorf("%s looked into the store %d times, nothing was wrong", d.ID, d.m.Counters().Looks)
 		}
-		if d.checks > 0 {
+		if d.reads > 0 {
 			readers++
 		}
 	}
--- a/entryd/pkg/adopter/runner.go
+++ b/entryd/pkg/adopter/runner.go
@@ -105,7 +105,10 @@
 // NewRunner returns a Runner that has not been started.
 func NewRunner(o Options) *Runner {
 	if o.Source == nil {
-		o.Source = storeSource{store: o.Store}
+		o.Source = storeSource{
+			store: o.Store,
+			clock: o.Clock,
+		}
 	}
 	r := &Runner{
 		Options:   o,
@@ -277,7 +280,7 @@
 }
 
 func (r *Runner) checkHead(ctx context.Context) Event {
-	head, revision, err := r.Source.Head(ctx)
+	newest, revision, err := r.Source.Head(ctx)
 	if err != nil {
 		if !r.storeDown.Swap(true) {
 			klog.InfoS("configuration store became unavailable", "err", err.Error())
@@ -288,18 +291,21 @@
 		klog.InfoS("configuration store is available again", "revision", revision)
 	}
 	return HeadRead{
-		Head:          head,
+		Observation:   newest,
 		StoreRevision: revision,
 	}
 }
 
 func (r *Runner) readStore(ctx context.Context) Event {
-	accepted, err := r.Source.Read(ctx)
+	accepted, at, err := r.Source.Read(ctx)
 	if err != nil {
 		klog.ErrorS(nil, "failed to read the configuration from the store", "err", err.Error())
 		return ReadFailed{}
 	}
-	return StoreRead{Accepted: accepted}
+	return StoreRead{
+		Accepted: accepted,
+		At:       at,
+	}
 }
 
 // pull fetches the configuration from a peer, which sends only the parts that
@@ -338,16 +344,16 @@
 	}, nil
 }
 
-// startWatch starts a watch in place of the previous one and passes changes of
-// the head to the machine until it ends.
+// startWatch starts a watch in place of the previous one and passes what it observes
+// to the machine until it ends.
 func (r *Runner) startWatch(ctx context.Context, after int64) {
 	r.stopWatch()
 	watching, cancel := context.WithCancel(ctx)
 	r.stopWatch = cancel
-	heads := r.Source.Watch(watching, after)
+	observations := r.Source.Watch(watching, after)
 	r.calls.Go(func() {
-		for head := range heads {
-			r.deliver(watching, HeadChanged{Head: head})
+		for o := range observations {
+			r.deliver(watching, HeadChanged{Observation: o})
 		}
 		r.deliver(watching, WatchEnded{})
 	})
--- a/entryd/pkg/adopter/source.go
+++ b/entryd/pkg/adopter/source.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"k8s.io/klog/v2"
 
 	"plantaincleat/tier/gen/config"
@@ -10,43 +12,63 @@
 	"plantaincleat/tier/pkg/storer"
 )
 
+// Observation is what a Source knows of the newest configuration.
+type Observation struct {
+	// Head is the head of the configuration, nil if there is none.
+	Head *config.Head
+	// At is a time at which the store held no later configuration. It is when the store
+	// was asked, not when the Source was: a Source that answers from a copy tells the age
+	// of the copy. It is zero if no such time is known.
+	At time.Time
+}
+
 // Source is the place from which readers read the configuration.
 // Implementations are safe for concurrent use.
 type Source interface {
-	// Head returns the head of the newest configuration, nil if there is none,
-	// and the store revision from which a watch can start.
-	Head(ctx context.Context) (head *config.Head, revision int64, err error)
-	// Read returns the newest configuration, nil if there is none.
-	Read(ctx context.Context) (*config.Accepted, error)
-	// Watch returns a channel with the heads of later configurations. The
-	// channel is closed when the watch fails or ctx ends.
-	Watch(ctx context.Context, after int64) <-chan *config.Head
+	// Head returns the head of the newest configuration and the store revision from
+	// which a watch can start.
+	Head(ctx context.Context) (newest Observation, revision int64, err error)
+	// Read returns the newest configuration, nil if there is none, and the time of the
+	// Observation with its head.
+	Read(ctx context.Context) (newest *config.Accepted, at time.Time, err error)
+	// Watch returns a channel with observations of later configurations, and, if the
+	// Source has them, of the same configuration at later times. The channel is closed
+	// when the watch fails or ctx ends.
+	Watch(ctx context.Context, after int64) <-chan Observation
 }
 
 // storeSource is a Source that reads a store in the layout of package
 // configreader.
 type storeSource struct {
 	store storer.Store
+	clock clockwork.Clock
 }
 
 // Head implements Source.
-func (s storeSource) Head(ctx context.Context) (*config.Head, int64, error) {
-	return configreader.ReadHead(ctx, s.store)
+func (s storeSource) Head(ctx context.Context) (Observation, int64, error) {
+	begun := s.clock.Now()
+	head, revision, err := configreader.ReadHead(ctx, s.store)
+	return Observation{
+		Head: head,
+		At:   begun,
+	}, revision, err
 }
 
 // Read implements Source.
-func (s storeSource) Read(ctx context.Context) (*config.Accepted, error) {
+func (s storeSource) Read(ctx context.Context) (*config.Accepted, time.Time, error) {
+	begun := s.clock.Now()
 	state, err := configreader.ReadState(ctx, s.store)
 	if err != nil {
-		return nil, err
+		return nil, time.Time{}, err
 	}
-	return state.Accepted, nil
+	return state.Accepted, begun, nil
 }
 
-// Watch implements Source.
-func (s storeSource) Watch(ctx context.Context, after int64) <-chan *config.Head {
+// Watch implements Source. Its observations have no time, since an event of a watch may come
+// late.
+func (s storeSource) Watch(ctx context.Context, after int64) <-chan Observation {
 	changes := s.store.Watch(ctx, configreader.HeadKey, after)
-	heads := make(chan *config.Head)
+	heads := make(chan Observation)
 	go func() {
 		defer close(heads)
 		for change := range changes {
@@ -59,7 +81,7 @@
 				continue
 			}
 			select {
-			case heads <- head:
+			case heads <- Observation{Head: head}:
 			case <-ctx.Done():
 			}
 		}
--- a/entryd/pkg/mirrorer/mirrorer.go
+++ b/entryd/pkg/mirrorer/mirrorer.go
@@ -24,6 +24,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"plantaincleat/entryd/pkg/adopter"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/pkg/configencoder"
 	"plantaincleat/tier/pkg/storer"
@@ -60,11 +61,15 @@
 type Mirror struct {
 	Options
 
-	mu           sync.Mutex
-	items        map[string]storer.Item
-	revision     int64
-	accepted     *config.Accepted
+	mu       sync.Mutex
+	items    map[string]storer.Item
+	revision int64
+	accepted *config.Accepted
+	// lastProgress is when the last progress event arrived.
 	lastProgress time.Time
+	// asOf is the latest known time at which the store held nothing later than the last
+	// translation.
+	asOf time.Time
 	// changed is true if items have changed since the last translation.
 	changed  bool
 	watching bool
@@ -89,26 +94,28 @@
 
 // Head implements adopter.Source. It returns the head of the configuration and
 // the store revision of the copy. It reads the store only if no watch runs or the
-// last progress event is older than MaxStaleness.
-func (m *Mirror) Head(ctx context.Context) (*config.Head, int64, error) {
+// last progress event is older than MaxStaleness. An answer from the copy confirms the
+// configuration as of the last answer of the store.
+func (m *Mirror) Head(ctx context.Context) (adopter.Observation, int64, error) {
 	m.mu.Lock()
 	if m.watching && m.Clock.Since(m.lastProgress) <= m.MaxStaleness {
 		defer m.mu.Unlock()
 		if m.outdated() {
 			m.changed = true
 			if err := m.rebuild(); err != nil {
-				return nil, 0, err
+				return adopter.Observation{}, 0, err
 			}
 		}
-		return m.accepted.GetHead(), m.revision, nil
+		return m.observation(), m.revision, nil
 	}
 	m.mu.Unlock()
+	begun := m.Clock.Now()
 	items := make(map[string]storer.Item)
 	var revision int64
 	for i, prefix := range m.Prefixes {
 		page, err := m.Store.Read(ctx, prefix)
 		if err != nil {
-			return nil, 0, eris.Wrapf(err, "read store keys with prefix %q", prefix)
+			return adopter.Observation{}, 0, eris.Wrapf(err, "read store keys with prefix %q", prefix)
 		}
 		if i == 0 {
 			// The first page has the lowest revision. A watch that starts after it
@@ -122,26 +129,44 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if revision < m.revision {
-		return m.accepted.GetHead(), m.revision, nil
+		return m.observation(), m.revision, nil
 	}
 	m.items, m.revision, m.changed = items, revision, true
 	if err := m.rebuild(); err != nil {
-		return nil, 0, err
+		return adopter.Observation{}, 0, err
 	}
-	return m.accepted.GetHead(), m.revision, nil
+	m.confirm(begun)
+	return m.observation(), m.revision, nil
 }
 
 // Read implements adopter.Source.
-func (m *Mirror) Read(context.Context) (*config.Accepted, error) {
+func (m *Mirror) Read(context.Context) (*config.Accepted, time.Time, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.accepted, nil
+	return m.accepted, m.asOf, nil
 }
 
-// Watch implements adopter.Source. It sends the head of each new configuration and
+// observation returns the configuration of the copy with the time as of which the store has
+// confirmed it. The caller holds mu.
+func (m *Mirror) observation() adopter.Observation {
+	return adopter.Observation{
+		Head: m.accepted.GetHead(),
+		At:   m.asOf,
+	}
+}
+
+// confirm records that the store held nothing later than the copy at a time. It says nothing of
+// changes that could not be translated. The caller holds mu.
+func (m *Mirror) confirm(at time.Time) {
+	if !m.changed && at.After(m.asOf) {
+		m.asOf = at
+	}
+}
+
+// Watch implements adopter.Source. It sends an observation after each answer of the store and
 // closes the channel when the watch of the store ends.
-func (m *Mirror) Watch(ctx context.Context, after int64) <-chan *config.Head {
-	heads := make(chan *config.Head)
+func (m *Mirror) Watch(ctx context.Context, after int64) <-chan adopter.Observation {
+	observations := make(chan adopter.Observation)
 	changes := m.Store.Watch(ctx, "", after)
 	m.mu.Lock()
 	m.watching, m.lastProgress = true, m.Clock.Now()
@@ -149,18 +174,18 @@
 	watch := m.watchCount
 	m.mu.Unlock()
 	go func() {
-		defer close(heads)
+		defer close(observations)
 		for change := range changes {
 			if change.Err != nil {
 				klog.InfoS("watch of the configuration store failed", "err", change.Err.Error())
 				continue
 			}
-			head := m.apply(change)
-			if head == nil {
+			o, ok := m.apply(change)
+			if !ok {
 				continue
 			}
 			select {
-			case heads <- head:
+			case observations <- o:
 			case <-ctx.Done():
 			}
 		}
@@ -170,19 +195,20 @@
 			m.watching = false
 		}
 	}()
-	return heads
+	return observations
 }
 
-// apply applies one event of the store to the copy. It returns the head of the
-// configuration if the event results in a new one, otherwise nil.
-func (m *Mirror) apply(change storer.Event) *config.Head {
+// apply applies one event of the store to the copy. It returns an observation and true if the
+// event tells up to which revision the copy has all changes.
+func (m *Mirror) apply(change storer.Event) (adopter.Observation, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if change.ProgressRevision > 0 {
-		return m.handleProgress(change.ProgressRevision)
+		m.handleProgress(change)
+		return m.observation(), m.accepted != nil
 	}
 	if change.Item.ModRevision <= m.revision || !m.mirrors(change.Item.Key) {
-		return nil
+		return adopter.Observation{}, false
 	}
 	m.changed = true
 	if change.Deleted {
@@ -190,30 +216,22 @@
 	} else {
 		m.items[change.Item.Key] = change.Item
 	}
-	return nil
+	return adopter.Observation{}, false
 }
 
-// handleProgress records that the copy has all changes up to a store revision. It
-// then translates the items if they have changed, and returns the head of the
-// configuration if it is a new one.
-func (m *Mirror) handleProgress(revision int64) *config.Head {
+// handleProgress records that the copy has all changes up to a store revision, and translates
+// the items if they have changed.
+func (m *Mirror) handleProgress(progress storer.Event) {
 	m.lastProgress = m.Clock.Now()
-	if revision <= m.revision {
-		return nil
-	}
-	m.revision = revision
-	if !m.changed {
-		return nil
-	}
-	before := m.accepted.GetHead().GetRevision()
-	if err := m.rebuild(); err != nil {
-		klog.ErrorS(nil, "translation of the configuration failed; the previous one stays in use", "revision", revision, "err", err.Error())
-		return nil
-	}
-	if m.accepted.GetHead().GetRevision() == before {
-		return nil
+	if progress.ProgressRevision > m.revision {
+		m.revision = progress.ProgressRevision
+		if m.changed {
+			if err := m.rebuild(); err != nil {
+				klog.ErrorS(nil, "translation of the configuration failed; the previous one stays in use", "revision", m.revision, "err", err.Error())
+			}
+		}
 	}
-	return m.accepted.GetHead()
+	m.confirm(progress.AsOf)
 }
 
 // mirrors reports whether a store key has one of the prefixes.
--- a/entryd/pkg/mirrorer/mirrorer_test.go
+++ b/entryd/pkg/mirrorer/mirrorer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"testing"
@@ -9,10 +10,13 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"plantaincleat/entryd/pkg/adopter"
 	"plantaincleat/tier/gen/config"
 	"plantaincleat/tier/pkg/storer"
 )
 
+var errTranslation = errors.New("unreadable")
+
 // translate returns a configuration with one target per item except "c", or nil
 // if there is no item "c".
 func translate(items map[string]storer.Item) (Translation, error) {
@@ -50,6 +54,16 @@
 	return out
 }
 
+// nextHead returns the next head of a watch with another revision than the one before.
+func nextHead(observations <-chan adopter.Observation, before uint64) *config.Head {
+	for o := range observations {
+		if o.Head.GetRevision() != before {
+			return o.Head
+		}
+	}
+	return nil
+}
+
 func put(t *testing.T, m *storer.Memory, key, value string) {
 	t.Helper()
 	if _, err := m.Commit(context.Background(), storer.Txn{Writes: []storer.Write{{Key: key, Value: []byte(value)}}}); err != nil {
@@ -77,21 +91,23 @@
 	put(t, memory, "t/1", "a")
 	clock := clockwork.NewFakeClock()
 	watcher := newMirror(memory, clock)
-	_, revision, err := watcher.Head(ctx)
+	first, revision, err := watcher.Head(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
+	before := first.Head.GetRevision()
 	heads := watcher.Watch(ctx, revision)
 	for i, change := range []string{"b", "c", "d"} {
 		put(t, memory, "t/1", change)
-		watched := <-heads
+		watched := nextHead(heads, before)
+		before = watched.GetRevision()
 		reader := newMirror(memory, clock)
 		read, _, err := reader.Head(ctx)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if string(read.GetDigest()) != string(watched.GetDigest()) || read.GetRevision() != watched.GetRevision() {
-			t.Errorf("change %d: digests differ, or revision %d from a watch and %d from a read", i, watched.GetRevision(), read.GetRevision())
+		if string(read.Head.GetDigest()) != string(watched.GetDigest()) || read.Head.GetRevision() != watched.GetRevision() {
+			t.Errorf("change %d: digests differ, or revision %d from a watch and %d from a read", i, watched.GetRevision(), read.Head.GetRevision())
 		}
 	}
 }
@@ -109,8 +125,8 @@
 	heads := m.Watch(ctx, revision)
 	put(t, memory, "other", "x")
 	put(t, memory, "t/1", "a")
-	if next := <-heads; next.GetRevision() != first.GetRevision()+2 {
-		t.Errorf("next head has revision %d, want two above %d", next.GetRevision(), first.GetRevision())
+	if next := nextHead(heads, first.Head.GetRevision()); next.GetRevision() != first.Head.GetRevision()+2 {
+		t.Errorf("next head has revision %d, want two above %d", next.GetRevision(), first.Head.GetRevision())
 	}
 }
 
@@ -127,7 +143,7 @@
 		translations++
 		return translate(items)
 	}
-	_, revision, err := m.Head(ctx)
+	first, revision, err := m.Head(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -136,7 +152,7 @@
 		put(t, memory, "other", "x")
 	}
 	put(t, memory, "t/1", "a")
-	<-heads
+	nextHead(heads, first.Head.GetRevision())
 	if translations != 2 {
 		t.Errorf("%d translations, want 2: the initial state and one change", translations)
 	}
@@ -174,6 +190,69 @@
 	}
 }
 
+// hangingStore is a store whose watches report nothing, as over a link that has gone, except progress that a test
+// sends.
+type hangingStore struct {
+	*storer.Memory
+	progress chan storer.Event
+}
+
+// Watch implements storer.Store.
+func (h hangingStore) Watch(context.Context, string, int64) <-chan storer.Event { return h.progress }
+
+// TestMirrorTellsAgeOfCopy guards against a copy that answers for the store: while a watch hangs, or reports late, what
+// the store held at its last answer passes for a confirmation of now, and changes stay unknown for that long.
+func TestMirrorTellsAgeOfCopy(t *testing.T) {
+	memory := &storer.Memory{}
+	put(t, memory, "c", "")
+	put(t, memory, "t/1", "a")
+	clock := clockwork.NewFakeClock()
+	m := newMirror(memory, clock)
+	store := hangingStore{
+		Memory:   memory,
+		progress: make(chan storer.Event),
+	}
+	m.Store = store
+	read := clock.Now()
+	_, revision, err := m.Head(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	observations := m.Watch(t.Context(), revision)
+	check := func(step string, want time.Time) {
+		t.Helper()
+		o, _, err := m.Head(t.Context())
+		if err != nil || !o.At.Equal(want) {
+			t.Errorf("%s: the head is confirmed as of %v, want %v; error %v", step, o.At.Sub(read), want.Sub(read), err)
+		}
+		if _, at, err := m.Read(t.Context()); err != nil || !at.Equal(want) {
+			t.Errorf("%s: the configuration is confirmed as of %v, want %v; error %v", step, at.Sub(read), want.Sub(read), err)
+		}
+	}
+	clock.Advance(900 * time.Millisecond)
+	check("while the watch hangs", read)
+	asOf := read.Add(300 * time.Millisecond)
+	store.progress <- storer.Event{
+		ProgressRevision: revision,
+		AsOf:             asOf,
+	}
+	if o := <-observations; !o.At.Equal(asOf) {
+		t.Errorf("the watch confirms as of %v, want %v", o.At.Sub(read), asOf.Sub(read))
+	}
+	check("after an answer that has been under way for 0.6 s", asOf)
+	store.progress <- storer.Event{ProgressRevision: revision}
+	<-observations
+	check("after progress without a time", asOf)
+	m.Translate = func(map[string]storer.Item) (Translation, error) { return Translation{}, errTranslation }
+	store.progress <- storer.Event{Item: storer.Item{Key: "t/1", ModRevision: revision + 1}}
+	store.progress <- storer.Event{
+		ProgressRevision: revision + 1,
+		AsOf:             clock.Now(),
+	}
+	<-observations
+	check("after a change that cannot be translated", asOf)
+}
+
 func TestMirrorHeadIgnoresOlderRead(t *testing.T) {
 	ctx := context.Background()
 	memory := &storer.Memory{}
@@ -189,8 +268,8 @@
 	m.mu.Lock()
 	m.revision += 10
 	m.mu.Unlock()
-	if again, _, err := m.Head(ctx); err != nil || again.GetRevision() != newest.GetRevision() {
-		t.Errorf("Head() after an older read: revision %d, want %d; error %v", again.GetRevision(), newest.GetRevision(), err)
+	if again, _, err := m.Head(ctx); err != nil || again.Head.GetRevision() != newest.Head.GetRevision() {
+		t.Errorf("Head() after an older read: revision %d, want %d; error %v", again.Head.GetRevision(), newest.Head.GetRevision(), err)
 	}
 }
 
@@ -205,7 +284,7 @@
 	if _, _, err := m.Head(context.Background()); err == nil {
 		t.Error("Head() while the store is unavailable: no error")
 	}
-	if a, err := m.Read(context.Background()); err != nil || a == nil {
+	if a, _, err := m.Read(context.Background()); err != nil || a == nil {
 		t.Errorf("Read() returned no copy, error %v", err)
 	}
 }
@@ -233,11 +312,12 @@
 	m.InForce = func() *config.Accepted { return inForce }
 	check := func(version uint64, route string, targets int) {
 		t.Helper()
-		head, _, err := m.Head(t.Context())
+		newest, _, err := m.Head(t.Context())
 		if err != nil {
 			t.Fatal(err)
 		}
-		accepted, err := m.Read(t.Context())
+		head := newest.Head
+		accepted, _, err := m.Read(t.Context())
 		if err != nil || head.GetVersion() != version || accepted.GetConfig().GetRoutes()[0].GetName() != route || len(accepted.GetConfig().GetTargets()) != targets {
 			t.Errorf("version %d with %v, error %v; want version %d with route %q and %d targets", head.GetVersion(), accepted.GetConfig(), err, version, route, targets)
 		}
--- a/tier/pkg/storer/storer.go
+++ b/tier/pkg/storer/storer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Errors of a Store. Implementations wrap them with the step and the peer.
@@ -77,9 +78,12 @@
 	Deleted bool
 	Err     error
 	// ProgressRevision is a store revision up to which the watch has reported
-	// all changes. An event that has it has nothing else. Not all
+	// all changes. An event that has it has nothing else but AsOf. Not all
 	// implementations send such events.
 	ProgressRevision int64
+	// AsOf is a time, by the clock of the daemon, at which the store had no change
+	// beyond ProgressRevision. It is zero if none is known.
+	AsOf time.Time
 }
 
 // Store is the platform's key-value service. In Etcd, each method makes one call to
