--- a/entryd/pkg/sharer/lostrole_test.go
+++ b/entryd/pkg/sharer/lostrole_test.go
@@ -26,19 +26,25 @@
 	return slices.IndexFunc(candidates, func(c candidate) bool { return c.id == id })
 }
 
+// loseLender returns the lender of n daemons, and three epochs: in the second one the others lose a daemon, and in the
+// last one it is back.
+func loseLender(n int, limit Limit) (lender int, epochs []modelEpoch) {
+	var all []int
+	for i := range n {
+		all = append(all, i)
+	}
+	epochs = []modelEpoch{firstEpoch(n, n, limit), firstEpoch(n, n, limit), firstEpoch(n, n, limit)}
+	epochs[1].at, epochs[1].lost = 12*time.Second, true
+	return lenderAmong(all), epochs
+}
+
 // TestSumHoldsAfterFreezeOfLender guards against a lender that was frozen and goes on to lend beside
 // the daemon that has taken its place.
 func TestSumHoldsAfterFreezeOfLender(t *testing.T) {
 	for seed := range uint64(60) {
 		n := []int{2, 3, 6, 12}[seed%4]
 		limit := Limit{Rate: []float64{9, 40, 100}[seed%3]}
-		var all []int
-		for i := range n {
-			all = append(all, i)
-		}
-		lender := lenderAmong(all)
-		epochs := []modelEpoch{firstEpoch(n, n, limit), firstEpoch(n, n, limit), firstEpoch(n, n, limit)}
-		epochs[1].at, epochs[1].lost = 12*time.Second, true
+		lender, epochs := loseLender(n, limit)
 		epochs[1].parts[lender] = frozen
 		epochs[2].at = epochs[1].at + time.Duration(2000+500*(seed%7))*time.Millisecond
 		epochs[2].incarnations[lender] += restartStep
@@ -63,13 +69,7 @@
 	for seed := range uint64(60) {
 		n := []int{3, 6, 12, 20}[seed%4]
 		limit := Limit{Rate: []float64{9, 20, 100}[seed%3], Burst: 10}
-		var all []int
-		for i := range n {
-			all = append(all, i)
-		}
-		lender := lenderAmong(all)
-		epochs := []modelEpoch{firstEpoch(n, n, limit), firstEpoch(n, n, limit), firstEpoch(n, n, limit)}
-		epochs[1].at, epochs[1].lost = 12*time.Second, true
+		lender, epochs := loseLender(n, limit)
 		epochs[1].parts[lender] = 1
 		epochs[1].unaware = map[int]time.Duration{lender: 5 * time.Second}
 		epochs[2].at = epochs[1].at + time.Duration(2000+1000*(seed%11))*time.Millisecond
