Start the watch of a new reader at its own check

A daemon that had looked into the store, or had been a reader before, began its next watch at the revision of that time, minutes before. The store would have had to report all changes since, or had dropped them, and the reader read anew.

Now a daemon that is no reader keeps no revision to watch from. TestWatchStartsAtOwnCheck is red without the change.

--- a/entryd/pkg/adopter/adopter_test.go
+++ b/entryd/pkg/adopter/adopter_test.go
@@ -295,6 +295,49 @@
 	}
 }
 
+// TestWatchStartsAtOwnCheck guards against a watch that goes on from where a daemon has looked into the store long before
+// it becomes a reader: the store would have to report all changes since.
+func TestWatchStartsAtOwnCheck(t *testing.T) {
+	m := New(Config{
+		ID:         "last",
+		DataCentre: "wlg",
+	}, start)
+	m.fleet.rank = 12
+	now := start
+	step := func(d time.Duration, e Event) []Action {
+		now = now.Add(d)
+		return m.Step(now, e)
+	}
+	newest := accepted(1, 1)
+	answer := HeadRead{
+		Observation:   Observation{Head: newest.Head},
+		StoreRevision: 100,
+	}
+	step(0, StoreRead{Accepted: newest})
+	if out := step(DefaultLookAfter+time.Second, Tick{}); !slices.Contains(out, Action(CheckHead{Look: true})) {
+		t.Fatalf("actions %v, want a look into the store", out)
+	}
+	answer.At = now
+	step(0, answer)
+	if m.Reader(now) {
+		t.Fatal("a daemon of a low rank has become a reader by its look")
+	}
+	m.fleet.rank = 0
+	out := step(time.Second, Tick{})
+	if slices.ContainsFunc(out, isWatch) || !slices.Contains(out, Action(CheckHead{})) {
+		t.Errorf("actions %v as the only daemon that is left, want a check before a watch", out)
+	}
+	answer.At, answer.StoreRevision = now, 900
+	if out := step(0, answer); !slices.Contains(out, Action(StartWatch{After: 900})) {
+		t.Errorf("actions %v after the check, want a watch from its revision", out)
+	}
+}
+
+func isWatch(a Action) bool {
+	_, ok := a.(StartWatch)
+	return ok
+}
+
 func BenchmarkMembersChanged(b *testing.B) {
 	live := fleetOf(64, "a", "b", "c", "d", "e", "f", "g")
 	m := New(Config{
--- a/entryd/pkg/adopter/decide.go
+++ b/entryd/pkg/adopter/decide.go
@@ -12,9 +12,8 @@
 	if reader || m.looking {
 		actions = m.storeActions(now)
 	}
-	if !reader && m.watching {
-		m.watching = false
-		actions = append(actions, StopWatch{})
+	if !reader {
+		actions = append(actions, m.endWatch()...)
 	}
 	if a, ok := m.pull(now); ok {
 		return append(actions, a)
@@ -25,6 +24,17 @@
 	return actions
 }
 
+// endWatch ends the watch of a daemon that is no reader, or no longer. When it becomes one, its
+// watch starts where its next check has read, and not where an earlier one did.
+func (m *Machine) endWatch() []Action {
+	m.watchFrom = 0
+	if !m.watching {
+		return nil
+	}
+	m.watching = false
+	return []Action{StopWatch{}}
+}
+
 // look makes a check of the store due if nobody has confirmed the configuration for long,
 // neither the readers nor anyone else. It depends on no belief about the other daemons but
 // the rank, which only tells who of them looks a little sooner.
