--- a/entryd/pkg/adopter/adopter.go
+++ b/entryd/pkg/adopter/adopter.go
@@ -92,6 +92,9 @@
 // other.
 func (c Config) lookStep() time.Duration { return (c.LookAfter - c.TakeoverAfter) / takeoverRanks }
 
+// askHedgeDelay is how long a question for a confirmation may take before another peer is asked.
+func (c Config) askHedgeDelay() time.Duration { return c.CheckInterval / 3 }
+
 func setDefault[T comparable](v *T, value T) {
 	var zero T
 	if *v == zero {
@@ -310,6 +313,9 @@
 		age := time.Duration(max(0, e.Accepted.GetAge())) * time.Millisecond
 		m.observe(e.Accepted.GetHead(), pullStart.Add(-age))
 	}
+	if next := pullStart.Add(m.askInterval(now)); next.After(m.nextAsk) {
+		m.nextAsk = next
+	}
 	if m.staleness(now) > m.cfg.TakeoverAfter-m.cfg.CheckInterval {
 		m.staleUntil[e.Peer] = now.Add(m.staleTime(now))
 	}
--- a/entryd/pkg/adopter/decide.go
+++ b/entryd/pkg/adopter/decide.go
@@ -118,7 +118,8 @@
 
 // askFreshness returns a call to a peer that may have confirmed the configuration, and false
 // if none is due. A reader asks only if its own checks do not confirm the configuration.
-// Readers are asked by turns, and then the next in rank.
+// Readers are asked by turns, and then the next in rank. The next one is asked soon if no answer
+// comes, and after askInterval otherwise.
 func (m *Machine) askFreshness(now time.Time) (Pull, bool) {
 	if now.Before(m.nextAsk) {
 		return Pull{}, false
@@ -137,7 +138,7 @@
 			peer = peers[m.askCount%inTurn]
 		}
 		if m.available(now, peer) && !now.Before(m.staleUntil[peer.ID]) {
-			m.nextAsk = now.Add(m.askInterval(now))
+			m.nextAsk = now.Add(min(m.cfg.askHedgeDelay(), m.askInterval(now)))
 			return m.startPull(now, peer), true
 		}
 	}
@@ -153,7 +154,7 @@
 	return m.fleet.rank < m.cfg.Readers+takeoverRanks && m.staleness(now) > m.cfg.LookAfter
 }
 
-// askInterval returns the time until the next question for a confirmation. It is short while
+// askInterval returns the time between two answered questions for a confirmation. It is short while
 // the daemons of the takeoverRanks look into the store one after the other, so that the rest
 // of the data centre hears from them before LookAfter.
 func (m *Machine) askInterval(now time.Time) time.Duration {
--- a/entryd/pkg/adopter/members.go
+++ b/entryd/pkg/adopter/members.go
@@ -75,6 +75,10 @@
 			}
 		}
 	}
+	if last := cfg.Readers + takeoverRanks - 1; f.rank <= last {
+		// This daemon is one of them.
+		f.confirmers = f.confirmers[:min(last, len(f.confirmers))]
+	}
 	slices.SortFunc(f.remoteReaders, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	return f
 }
