Read the store in one call, and look less often while it does not answer

A look made three calls, one for each prefix, and while the store does not answer each daemon looked every 2.2 s.

--- a/entryd/pkg/adopter/adopter.go
+++ b/entryd/pkg/adopter/adopter.go
@@ -48,12 +48,14 @@
 	// this time.
 	PullHedgeDelay time.Duration
 	// TakeoverAfter is the staleness above which the first daemon after the
-	// readers looks into the store, and the least time between two looks of a
-	// daemon.
+	// readers looks into the store.
 	TakeoverAfter time.Duration
 	// LookAfter is the staleness above which every daemon looks into the store.
 	// The daemons of the takeoverRanks do so between TakeoverAfter and this time.
 	LookAfter time.Duration
+	// LookRetryInterval is the least time between two looks of a daemon while the
+	// store does not answer them.
+	LookRetryInterval time.Duration
 	// StartDelay is how long after its start a daemon without known peers waits
 	// before it reads the store. Until then it may hear of peers that have the
 	// configuration or are the readers. Zero means no delay.
@@ -68,6 +70,8 @@
 	DefaultPullHedgeDelay = time.Second
 	DefaultTakeoverAfter  = 5 * time.Second
 	DefaultLookAfter      = 7 * time.Second
+
+	DefaultLookRetryInterval = 5 * time.Second
 )
 
 const (
@@ -85,6 +89,7 @@
 	setDefault(&c.PullHedgeDelay, DefaultPullHedgeDelay)
 	setDefault(&c.TakeoverAfter, DefaultTakeoverAfter)
 	setDefault(&c.LookAfter, DefaultLookAfter)
+	setDefault(&c.LookRetryInterval, DefaultLookRetryInterval)
 	return c
 }
 
--- a/entryd/pkg/adopter/decide.go
+++ b/entryd/pkg/adopter/decide.go
@@ -46,7 +46,7 @@
 		return
 	}
 	m.looking = true
-	m.nextLook = now.Add(m.cfg.TakeoverAfter)
+	m.nextLook = now.Add(m.cfg.LookRetryInterval)
 	m.nextCheck = now
 	m.counters.Looks++
 }
@@ -62,6 +62,7 @@
 // them, so that a large data centre does not get many readers.
 func (m *Machine) endLook(now time.Time) {
 	m.looking = m.evidence.revision > m.Revision()
+	m.nextLook = now.Add(m.cfg.TakeoverAfter)
 	if m.fleet.rank >= m.cfg.Readers && m.fleet.rank < m.cfg.Readers+takeoverRanks {
 		m.takeoverUntil = now.Add(takeoverFactor * m.cfg.TakeoverAfter)
 	}
--- a/entryd/pkg/mirrorer/mirrorer.go
+++ b/entryd/pkg/mirrorer/mirrorer.go
@@ -110,28 +110,23 @@
 	}
 	m.mu.Unlock()
 	begun := m.Clock.Now()
+	// One read of all keys, as the watch has them, costs fewer calls than one for each prefix.
+	page, err := m.Store.Read(ctx, "")
+	if err != nil {
+		return adopter.Observation{}, 0, eris.Wrap(err, "read store keys")
+	}
 	items := make(map[string]storer.Item)
-	var revision int64
-	for i, prefix := range m.Prefixes {
-		page, err := m.Store.Read(ctx, prefix)
-		if err != nil {
-			return adopter.Observation{}, 0, eris.Wrapf(err, "read store keys with prefix %q", prefix)
-		}
-		if i == 0 {
-			// The first page has the lowest revision. A watch that starts after it
-			// misses no change of the other prefixes.
-			revision = page.Revision
-		}
-		for _, item := range page.Items {
+	for _, item := range page.Items {
+		if m.mirrors(item.Key) {
 			items[item.Key] = item
 		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if revision < m.revision {
+	if page.Revision < m.revision {
 		return m.observation(), m.revision, nil
 	}
-	m.items, m.revision, m.changed = items, revision, true
+	m.items, m.revision, m.changed = items, page.Revision, true
 	if err := m.rebuild(); err != nil {
 		return adopter.Observation{}, 0, err
 	}
